--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+BIN := bin
+
+.PHONY: all build test demo lint generate soak bench fuzz experiment capacity
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# The gate: everything that CI runs besides formatter and linter.
+test:
+	$(GO) test -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Needs protoc (Debian package protobuf-compiler); the plugins are Go tools of this module.
+generate:
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I proto \
+	  --go_out=. --go_opt=module=github.com/bridgehoist/bridgehoist \
+	  --connect-go_out=. --connect-go_opt=module=github.com/bridgehoist/bridgehoist \
+	  bridgehoist/peer/v1/peer.proto
+
+demo: build
+	bash scripts/demo.sh
--- /dev/null
+++ b/cmd/bridgehoistctl/write.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
+)
+
+func ms(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+
+func writeStatus(out io.Writer, st *operatorapi.Status) {
+	fmt.Fprintf(out, "%s in %s: ready %v, stopping %v, up %v, waiting %d, tickets running %d, records %d\n",
+		st.VM, st.DataCenter, st.Ready, st.Stopping, ms(st.UptimeMS), st.Waiting, st.Tickets.Running, st.Tickets.Records)
+	for _, v := range st.Values {
+		fmt.Fprintf(out, "%s: revision %d in force for %v, highest seen %d\n", v.Name, v.Revision, ms(v.AgeMS), v.SeenRevision)
+	}
+	for _, e := range st.TableErrors {
+		fmt.Fprintf(out, "refused: %s\n", e)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "entry\tdata centre\tstatus\tage")
+	for _, m := range st.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\n", m.VM, m.DataCenter, m.Status, ms(m.AgeMS))
+	}
+	fmt.Fprintln(w, "endpoint\tleaving\tbreaker\town\tpeers\tprojected\tcapacity\tgap ms\treport age\tpreemptions")
+	for _, e := range st.Endpoints {
+		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%d\t%.0f\t%d\t%.1f\t%v\t%d\n", e.ID, e.Leaving, e.Breaker, e.Running,
+			e.PeersRunning, e.Projected, e.Capacity, e.GapMS, ms(e.ReportAgeMS), e.Preemptions)
+	}
+	for name, n := range st.Violations {
+		if n > 0 {
+			fmt.Fprintf(w, "VIOLATED\t%s\t%d\n", name, n)
+		}
+	}
+}
+
+func writeExplanation(out io.Writer, x *operatorapi.Explanation) {
+	fmt.Fprintf(out, "table revision %d, row %s\n", x.Revision, x.Row)
+	fmt.Fprintf(out, "in flight %d of %d, queued %d of %d\n", x.InFlight, x.MaxInFlight, x.Queued, x.MaxQueued)
+	fmt.Fprintf(out, "waiting for the same target %d, expected wait %s\n", x.Ahead, x.ExpectedWait)
+	fmt.Fprintf(out, "projected tokens %.0f\n", x.Projected)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "endpoint\tlocal\tleaving\tbroken\tfill\tfits\tslowness\tkept\tscore")
+	for _, c := range x.Candidates {
+		fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%.2f\t%v\t%.2f\t%v\t%.2f\n",
+			c.ID, c.Local, c.Leaving, c.Broken, c.Fill, c.Fits, c.Slowness, c.Kept, c.Score)
+	}
+	w.Flush()
+	if x.Chosen == "" {
+		fmt.Fprintln(out, "no endpoint now: the request would wait")
+		return
+	}
+	fmt.Fprintf(out, "best before jitter: %s\n", x.Chosen)
+}
--- /dev/null
+++ b/internal/controllers/controllers.go
@@ -0,0 +1,108 @@
+// Package controllers holds the loops that keep an entry's state: each has one
+// job and runs until its context ends.
+package controllers
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+)
+
+// Controller is one loop.
+type Controller interface {
+	// Run works until the context ends.
+	Run(ctx context.Context)
+}
+
+// every calls f at an interval with a jitter of a tenth, until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	for {
+		jitter := time.Duration((rand.Float64() - 0.5) * 0.2 * float64(interval))
+		select {
+		case <-time.After(interval + jitter):
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Exchange renews the entry's record and reconciles with its peers.
+type Exchange struct {
+	Beliefs   *peering.Beliefs
+	Client    *peering.Client
+	Inherited func() [][]byte
+	Interval  time.Duration
+	// SeedPeers are asked at the start, besides those of the fleet list.
+	SeedPeers []string
+	// OnRound is told how many peers answered of how many.
+	OnRound func(answered, asked int)
+}
+
+// Run implements Controller.
+func (c *Exchange) Run(ctx context.Context) {
+	every(ctx, c.Interval, func() {
+		c.Beliefs.Beat(time.Now(), c.Inherited())
+		answered, asked := c.Client.Round(ctx)
+		c.OnRound(answered, asked)
+	})
+}
+
+// Catchup reconciles once with every peer of the list that is near enough to
+// matter, and returns when each has answered or failed. An entry isn't ready
+// before: its peers may know newer values than the platform replica that it
+// reads.
+func (c *Exchange) Catchup(ctx context.Context, dataCenter string) {
+	c.Beliefs.Beat(time.Now(), c.Inherited())
+	var seeds []membership.Contact
+	for _, address := range c.SeedPeers {
+		seeds = append(seeds, membership.Contact{Address: address})
+	}
+	c.Client.Reconcile(ctx, seeds)
+	var near, far []membership.Contact
+	c.Beliefs.View(func(v *membership.View) {
+		for _, s := range v.Seeds() {
+			if s.DataCenter == dataCenter {
+				near = append(near, s)
+			} else {
+				far = append(far, s)
+			}
+		}
+	})
+	const fewRemote = 2
+	c.Client.Reconcile(ctx, append(near, far[:min(len(far), fewRemote)]...))
+}
+
+// Farewell tells all members that the entry has left.
+func (c *Exchange) Farewell(ctx context.Context) {
+	c.Beliefs.SetState(peerv1.NodeState_NODE_STATE_LEFT)
+	c.Beliefs.Beat(time.Now(), nil)
+	var peers []membership.Contact
+	c.Beliefs.View(func(v *membership.View) {
+		for _, m := range v.Members(time.Now()) {
+			if m.Status == membership.Alive {
+				peers = append(peers, m.Contact)
+			}
+		}
+	})
+	c.Client.Reconcile(ctx, peers)
+}
+
+// Housekeeping forgets what is no longer needed.
+type Housekeeping struct {
+	Interval time.Duration
+	Tasks    []func()
+}
+
+// Run implements Controller.
+func (c *Housekeeping) Run(ctx context.Context) {
+	every(ctx, c.Interval, func() {
+		for _, task := range c.Tasks {
+			task()
+		}
+	})
+}
--- /dev/null
+++ b/internal/engineclient/engineclient.go
@@ -0,0 +1,301 @@
+// Package engineclient speaks to endpoints: it starts, follows, resumes and
+// cancels generations, and calls plain services.
+//
+// It never sends a request twice: bodies can't be rewound, so the HTTP client
+// can't repeat them on its own. Each failure says what is known of how far the
+// request came.
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/stream"
+)
+
+const (
+	dialTimeout      = time.Second
+	maxEventBytes    = 64 << 10
+	maxReplyBytes    = 4 << 20
+	maxIdlePerServer = 64
+	idleTimeout      = 30 * time.Second
+	cancelTimeout    = 2 * time.Second
+)
+
+// Client speaks to endpoints.
+type Client struct {
+	http *http.Client
+}
+
+// New makes a client.
+func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Failure says why a call ended early.
+type Failure struct {
+	Kind retry.Failure
+	// Draining says that the endpoint takes no new work.
+	Draining bool
+	// Incarnation of the endpoint, if it told.
+	Incarnation uint64
+	Err         error
+}
+
+// Error implements the error interface.
+func (f *Failure) Error() string { return f.Kind.String() + ": " + f.Err.Error() }
+
+// onceBody can be read once; the HTTP client has no way to rewind it.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// send makes one call. The failure is NotSent only if no connection was had.
+func (c *Client) send(ctx context.Context, method, url string, body []byte, header http.Header) (*http.Response, *Failure) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
+	if err != nil {
+		return nil, &Failure{Kind: retry.NotSent, Err: err}
+	}
+	if body != nil {
+		req.Body = onceBody{bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := c.http.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	if !connected.Load() {
+		return nil, &Failure{Kind: retry.NotSent, Err: err}
+	}
+	return nil, &Failure{Kind: retry.LinkLost, Err: err}
+}
+
+func incarnation(resp *http.Response) uint64 {
+	n, _ := strconv.ParseUint(resp.Header.Get(engineapi.HeaderIncarnation), 10, 64)
+	return n
+}
+
+// refusal reads a reply with an error status.
+func refusal(resp *http.Response) *Failure {
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
+	f := &Failure{
+		Kind:        retry.Protocol,
+		Draining:    resp.Header.Get(engineapi.HeaderDraining) != "",
+		Incarnation: incarnation(resp),
+		Err:         errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
+	}
+	if resp.Header.Get(engineapi.HeaderNotExecuted) != "" {
+		f.Kind = retry.RefusedBeforeExecution
+	}
+	return f
+}
+
+// Stream is an open generation.
+type Stream struct {
+	Generation stream.Generation
+	requestID  string
+	body       io.ReadCloser
+}
+
+// Start asks for a generation.
+func (c *Client) Start(ctx context.Context, e fleet.Endpoint, requestID string, req *engineapi.CompletionRequest) (*Stream, *Failure) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, &Failure{Kind: retry.NotSent, Err: err}
+	}
+	header := http.Header{
+		"Content-Type":                    {"application/json"},
+		engineapi.HeaderRequestID:         {requestID},
+		http.CanonicalHeaderKey("Accept"): {"text/event-stream"},
+	}
+	resp, f := c.send(ctx, http.MethodPost, "http://"+e.Address+engineapi.PathCompletions, body, header)
+	if f != nil {
+		return nil, f
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	return open(e, requestID, resp), nil
+}
+
+// Resume follows a generation again, from an index on.
+func (c *Client) Resume(ctx context.Context, e fleet.Endpoint, requestID string, g stream.Generation, from int) (*Stream, *Failure) {
+	url := "http://" + e.Address + engineapi.PathGenerations + g.ID + "?from=" + strconv.Itoa(from)
+	resp, f := c.send(ctx, http.MethodGet, url, nil, nil)
+	if f != nil {
+		// The request itself was sent long ago; only the link is missing.
+		f.Kind = retry.LinkLost
+		return nil, f
+	}
+	if resp.StatusCode != http.StatusOK || incarnation(resp) != g.Incarnation {
+		f = refusal(resp)
+		f.Kind = retry.GenerationLost
+		return nil, f
+	}
+	return open(e, requestID, resp), nil
+}
+
+func open(e fleet.Endpoint, requestID string, resp *http.Response) *Stream {
+	return &Stream{
+		Generation: stream.Generation{
+			Endpoint:    e.ID,
+			Incarnation: incarnation(resp),
+			ID:          resp.Header.Get(engineapi.HeaderGeneration),
+		},
+		requestID: requestID,
+		body:      resp.Body,
+	}
+}
+
+// Event is one chunk of a stream; Usage comes with the last.
+type Event struct {
+	Chunk stream.Chunk
+	Usage *engineapi.Usage
+}
+
+// Each calls handle for each event until it returns false or the stream ends.
+// A stream that ends without its last chunk is a lost link.
+func (s *Stream) Each(handle func(Event) bool) *Failure {
+	defer s.body.Close()
+	for ev, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return &Failure{Kind: retry.LinkLost, Err: err}
+		}
+		if ev.Data == engineapi.DoneData {
+			return nil
+		}
+		event, err := s.parse(ev.Data)
+		if err != nil {
+			return &Failure{Kind: retry.Protocol, Err: err}
+		}
+		if !handle(event) {
+			return nil
+		}
+	}
+	return &Failure{Kind: retry.LinkLost, Err: io.ErrUnexpectedEOF}
+}
+
+func (s *Stream) parse(data string) (Event, error) {
+	c, err := ParseChunk([]byte(data))
+	if err != nil {
+		return Event{}, err
+	}
+	if c.RequestID != s.requestID {
+		return Event{}, errors.New("chunk of another request")
+	}
+	out := Event{Usage: c.Usage, Chunk: stream.Chunk{
+		Generation: stream.Generation{Endpoint: s.Generation.Endpoint, Incarnation: c.Incarnation, ID: c.ID},
+		Index:      c.Index,
+		Text:       c.Choices[0].Text,
+	}}
+	if r := c.Choices[0].FinishReason; r != nil {
+		out.Chunk.Final = true
+		out.Chunk.Reason = *r
+	}
+	return out, nil
+}
+
+// ParseChunk reads one event's data.
+func ParseChunk(data []byte) (*engineapi.Chunk, error) {
+	var c engineapi.Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, errors.Wrap(err, "chunk")
+	}
+	if len(c.Choices) != 1 {
+		return nil, errors.Errorf("chunk with %d choices", len(c.Choices))
+	}
+	if c.Index < 0 {
+		return nil, errors.New("chunk with a negative index")
+	}
+	return &c, nil
+}
+
+// Cancel asks an engine to stop a generation; it is best effort.
+func (c *Client) Cancel(e fleet.Endpoint, g stream.Generation) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	resp, f := c.send(ctx, http.MethodDelete, "http://"+e.Address+engineapi.PathGenerations+g.ID, nil, nil)
+	if f == nil {
+		resp.Body.Close()
+	}
+}
+
+// Reply is the answer of a plain service.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call makes one call of a plain service.
+func (c *Client) Call(ctx context.Context, e fleet.Endpoint, requestID, method, path, contentType string, body []byte) (*Reply, *Failure) {
+	header := http.Header{engineapi.HeaderRequestID: {requestID}}
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	resp, f := c.send(ctx, method, "http://"+e.Address+path, body, header)
+	if f != nil {
+		return nil, f
+	}
+	if resp.Header.Get(engineapi.HeaderNotExecuted) != "" {
+		return nil, refusal(resp)
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(engineapi.HeaderRequestID); got != "" && got != requestID {
+		return nil, &Failure{Kind: retry.Protocol, Err: errors.New("reply to another request")}
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, &Failure{Kind: retry.LinkLost, Err: err}
+	}
+	if len(data) > maxReplyBytes {
+		return nil, &Failure{Kind: retry.Protocol, Err: errors.New("reply too large")}
+	}
+	return &Reply{resp.StatusCode, resp.Header.Get("Content-Type"), data}, nil
+}
+
+// Load reads an endpoint's load report.
+func (c *Client) Load(ctx context.Context, e fleet.Endpoint) (*engineapi.LoadReport, error) {
+	resp, f := c.send(ctx, http.MethodGet, "http://"+e.Address+engineapi.PathLoad, nil, nil)
+	if f != nil {
+		return nil, f
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("load: status %d", resp.StatusCode)
+	}
+	var out engineapi.LoadReport
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEventBytes)).Decode(&out); err != nil {
+		return nil, errors.Wrap(err, "load")
+	}
+	return &out, nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,374 @@
+// Package entry assembles the data path of an entry VM: the filters for
+// requests, the controllers for state, and three listeners, for callers, for
+// other entries and for operators.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/engineclient"
+	"github.com/bridgehoist/bridgehoist/internal/metrics"
+	"github.com/bridgehoist/bridgehoist/internal/owner"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/platform"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+const (
+	headerTimeout      = 5 * time.Second
+	idleTimeout        = 2 * time.Minute
+	housekeepingEvery  = 5 * time.Second
+	catchupTimeout     = 3 * time.Second
+	secretBytes        = 32
+	maxHeaderBytes     = 32 << 10
+	farewellTimeout    = 2 * time.Second
+	listenerCloseGrace = 2 * time.Second
+)
+
+// Entry is one entry process.
+type Entry struct {
+	cfg      Config
+	log      *log.Logger
+	started  time.Time
+	caughtUp atomic.Bool
+	stopping atomic.Bool
+
+	metrics    *metrics.Metrics
+	dispatcher *dispatch.Dispatcher
+	client     *engineclient.Client
+	store      *published.Store
+	beliefs    *peering.Beliefs
+	peers      *peering.Client
+	traffic    *peering.Traffic
+	owner      *owner.Owner
+	runner     *runner.Runner
+	exchange   *controllers.Exchange
+	config     *controllers.Config
+	peerTLS    *tls.Config
+}
+
+// New makes an entry from checked settings.
+func New(cfg Config, logger *log.Logger) (*Entry, error) {
+	e := &Entry{
+		cfg:     cfg,
+		log:     logger,
+		started: time.Now(),
+		metrics: metrics.New(),
+		client:  engineclient.New(),
+		traffic: &peering.Traffic{},
+	}
+	var err error
+	if e.peerTLS, err = peerTLS(&cfg); err != nil {
+		return nil, err
+	}
+	incarnation, secret := identity()
+	e.dispatcher = dispatch.New(newPolicy(&cfg))
+	e.beliefs = peering.NewBeliefs(membership.New(membership.Config{
+		VM:          cfg.VM,
+		DataCenter:  cfg.DataCenter,
+		PeerAddress: cfg.Peer,
+		Epoch:       uint64(e.started.UnixMilli()),
+		Incarnation: incarnation[:],
+	}), e.dispatcher, e.onLeave)
+	e.store = published.New(e.onValue, e.beliefs.ApplyFleet)
+	e.makeRunner()
+	e.makePeers(incarnation, secret)
+	e.makeControllers()
+	e.registerGauges()
+	invariant.SetHook(e.onViolation)
+	return e, nil
+}
+
+func identity() (claims.Incarnation, []byte) {
+	var i claims.Incarnation
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(i[:])
+	_, _ = rand.Read(secret)
+	return i, secret
+}
+
+func newPolicy(cfg *Config) scheduler.Policy {
+	switch cfg.Policy {
+	case PolicyRoundRobin:
+		return scheduler.NewRoundRobin()
+	case PolicyLeastInFlight:
+		return scheduler.NewLeastInFlight()
+	default:
+		return scheduler.New(scheduler.Config{DataCenter: cfg.DataCenter})
+	}
+}
+
+func (e *Entry) makeRunner() {
+	e.runner = runner.New(runner.Config{
+		Dispatcher:   e.dispatcher,
+		Client:       e.client,
+		StallTimeout: e.cfg.StallTimeout,
+		OnLeave: func(id string, incarnation uint64) {
+			e.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, "endpoint")
+		},
+		OnFailure: func(f retry.Failure) { e.metrics.Failures.WithLabelValues(f.String()).Inc() },
+		OnStep:    func(s retry.Step) { e.metrics.Steps.WithLabelValues(s.String()).Inc() },
+	})
+}
+
+func (e *Entry) makePeers(incarnation claims.Incarnation, secret []byte) {
+	e.peers = peering.NewClient(peering.Config{
+		Beliefs:  e.beliefs,
+		Store:    e.store,
+		HTTP:     peerHTTP(e.peerTLS),
+		Scheme:   scheme(e.peerTLS),
+		Token:    e.cfg.PeerToken,
+		Networks: e.cfg.networks,
+		Traffic:  e.traffic,
+	})
+	ledger := claims.New(e.started, claims.Config{
+		VM:             e.cfg.VM,
+		PeerAddress:    e.cfg.Peer,
+		Incarnation:    incarnation,
+		Secret:         secret,
+		Validity:       e.cfg.TicketValidity,
+		MaxTickets:     e.cfg.MaxTickets,
+		MaxAnswerBytes: e.cfg.MaxAnswerBytes,
+	})
+	e.owner = owner.New(ledger, e.runner.Run, e.peers, e.metrics.ObserveRun)
+}
+
+func (e *Entry) makeControllers() {
+	e.exchange = &controllers.Exchange{
+		Beliefs:   e.beliefs,
+		Client:    e.peers,
+		Inherited: e.owner.Inherited,
+		Interval:  e.cfg.ExchangeEvery,
+		SeedPeers: e.cfg.seeds,
+		OnRound: func(answered, asked int) {
+			e.metrics.PeersAsked.Add(float64(asked))
+			e.metrics.PeersAnswered.Add(float64(answered))
+		},
+	}
+	e.config = &controllers.Config{
+		Platform: platform.New(e.cfg.Platform, e.metrics.PlatformCalls.Inc),
+		Store:    e.store,
+		Beliefs:  e.beliefs,
+		Wait:     e.cfg.WatchWait,
+		LookIn:   e.cfg.LookIn,
+		OnError:  func(error) { e.metrics.PlatformErrors.Inc() },
+	}
+}
+
+func (e *Entry) registerGauges() {
+	e.metrics.Gauge("table_age_seconds", "Time since the table in force was adopted.", func() float64 {
+		if h := e.store.Table(); h != nil {
+			return metrics.Age(h.Since)
+		}
+		return metrics.Age(time.Time{})
+	})
+	e.metrics.Gauge("table_revision", "Revision of the table in force.", func() float64 {
+		if h := e.store.Table(); h != nil {
+			return float64(h.Revision)
+		}
+		return 0
+	})
+	e.metrics.Gauge("fleet_age_seconds", "Time since the fleet list in force was adopted.", func() float64 {
+		if h := e.store.Fleet(); h != nil {
+			return metrics.Age(h.Since)
+		}
+		return metrics.Age(time.Time{})
+	})
+	e.metrics.Gauge("ready", "1 if the entry is ready.", func() float64 {
+		if e.ready() {
+			return 1
+		}
+		return 0
+	})
+	e.metrics.Gauge("ticket_records", "Records of used tickets.", func() float64 {
+		_, records := e.owner.Stats()
+		return float64(records)
+	})
+	e.metrics.Total("exchange_bytes_total", "Bytes exchanged with other entries, both ways.", func() float64 {
+		_, bytes := e.traffic.Totals()
+		return float64(bytes)
+	})
+	e.metrics.Total("exchange_messages_total", "Messages exchanged with other entries, both ways.", func() float64 {
+		messages, _ := e.traffic.Totals()
+		return float64(messages)
+	})
+}
+
+func (e *Entry) newRequestID() string { return uuid.NewString() }
+
+// onLeave, onValue and onViolation log changes of state.
+func (e *Entry) onLeave(l drain.Leave, source string) {
+	e.metrics.Leaves.WithLabelValues(leaveSource(source)).Inc()
+	e.log.Info("endpoint leaving", "endpoint", l.Endpoint, "incarnation", l.Incarnation, "source", source)
+}
+
+// leaveSource bounds the label: all peers count as one source.
+func leaveSource(source string) string {
+	if source == "fleet" || source == "endpoint" {
+		return source
+	}
+	return "peer"
+}
+
+func (e *Entry) onValue(ev published.Event) {
+	e.metrics.Values.WithLabelValues(ev.Name, ev.Verdict.String()).Inc()
+	if ev.Verdict == register.Adopted {
+		e.log.Info("value in force", "name", ev.Name, "revision", ev.Revision, "source", ev.Source)
+		return
+	}
+	e.log.Warn("value refused", "name", ev.Name, "revision", ev.Revision, "source", ev.Source,
+		"verdict", ev.Verdict, "findings", ev.Findings)
+}
+
+func (e *Entry) onViolation(name invariant.Name, detail string) {
+	e.log.Error("invariant violated", "invariant", name, "detail", detail)
+}
+
+func (e *Entry) ready() bool {
+	return e.caughtUp.Load() && e.store.Ready() && !e.stopping.Load()
+}
+
+// Run serves until the context ends, then stops without cutting any request.
+func (e *Entry) Run(ctx context.Context) error {
+	servers, err := e.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var loops sync.WaitGroup
+	loops.Go(func() { e.dispatcher.Run(work) })
+	loops.Go(func() { e.start(work) })
+	e.log.Info("started", "data_center", e.cfg.DataCenter, "listen", e.cfg.Listen, "peer", e.cfg.Peer)
+	<-ctx.Done()
+	e.stop(work, servers)
+	cancel()
+	loops.Wait()
+	e.log.Info("stopped")
+	return nil
+}
+
+// start reads the platform, catches up with the peers, and only then lets the
+// entry become ready.
+func (e *Entry) start(ctx context.Context) {
+	e.config.Read(ctx, 0)
+	catchup, cancel := context.WithTimeout(ctx, catchupTimeout)
+	e.exchange.Catchup(catchup, e.cfg.DataCenter)
+	cancel()
+	e.caughtUp.Store(true)
+	var loops sync.WaitGroup
+	for _, c := range e.controllers() {
+		loops.Go(func() { c.Run(ctx) })
+	}
+	loops.Wait()
+}
+
+func (e *Entry) controllers() []controllers.Controller {
+	return []controllers.Controller{
+		e.exchange,
+		e.config,
+		&controllers.Load{Beliefs: e.beliefs, Client: e.client, DataCenter: e.cfg.DataCenter, Interval: e.cfg.PollEvery},
+		&controllers.Housekeeping{Interval: housekeepingEvery, Tasks: []func(){e.owner.Expire}},
+	}
+}
+
+// servers are the three listeners.
+type servers struct {
+	callers, peers, operators *http.Server
+}
+
+func (e *Entry) listen() (*servers, error) {
+	opTLS, err := operatorTLS(&e.cfg)
+	if err != nil {
+		return nil, err
+	}
+	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
+	s := &servers{}
+	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
+		return nil, err
+	}
+	if s.peers, err = e.serve(e.cfg.Peer, peerService.Handler(e.cfg.PeerToken), e.peerTLS); err != nil {
+		return nil, err
+	}
+	if s.callers, err = e.serve(e.cfg.Listen, e.callers(), nil); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (e *Entry) serve(address string, h http.Handler, t *tls.Config) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if t != nil {
+		l = tls.NewListener(l, t)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          e.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	go func() { _ = s.Serve(l) }()
+	return s, nil
+}
+
+// stop ends the entry: unready, serve what the balancer still sends, let all
+// requests end, hand the tickets over, and tell the others.
+func (e *Entry) stop(ctx context.Context, s *servers) {
+	e.stopping.Store(true)
+	e.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEAVING)
+	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
+	time.Sleep(e.cfg.DrainDelay)
+	s.callers.SetKeepAlivesEnabled(false)
+	drain, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
+	defer cancel()
+	err := s.callers.Shutdown(drain)
+	invariant.Check(err == nil, invariant.DrainCutsNothing, "requests were open after %v", e.cfg.DrainTimeout)
+	e.handOver(drain)
+	farewell, cancelFarewell := context.WithTimeout(ctx, farewellTimeout)
+	defer cancelFarewell()
+	e.exchange.Farewell(farewell)
+	time.Sleep(e.cfg.HandoverLinger)
+	grace, cancelGrace := context.WithTimeout(ctx, listenerCloseGrace)
+	defer cancelGrace()
+	_ = s.peers.Shutdown(grace)
+	_ = s.operators.Close()
+}
+
+func (e *Entry) handOver(ctx context.Context) {
+	msg := e.owner.Release(ctx)
+	if msg == nil {
+		invariant.Check(false, invariant.DrainCutsNothing, "runs of tickets were open at the end of the stop")
+		return
+	}
+	if err := e.peers.HandOver(ctx, msg); err != nil {
+		e.log.Warn("tickets not handed over", "error", err)
+		return
+	}
+	e.log.Info("tickets handed over")
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,116 @@
+// Package job holds what the filters of an entry hand on: the request as it was
+// understood, and the sink of its answer.
+package job
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+// Job is one request of a caller. Filters fill it in their order; from the
+// claim on it no longer changes.
+type Job struct {
+	// RequestID identifies the request in logs.
+	RequestID string
+	Arrived   time.Time
+
+	// Set by the body filter.
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+
+	// Set by the identify filter.
+	Workspace string
+
+	// Set by the classify filter. Row and Revision stay the same to the end,
+	// whatever becomes of the table.
+	Kind     string
+	Row      table.Row
+	Revision uint64
+	// ServicePath is what a plain service is asked for.
+	ServicePath string
+	// Model and Prompt are set for engines.
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+
+	// Ticket is what the caller sent to make the request non-repeatable.
+	Ticket string
+	// OwnerAnswered says that an error comes from the ticket's owner.
+	OwnerAnswered bool
+
+	// Outcome and Code are set when the answer has been written, for accounting.
+	Outcome outcome.Outcome
+	Code    outcome.Code
+	// Timings for accounting.
+	Timings Timings
+
+	// BeforeSend is called right before bytes may reach an endpoint; false
+	// forbids it. NotSent takes that back on proof. Both may be nil.
+	BeforeSend func() bool
+	NotSent    func()
+}
+
+// Timings measures how a request progressed.
+type Timings struct {
+	Queued     time.Duration
+	FirstToken time.Duration
+	// Stalled sums the gaps without progress that were longer than StallGap,
+	// the wait for the first token included.
+	Stalled     time.Duration
+	Gaps        []time.Duration
+	Preemptions int
+}
+
+// StallGap is the gap from which on a request counts as stalled.
+const StallGap = 200 * time.Millisecond
+
+// maxGaps bounds the gaps kept for accounting.
+const maxGaps = 4096
+
+// Progress records progress now, after progress at last, and returns now.
+func (t *Timings) Progress(arrived, last time.Time) time.Time {
+	now := time.Now()
+	gap := now.Sub(last)
+	if t.FirstToken == 0 {
+		t.FirstToken = now.Sub(arrived)
+		gap = t.FirstToken
+	} else if len(t.Gaps) < maxGaps {
+		t.Gaps = append(t.Gaps, gap)
+	}
+	if gap > StallGap {
+		t.Stalled += gap
+	}
+	return now
+}
+
+// Deadline is when the request's timeout ends.
+func (j *Job) Deadline() time.Time { return j.Arrived.Add(j.Row.Timeout) }
+
+// Sink takes an answer: one header, data, and one end.
+type Sink interface {
+	// Header starts the answer.
+	Header(status int, contentType string)
+	// Data passes a part on. An error says that nobody reads any more.
+	Data(part []byte) error
+	// Flush passes on what is buffered.
+	Flush()
+}
+
+type contextKey struct{}
+
+// With puts a job into a request's context.
+func With(r *http.Request, j *Job) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), contextKey{}, j))
+}
+
+// From takes the job out of a request's context.
+func From(r *http.Request) *Job {
+	return r.Context().Value(contextKey{}).(*Job)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,176 @@
+// Package metrics counts what an entry does, for Prometheus.
+package metrics
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+)
+
+const namespace = "bridgehoist"
+
+// maxLabels bounds the workspaces that get series of their own.
+const maxLabels = 300
+
+// OtherWorkspace is the label of all workspaces beyond maxLabels.
+const OtherWorkspace = "other"
+
+// Metrics holds an entry's metrics.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	outcomes    *prometheus.CounterVec
+	stall       *prometheus.HistogramVec
+	firstToken  *prometheus.HistogramVec
+	gaps        *prometheus.HistogramVec
+	queueWait   *prometheus.HistogramVec
+	preemptions *prometheus.CounterVec
+
+	// Failures counts failed attempts by cause.
+	Failures *prometheus.CounterVec
+	// Steps counts what followed them.
+	Steps *prometheus.CounterVec
+	// PlatformCalls counts reads and watches of the platform.
+	PlatformCalls prometheus.Counter
+	// PlatformErrors counts those that failed.
+	PlatformErrors prometheus.Counter
+	// Values counts offered values by name and verdict.
+	Values *prometheus.CounterVec
+	// Leaves counts news of leaving endpoints by source.
+	Leaves *prometheus.CounterVec
+	// Rejected counts bad input by code.
+	Rejected *prometheus.CounterVec
+	// PeersAsked and PeersAnswered count exchanges begun and ended well.
+	PeersAsked    prometheus.Counter
+	PeersAnswered prometheus.Counter
+
+	mu     sync.Mutex
+	labels map[string]bool
+}
+
+// Bucket bounds in seconds.
+var (
+	waitBuckets = []float64{.01, .03, .1, .2, .4, .57, 1, 2, 4, 8, 16, 32, 64, 128, 256}
+	gapBuckets  = []float64{.005, .01, .015, .02, .026, .035, .05, .1, .2, .5, 1, 2, 5, 10, 30}
+)
+
+// New makes the metrics with a registry of their own.
+func New() *Metrics {
+	byRequest := []string{"workspace", "kind"}
+	m := &Metrics{Registry: prometheus.NewRegistry(), labels: map[string]bool{}}
+	m.outcomes = counters("requests_total", "Requests by final outcome.", append(byRequest, "outcome", "code")...)
+	m.stall = histograms("stall_seconds", "Time that a request waited without progress.", waitBuckets, byRequest...)
+	m.firstToken = histograms("first_token_seconds", "Time to the first token, or to the reply.", waitBuckets, byRequest...)
+	m.gaps = histograms("token_gap_seconds", "Time between tokens.", gapBuckets, byRequest...)
+	m.queueWait = histograms("queue_seconds", "Time in the entry's queue.", waitBuckets, byRequest...)
+	m.preemptions = counters("preemptions_total", "Times that engines pushed requests aside.", byRequest...)
+	m.Failures = counters("attempt_failures_total", "Failed attempts by cause.", "failure")
+	m.Steps = counters("attempt_steps_total", "What followed failed attempts.", "step")
+	m.PlatformCalls = counter("platform_calls_total", "Reads and watches of the platform.")
+	m.PlatformErrors = counter("platform_errors_total", "Reads and watches of the platform that failed.")
+	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
+	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
+	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
+	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
+	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
+	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
+		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected,
+		m.PeersAsked, m.PeersAnswered,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registerInvariants()
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(
+		prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+func (m *Metrics) registerInvariants() {
+	for _, name := range invariant.Names() {
+		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace:   namespace,
+			Name:        "invariant_violations_total",
+			Help:        "Violations of what must always hold.",
+			ConstLabels: prometheus.Labels{"invariant": string(name)},
+		}, func() float64 { return float64(invariant.Count(name)) }))
+	}
+}
+
+// Gauge registers a value that is read when it is asked for.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Total registers a counter that is read when it is asked for.
+func (m *Metrics) Total(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+func (m *Metrics) workspace(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.labels[name] {
+		return name
+	}
+	if len(m.labels) >= maxLabels {
+		return OtherWorkspace
+	}
+	m.labels[name] = true
+	return name
+}
+
+// Observe accounts for a request that has ended. Kind and workspace are empty
+// if the request was refused before they were known.
+func (m *Metrics) Observe(j *job.Job) {
+	if j.Kind == "" || j.Workspace == "" {
+		m.Rejected.WithLabelValues(string(j.Code)).Inc()
+		return
+	}
+	ws := m.workspace(j.Workspace)
+	m.outcomes.WithLabelValues(ws, j.Kind, j.Outcome.String(), string(j.Code)).Inc()
+	m.observeTimings(ws, j.Kind, &j.Timings)
+}
+
+// ObserveRun accounts for the timings of a run whose callers are accounted for
+// on their own.
+func (m *Metrics) ObserveRun(j *job.Job) {
+	m.observeTimings(m.workspace(j.Workspace), j.Kind, &j.Timings)
+}
+
+func (m *Metrics) observeTimings(ws, kind string, t *job.Timings) {
+	if t.FirstToken == 0 {
+		return
+	}
+	m.stall.WithLabelValues(ws, kind).Observe(t.Stalled.Seconds())
+	m.firstToken.WithLabelValues(ws, kind).Observe(t.FirstToken.Seconds())
+	m.queueWait.WithLabelValues(ws, kind).Observe(t.Queued.Seconds())
+	m.preemptions.WithLabelValues(ws, kind).Add(float64(t.Preemptions))
+	gaps := m.gaps.WithLabelValues(ws, kind)
+	for _, g := range t.Gaps {
+		gaps.Observe(g.Seconds())
+	}
+}
+
+// Age gives the seconds since a time, or -1 if there is none.
+func Age(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Seconds()
+}
--- /dev/null
+++ b/internal/peering/beliefs.go
@@ -0,0 +1,250 @@
+package peering
+
+import (
+	"sync"
+	"time"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/limits"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+// limited is a policy that counts against the table's limits.
+type limited interface {
+	InFlight() *limits.Counter
+	Queued() *limits.Counter
+}
+
+// Beliefs is what an entry knows of the others and of the endpoints. It feeds
+// the scheduler. It is safe for concurrent use.
+type Beliefs struct {
+	mu         sync.Mutex
+	view       *membership.View
+	drains     *drain.Set
+	list       *fleet.List
+	reports    map[string]scheduler.Report
+	counted    map[string]bool
+	state      peerv1.NodeState
+	dispatcher *dispatch.Dispatcher
+	onLeave    func(drain.Leave, string)
+}
+
+// NewBeliefs makes the beliefs of a node that knows only itself. onLeave is
+// told of each leave that was news, and where it came from.
+func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, onLeave func(drain.Leave, string)) *Beliefs {
+	return &Beliefs{
+		view:       view,
+		drains:     drain.New(),
+		reports:    map[string]scheduler.Report{},
+		counted:    map[string]bool{},
+		state:      peerv1.NodeState_NODE_STATE_LIVE,
+		dispatcher: d,
+		onLeave:    onLeave,
+	}
+}
+
+// ApplyFleet takes a new fleet list.
+func (b *Beliefs) ApplyFleet(list *fleet.List) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.list = list
+	b.drains.Keep(func(id string) bool { _, ok := list.Endpoint(id); return ok })
+	for _, e := range list.Endpoints {
+		b.drains.Seen(e.ID, e.Incarnation)
+		if e.State == fleet.Leaving {
+			b.learn(drain.Leave{Endpoint: e.ID, Incarnation: e.Incarnation}, "fleet")
+		}
+	}
+	b.view.Seed(contacts(list))
+	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) {
+		p.SetEndpoints(now, list.Endpoints)
+		if l, ok := p.(limited); ok {
+			l.InFlight().SetEntries(len(list.Entries()))
+			l.Queued().SetEntries(len(list.Entries()))
+		}
+	})
+	b.applyLeaving()
+}
+
+func contacts(list *fleet.List) []membership.Contact {
+	var out []membership.Contact
+	for _, vm := range list.Entries() {
+		out = append(out, membership.Contact{VM: vm.ID, DataCenter: vm.DataCenter, Address: vm.Peer})
+	}
+	return out
+}
+
+// Leave records that an incarnation of an endpoint takes no new work.
+func (b *Beliefs) Leave(l drain.Leave, source string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.learn(l, source) {
+		b.applyLeaving()
+	}
+}
+
+func (b *Beliefs) learn(l drain.Leave, source string) bool {
+	if !b.drains.Add(l) {
+		return false
+	}
+	b.onLeave(l, source)
+	return true
+}
+
+func (b *Beliefs) applyLeaving() {
+	if b.list == nil {
+		return
+	}
+	b.dispatcher.Update(func(_ time.Time, p scheduler.Policy) {
+		for _, e := range b.list.Endpoints {
+			p.SetLeaving(e.ID, b.drains.Leaving(e.ID, e.Incarnation))
+		}
+	})
+}
+
+// Polled takes a load report that this entry has read itself.
+func (b *Beliefs) Polled(r scheduler.Report, draining bool) {
+	b.mu.Lock()
+	b.reports[r.Endpoint] = r
+	b.mu.Unlock()
+	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) { p.Report(now, r) })
+	if draining {
+		b.Leave(drain.Leave{Endpoint: r.Endpoint, Incarnation: r.Incarnation}, "endpoint")
+	}
+}
+
+// ToPoll lists the endpoints that this entry reads the load of.
+func (b *Beliefs) ToPoll(now time.Time, dataCenter string, pollers int) []fleet.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.list == nil {
+		return nil
+	}
+	var out []fleet.Endpoint
+	for _, e := range b.list.Endpoints {
+		if e.Type != fleet.Engine || e.DataCenter != dataCenter {
+			continue
+		}
+		if b.view.Assigned(now, "poll/"+e.ID, pollers) {
+			out = append(out, e)
+		} else {
+			delete(b.reports, e.ID)
+		}
+	}
+	return out
+}
+
+// Assigned reports whether this entry does a shared job of its data centre.
+func (b *Beliefs) Assigned(now time.Time, name string, count int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Assigned(now, name, count)
+}
+
+// SetState changes what the entry declares of itself.
+func (b *Beliefs) SetState(s peerv1.NodeState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state = s
+}
+
+// Beat renews the entry's own record.
+func (b *Beliefs) Beat(now time.Time, inherited [][]byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var shares []scheduler.Share
+	var usage []*peerv1.Usage
+	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		shares = p.Shares()
+		if l, ok := p.(limited); ok {
+			usage = usageOut(l.InFlight().Own(), l.Queued().Own())
+		}
+	})
+	b.view.Beat(func(r *peerv1.NodeRecord) {
+		r.State = b.state
+		r.Inherited = inherited
+		r.Shares = sharesOut(shares)
+		r.Usage = usage
+		r.Leaves = leavesOut(b.drains.All())
+		r.Reports = r.Reports[:0]
+		for _, rep := range b.reports {
+			r.Reports = append(r.Reports, reportOut(now, rep))
+		}
+	})
+	b.view.Forget(now)
+	b.applyMembers(now)
+}
+
+// applyMembers drops the work of members that are dead or gone.
+func (b *Beliefs) applyMembers(now time.Time) {
+	live := map[string]bool{}
+	for _, m := range b.view.Members(now) {
+		if m.Status == membership.Alive || m.Status == membership.Suspect {
+			live[m.VM] = true
+		}
+	}
+	for vm := range b.counted {
+		if !live[vm] {
+			delete(b.counted, vm)
+			b.dispatcher.Update(func(now time.Time, p scheduler.Policy) { forgetPeer(now, p, vm) })
+		}
+	}
+}
+
+func forgetPeer(now time.Time, p scheduler.Policy, vm string) {
+	p.SetShares(now, vm, nil)
+	if l, ok := p.(limited); ok {
+		l.InFlight().SetPeer(vm, nil)
+		l.Queued().SetPeer(vm, nil)
+	}
+}
+
+// Merge takes records from a peer and applies those that are news.
+func (b *Beliefs) Merge(now time.Time, records []*peerv1.NodeRecord) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	leaves := false
+	for _, r := range b.view.Merge(now, records) {
+		for _, l := range r.GetLeaves() {
+			news := b.learn(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()}, r.GetVm())
+			leaves = leaves || news
+		}
+		b.applyRecord(r)
+	}
+	if leaves {
+		b.applyLeaving()
+	}
+}
+
+func (b *Beliefs) applyRecord(r *peerv1.NodeRecord) {
+	b.counted[r.GetVm()] = true
+	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) {
+		p.SetShares(now, r.GetVm(), sharesIn(r.GetShares()))
+		for _, rep := range r.GetReports() {
+			p.Report(now, reportIn(now, rep))
+		}
+		if l, ok := p.(limited); ok {
+			inFlight, queued := usageIn(r.GetUsage())
+			l.InFlight().SetPeer(r.GetVm(), inFlight)
+			l.Queued().SetPeer(r.GetVm(), queued)
+		}
+	})
+}
+
+// View reads the membership view.
+func (b *Beliefs) View(read func(*membership.View)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	read(b.view)
+}
+
+// Leaves lists the leaves known.
+func (b *Beliefs) Leaves() []drain.Leave {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.drains.All()
+}
--- /dev/null
+++ b/internal/peering/client.go
@@ -0,0 +1,323 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+const (
+	exchangeTimeout = time.Second
+	handoverTimeout = 5 * time.Second
+	// maxReattach bounds how often a broken link to an owner is taken up again.
+	maxReattach = 3
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	Beliefs *Beliefs
+	Store   *published.Store
+	HTTP    *http.Client
+	// Scheme is http or https.
+	Scheme string
+	Token  string
+	// Networks are where an owner that isn't in the view may be called.
+	Networks []netip.Prefix
+	Traffic  *Traffic
+}
+
+// Client makes the calls of an entry to the others.
+type Client struct {
+	cfg Config
+
+	mu        sync.Mutex
+	byAddress map[string]peerv1connect.PeerServiceClient
+	successor string
+}
+
+// NewClient makes a client.
+func NewClient(cfg Config) *Client {
+	return &Client{cfg: cfg, byAddress: map[string]peerv1connect.PeerServiceClient{}}
+}
+
+// maxClients bounds the clients kept; they hold no connection of their own.
+const maxClients = 1024
+
+func (c *Client) at(address string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.byAddress[address]; p != nil {
+		return p
+	}
+	if len(c.byAddress) >= maxClients {
+		clear(c.byAddress)
+	}
+	p := peerv1connect.NewPeerServiceClient(c.cfg.HTTP, c.cfg.Scheme+"://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	c.byAddress[address] = p
+	return p
+}
+
+func authorize[T any](c *Client, msg *T) *connect.Request[T] {
+	req := connect.NewRequest(msg)
+	if c.cfg.Token != "" {
+		req.Header().Set(tokenHeader, tokenPrefix+c.cfg.Token)
+	}
+	return req
+}
+
+// Round reconciles with the peers that the view picks now, and returns how
+// many answered of how many.
+func (c *Client) Round(ctx context.Context) (answered, asked int) {
+	var peers []membership.Contact
+	c.cfg.Beliefs.View(func(v *membership.View) { peers = v.Round(time.Now()) })
+	return c.Reconcile(ctx, peers), len(peers)
+}
+
+// Reconcile exchanges with each of the peers and returns how many answered.
+func (c *Client) Reconcile(ctx context.Context, peers []membership.Contact) int {
+	var wg sync.WaitGroup
+	results := make([]bool, len(peers))
+	for i, p := range peers {
+		wg.Go(func() { results[i] = c.exchange(ctx, p) == nil })
+	}
+	wg.Wait()
+	count := 0
+	for _, ok := range results {
+		if ok {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Client) digests() *peerv1.ExchangeRequest {
+	req := &peerv1.ExchangeRequest{}
+	c.cfg.Beliefs.View(func(v *membership.View) {
+		req.FromVm = v.Self().GetVm()
+		req.Digests = v.Digests()
+	})
+	for name, revision := range c.cfg.Store.Seen() {
+		req.DocumentDigests = append(req.DocumentDigests, &peerv1.DocumentDigest{Name: name, Revision: revision})
+	}
+	return req
+}
+
+func (c *Client) exchange(ctx context.Context, p membership.Contact) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	resp, err := c.call(ctx, p, c.digests())
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	takeDocuments(now, c.cfg.Store, resp.GetDocuments(), p.VM)
+	c.cfg.Beliefs.Merge(now, resp.GetRecords())
+	push := c.wanted(resp)
+	if push == nil {
+		return nil
+	}
+	_, err = c.call(ctx, p, push)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, p membership.Contact, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	c.cfg.Traffic.Sent(req)
+	resp, err := c.at(p.Address).Exchange(ctx, authorize(c, req))
+	if err != nil {
+		return nil, err
+	}
+	c.cfg.Traffic.Received(resp.Msg)
+	return resp.Msg, nil
+}
+
+// wanted collects what a peer asked for, or nil.
+func (c *Client) wanted(resp *peerv1.ExchangeResponse) *peerv1.ExchangeRequest {
+	if len(resp.GetWantedNodes()) == 0 && len(resp.GetWantedDocuments()) == 0 {
+		return nil
+	}
+	req := &peerv1.ExchangeRequest{PushOnly: true}
+	c.cfg.Beliefs.View(func(v *membership.View) {
+		req.FromVm = v.Self().GetVm()
+		req.Records = v.Records(resp.GetWantedNodes())
+	})
+	for _, name := range resp.GetWantedDocuments() {
+		if v, ok := c.cfg.Store.Get(name); ok {
+			req.Documents = append(req.Documents, &peerv1.Document{Name: v.Name, Revision: v.Revision, Content: v.Content})
+		}
+	}
+	return req
+}
+
+// HandOver gives the tickets of this entry to one successor. A peer that
+// refuses because it stops has adopted nothing, so the next is asked; after any
+// other failure nobody else may be asked.
+func (c *Client) HandOver(ctx context.Context, msg *peerv1.HandoverRequest) error {
+	tried := map[string]bool{}
+	for {
+		var to membership.Contact
+		var ok bool
+		c.cfg.Beliefs.View(func(v *membership.View) { to, ok = v.Successor(time.Now(), tried) })
+		if !ok {
+			return errors.New("no entry is there to take the tickets over")
+		}
+		tried[to.VM] = true
+		err := c.handOverTo(ctx, to, msg)
+		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+			continue
+		}
+		return err
+	}
+}
+
+func (c *Client) handOverTo(ctx context.Context, to membership.Contact, msg *peerv1.HandoverRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	_, err := c.at(to.Address).Handover(ctx, authorize(c, msg))
+	if err == nil || connect.CodeOf(err) != connect.CodeFailedPrecondition {
+		c.mu.Lock()
+		c.successor = to.Address
+		c.mu.Unlock()
+	}
+	return err
+}
+
+// RunAt implements owner.Remote.
+func (c *Client) RunAt(ctx context.Context, t claims.Ticket, j *job.Job, sink job.Sink) *outcome.Error {
+	address, err := c.locate(t)
+	if err != nil {
+		return err
+	}
+	f := &follower{sink: sink}
+	for range maxReattach {
+		if done, final := c.follow(ctx, address, j, f); done {
+			j.OwnerAnswered = true
+			return final
+		}
+		if ctx.Err() != nil || !f.reached {
+			break
+		}
+	}
+	return f.lost()
+}
+
+// locate finds the entry that holds the authority over a ticket.
+func (c *Client) locate(t claims.Ticket) (string, *outcome.Error) {
+	if s := c.handedTo(); s != "" && c.isSelf(t.OwnerVM) {
+		return s, nil
+	}
+	var holder, owner membership.Member
+	var held, known bool
+	c.cfg.Beliefs.View(func(v *membership.View) {
+		now := time.Now()
+		holder, held = v.Inheritor(now, t.Incarnation[:])
+		owner, known = v.Find(now, t.OwnerVM)
+	})
+	if held {
+		return holder.Address, nil
+	}
+	if known && slices.Equal(owner.Record.GetIncarnation(), t.Incarnation[:]) {
+		return owner.Address, nil
+	}
+	if known && owner.Address == t.OwnerAddress && owner.Status == membership.Alive {
+		// The VM runs a newer process, which we have heard of itself.
+		return "", claims.OwnerReplaced()
+	}
+	if !c.allowed(t.OwnerAddress) {
+		return "", outcome.MayHaveRunf(outcome.CodeTicketInvalid, "the owner's address isn't one of this system")
+	}
+	return t.OwnerAddress, nil
+}
+
+func (c *Client) handedTo() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.successor
+}
+
+func (c *Client) isSelf(vm string) bool {
+	same := false
+	c.cfg.Beliefs.View(func(v *membership.View) { same = v.Self().GetVm() == vm })
+	return same
+}
+
+func (c *Client) allowed(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(c.cfg.Networks, func(p netip.Prefix) bool { return p.Contains(a.Addr()) })
+}
+
+// follower copies an answer over several links. The owner sends the same bytes
+// from the start each time, so those that were passed on are skipped.
+type follower struct {
+	sink    job.Sink
+	reached bool
+	header  bool
+	passed  int
+	seen    int
+}
+
+func (c *Client) follow(ctx context.Context, address string, j *job.Job, f *follower) (bool, *outcome.Error) {
+	stream, err := c.at(address).Run(ctx, authorize(c, runRequest(j.Ticket, j)))
+	if err != nil {
+		return false, nil
+	}
+	defer stream.Close()
+	f.seen = 0
+	for stream.Receive() {
+		f.reached = true
+		msg := stream.Msg()
+		if final := msg.GetFinal(); final != nil {
+			return true, claims.ErrorOf(final)
+		}
+		if !f.take(msg) {
+			return false, nil
+		}
+	}
+	return false, nil
+}
+
+func (f *follower) take(msg *peerv1.RunResponse) bool {
+	if h := msg.GetHeader(); h != nil {
+		if !f.header {
+			f.sink.Header(int(h.GetStatus()), h.GetContentType())
+			f.header = true
+		}
+		return true
+	}
+	data := msg.GetData()
+	f.seen += len(data)
+	fresh := min(max(f.seen-f.passed, 0), len(data))
+	if fresh == 0 {
+		return true
+	}
+	f.passed += fresh
+	if f.sink.Data(data[len(data)-fresh:]) != nil {
+		return false
+	}
+	f.sink.Flush()
+	return true
+}
+
+func (f *follower) lost() *outcome.Error {
+	err := outcome.MayHaveRunf(outcome.CodeOwnerUnreachable, "the owner of the ticket can't be reached")
+	if f.passed > 0 {
+		err.Outcome = outcome.Incomplete
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peering/server.go
@@ -0,0 +1,160 @@
+// Package peering is the exchange between entries: the service that each entry
+// offers to the others, and the calls that it makes.
+package peering
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/owner"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+const (
+	// maxMessageBytes bounds a message from a peer: two published values and
+	// the records of a few hundred nodes.
+	maxMessageBytes = 8 << 20
+	tokenHeader     = "Authorization"
+	tokenPrefix     = "Bearer "
+)
+
+// MakeJob makes a job from a request that a peer passed on; it finds the row
+// in the table of this entry.
+type MakeJob func(*peerv1.RunRequest) (*job.Job, *outcome.Error)
+
+// Server is the service that an entry offers to the others.
+type Server struct {
+	beliefs *Beliefs
+	store   *published.Store
+	owner   *owner.Owner
+	makeJob MakeJob
+	traffic *Traffic
+}
+
+var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
+
+// NewServer makes the service.
+func NewServer(b *Beliefs, s *published.Store, o *owner.Owner, m MakeJob, t *Traffic) *Server {
+	return &Server{beliefs: b, store: s, owner: o, makeJob: m, traffic: t}
+}
+
+// Handler serves the service. With a token, calls without it are refused.
+func (s *Server) Handler(token string) http.Handler {
+	mux := http.NewServeMux()
+	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+	mux.Handle(path, requireToken(token, h))
+	return mux
+}
+
+func requireToken(token string, next http.Handler) http.Handler {
+	if token == "" {
+		return next
+	}
+	want := []byte(tokenPrefix + token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(tokenHeader)), want) != 1 {
+			http.Error(w, "unauthenticated", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Exchange implements the service.
+func (s *Server) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	now := time.Now()
+	msg := req.Msg
+	s.traffic.Received(msg)
+	takeDocuments(now, s.store, msg.GetDocuments(), msg.GetFromVm())
+	s.beliefs.Merge(now, msg.GetRecords())
+	resp := &peerv1.ExchangeResponse{}
+	if !msg.GetPushOnly() {
+		s.answer(msg, resp)
+	}
+	s.traffic.Sent(resp)
+	return connect.NewResponse(resp), nil
+}
+
+func (s *Server) answer(msg *peerv1.ExchangeRequest, resp *peerv1.ExchangeResponse) {
+	s.beliefs.View(func(v *membership.View) { resp.Records, resp.WantedNodes = v.Answer(msg.GetDigests()) })
+	theirs := map[string]uint64{}
+	for _, d := range msg.GetDocumentDigests() {
+		theirs[d.GetName()] = d.GetRevision()
+	}
+	resp.Documents = documentsOut(s.store.Newer(theirs))
+	ours := s.store.Seen()
+	for name, revision := range theirs {
+		if revision > ours[name] {
+			resp.WantedDocuments = append(resp.WantedDocuments, name)
+		}
+	}
+}
+
+func takeDocuments(now time.Time, store *published.Store, docs []*peerv1.Document, from string) {
+	for _, d := range docs {
+		store.Offer(now, documentIn(d), from)
+	}
+}
+
+// Run implements the service.
+func (s *Server) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
+	sink := &rpcSink{stream: stream}
+	final := s.run(ctx, req.Msg, sink)
+	return stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Final{Final: claims.FinalOf(final)}})
+}
+
+func (s *Server) run(ctx context.Context, msg *peerv1.RunRequest, sink job.Sink) *outcome.Error {
+	t, ok := claims.ParseTicket(msg.GetTicket())
+	if !ok {
+		return outcome.MayHaveRunf(outcome.CodeTicketInvalid, "the ticket can't be read")
+	}
+	j, err := s.makeJob(msg)
+	if err != nil {
+		return err
+	}
+	return s.owner.ServeOwn(ctx, t, j, sink)
+}
+
+// rpcSink passes an answer to the entry that asked.
+type rpcSink struct {
+	stream *connect.ServerStream[peerv1.RunResponse]
+}
+
+// Header implements job.Sink.
+func (s *rpcSink) Header(status int, contentType string) {
+	_ = s.stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Header{
+		Header: &peerv1.RunHeader{Status: int32(status), ContentType: contentType},
+	}})
+}
+
+// Data implements job.Sink.
+func (s *rpcSink) Data(part []byte) error {
+	return s.stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Data{Data: part}})
+}
+
+// Flush implements job.Sink; each message is sent at once.
+func (s *rpcSink) Flush() {}
+
+// Handover implements the service.
+func (s *Server) Handover(_ context.Context, req *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error) {
+	err := s.owner.Adopt(req.Msg)
+	if errors.Is(err, claims.ErrStopping) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	s.beliefs.Beat(time.Now(), s.owner.Inherited())
+	return connect.NewResponse(&peerv1.HandoverResponse{}), nil
+}
--- /dev/null
+++ b/internal/published/published.go
@@ -0,0 +1,126 @@
+// Package published keeps the platform's values in force at an entry: the
+// table and the fleet list. Values come from the platform and from peers; each
+// goes through a register that never goes back.
+package published
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/platformapi"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+// Event tells of an offered value that changed something, or was bad.
+type Event struct {
+	Name     string
+	Revision uint64
+	Source   string
+	Verdict  register.Verdict
+	Findings error
+}
+
+// Store holds the values. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	table   *register.Register[*table.Table]
+	fleet   *register.Register[*fleet.List]
+	raw     map[string]platformapi.Value
+	onEvent func(Event)
+	onFleet func(*fleet.List)
+}
+
+// New makes an empty store. onEvent is told of adoptions, rejections and
+// conflicts; onFleet of each new fleet list.
+func New(onEvent func(Event), onFleet func(*fleet.List)) *Store {
+	return &Store{
+		table: register.New(func(b []byte) (*table.Table, error) {
+			return table.Parse(platformapi.Table, b)
+		}),
+		fleet: register.New(func(b []byte) (*fleet.List, error) {
+			return fleet.Parse(platformapi.Fleet, b)
+		}),
+		raw:     map[string]platformapi.Value{},
+		onEvent: onEvent,
+		onFleet: onFleet,
+	}
+}
+
+// Offer gives the store a value from a source, such as "platform" or a peer.
+func (s *Store) Offer(now time.Time, v platformapi.Value, source string) register.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict, err := s.offer(now, v)
+	if verdict == register.Adopted || verdict == register.Rejected {
+		s.raw[v.Name] = v
+	}
+	if verdict == register.Adopted && v.Name == platformapi.Fleet {
+		s.onFleet(s.fleet.Current().Value)
+	}
+	if verdict == register.Adopted || verdict == register.Rejected || verdict == register.Conflict {
+		s.onEvent(Event{v.Name, v.Revision, source, verdict, err})
+	}
+	return verdict
+}
+
+func (s *Store) offer(now time.Time, v platformapi.Value) (register.Verdict, error) {
+	switch v.Name {
+	case platformapi.Table:
+		return s.table.Offer(now, v.Revision, v.Content)
+	case platformapi.Fleet:
+		return s.fleet.Offer(now, v.Revision, v.Content)
+	default:
+		return register.Known, nil
+	}
+}
+
+// Table returns the table in force, or nil.
+func (s *Store) Table() *register.Held[*table.Table] { return s.table.Current() }
+
+// Fleet returns the fleet list in force, or nil.
+func (s *Store) Fleet() *register.Held[*fleet.List] { return s.fleet.Current() }
+
+// Ready reports whether both values are in force.
+func (s *Store) Ready() bool { return s.Table() != nil && s.Fleet() != nil }
+
+// Seen returns the highest revision seen per value, bad ones included.
+func (s *Store) Seen() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]uint64{}
+	for name, v := range s.raw {
+		out[name] = v.Revision
+	}
+	return out
+}
+
+// Newer returns the values seen that are newer than the given revisions. Bad
+// ones are passed on too: each entry checks and counts them for itself.
+func (s *Store) Newer(than map[string]uint64) []platformapi.Value {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platformapi.Value
+	for name, v := range s.raw {
+		if v.Revision > than[name] {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Get returns the newest value seen by name.
+func (s *Store) Get(name string) (platformapi.Value, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.raw[name]
+	return v, ok
+}
+
+// Findings returns what was wrong with the newest bad table, if any.
+func (s *Store) Findings() (revision uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Findings()
+}
--- /dev/null
+++ b/internal/runner/generate.go
@@ -0,0 +1,197 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/engineclient"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/stream"
+)
+
+// generation is one run of a request at an engine, over all its links.
+type generation struct {
+	r       *Runner
+	j       *job.Job
+	sink    job.Sink
+	grant   dispatch.Grant
+	asm     stream.Assembler
+	text    strings.Builder
+	usage   *engineapi.Usage
+	reason  string
+	bound   stream.Generation
+	resumes int
+	last    time.Time
+	gone    bool
+}
+
+// generate runs a request at an engine, resuming the same generation whenever
+// the link is lost.
+func (r *Runner) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) ending {
+	r.budgets.firstAt(grant.Endpoint.ID)
+	g := &generation{r: r, j: j, sink: sink, grant: grant, last: time.Now()}
+	f := g.link(ctx, g.start)
+	for f != nil && g.mayResume(ctx, f) {
+		r.cfg.OnFailure(f.Kind)
+		r.cfg.OnStep(retry.Resume)
+		g.resumes++
+		if !sleep(ctx, retry.Backoff(g.resumes, rand.Float64)) {
+			break
+		}
+		f = g.link(ctx, g.resume)
+	}
+	if f == nil {
+		g.finish()
+	} else {
+		g.abandon()
+	}
+	return ending{failure: f, released: g.asm.Released(), generated: g.asm.Next()}
+}
+
+func (g *generation) mayResume(ctx context.Context, f *engineclient.Failure) bool {
+	if g.gone {
+		return false
+	}
+	d := retry.Decide(retry.Attempt{
+		Failure:  f.Kind,
+		Bound:    g.bound.ID != "",
+		Released: g.asm.Released(),
+		Resumes:  g.resumes,
+		TimeLeft: timeLeft(ctx, g.j),
+	})
+	return d.Step == retry.Resume
+}
+
+// abandon frees the engine's memory if the generation is known.
+func (g *generation) abandon() {
+	if g.bound.ID != "" {
+		go g.r.cfg.Client.Cancel(g.grant.Endpoint, g.bound)
+	}
+}
+
+type opener func(context.Context) (*engineclient.Stream, *engineclient.Failure)
+
+func (g *generation) start(ctx context.Context) (*engineclient.Stream, *engineclient.Failure) {
+	return g.r.cfg.Client.Start(ctx, g.grant.Endpoint, g.j.RequestID, &engineapi.CompletionRequest{
+		Model:     g.j.Model,
+		Prompt:    g.j.Prompt,
+		MaxTokens: g.j.MaxTokens,
+		Stream:    true,
+		Priority:  g.j.Row.Priority,
+	})
+}
+
+func (g *generation) resume(ctx context.Context) (*engineclient.Stream, *engineclient.Failure) {
+	return g.r.cfg.Client.Resume(ctx, g.grant.Endpoint, g.j.RequestID, g.bound, g.asm.Next())
+}
+
+// link follows one connection until the answer is complete or the link is
+// lost. A link without progress for StallTimeout is cut.
+func (g *generation) link(ctx context.Context, open opener) *engineclient.Failure {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(g.r.cfg.StallTimeout, cancel)
+	defer watchdog.Stop()
+	s, f := open(ctx)
+	if f != nil {
+		return f
+	}
+	if g.bound.ID == "" {
+		g.bound = s.Generation
+	}
+	f = s.Each(func(e engineclient.Event) bool {
+		watchdog.Reset(g.r.cfg.StallTimeout)
+		return g.take(e)
+	})
+	if g.asm.Ended() {
+		return nil
+	}
+	if f == nil {
+		f = &engineclient.Failure{Kind: retry.LinkLost, Err: errors.New("the stream ended early")}
+	}
+	return f
+}
+
+// take handles one event; false ends the link.
+func (g *generation) take(e engineclient.Event) bool {
+	switch g.asm.Accept(e.Chunk) {
+	case stream.Deliver:
+	case stream.Duplicate:
+		return true
+	default:
+		return false
+	}
+	if e.Chunk.Final {
+		g.usage = e.Usage
+		g.reason = e.Chunk.Reason
+		return false
+	}
+	g.resumes = 0
+	g.last = g.j.Timings.Progress(g.j.Arrived, g.last)
+	g.r.cfg.Dispatcher.Progress(g.grant.ID, g.asm.Next())
+	return g.deliver(e.Chunk)
+}
+
+// deliver passes a token on, or keeps it if the answer was asked for at once.
+func (g *generation) deliver(c stream.Chunk) bool {
+	if !g.j.Stream {
+		g.text.WriteString(c.Text)
+		return true
+	}
+	if g.asm.Released() == 0 {
+		g.sink.Header(200, httpapi.ContentEvents)
+	}
+	g.asm.Release(c.Generation, c.Index)
+	if g.event(completion(g.j, c.Text, nil, nil)) != nil {
+		g.gone = true
+		return false
+	}
+	g.sink.Flush()
+	return true
+}
+
+func (g *generation) event(data []byte) error {
+	out := make([]byte, 0, len(data)+8)
+	out = append(out, "data: "...)
+	out = append(out, data...)
+	out = append(out, "\n\n"...)
+	return g.sink.Data(out)
+}
+
+// finish writes the end of a complete answer.
+func (g *generation) finish() {
+	usage := g.usageBody()
+	if !g.j.Stream {
+		g.sink.Header(200, httpapi.ContentJSON)
+		_ = g.sink.Data(completion(g.j, g.text.String(), &g.reason, usage))
+		g.sink.Flush()
+		return
+	}
+	if g.asm.Released() == 0 {
+		g.sink.Header(200, httpapi.ContentEvents)
+	}
+	_ = g.event(completion(g.j, "", &g.reason, usage))
+	_ = g.event([]byte(engineapi.DoneData))
+	g.sink.Flush()
+}
+
+func (g *generation) usageBody() *httpapi.Usage {
+	if g.usage == nil {
+		return nil
+	}
+	g.j.Timings.Preemptions += g.usage.Preemptions
+	return &httpapi.Usage{
+		PromptTokens:     g.usage.PromptTokens,
+		CompletionTokens: g.usage.CompletionTokens,
+		TotalTokens:      g.usage.PromptTokens + g.usage.CompletionTokens,
+		Preemptions:      g.usage.Preemptions,
+	}
+}
--- /dev/null
+++ b/pkg/drain/drain.go
@@ -0,0 +1,86 @@
+// Package drain remembers which incarnations of endpoints take no new work.
+//
+// A leave is learnt from the published list, from the endpoint's own refusal
+// or drain sign, or from a peer. It is kept by endpoint and incarnation, so
+// that a list that lags can't bring the endpoint back, while a higher
+// incarnation can. A leave is forgotten when a higher incarnation has been
+// seen; the set is bounded by the endpoints of the list, since one endpoint
+// has at most one leave. (Brief: "An endpoint that is leaving receives no new
+// work after a few seconds"; issue 4, point 5.)
+package drain
+
+import (
+	"slices"
+	"strings"
+)
+
+// Leave says that this incarnation, and any before it, takes no new work.
+type Leave struct {
+	Endpoint    string
+	Incarnation uint64
+}
+
+// Set holds the leaves known. The caller serialises calls.
+type Set struct {
+	left map[string]uint64
+	// seen is the highest incarnation heard of, leaving or not.
+	seen map[string]uint64
+}
+
+// New makes an empty set.
+func New() *Set {
+	return &Set{left: map[string]uint64{}, seen: map[string]uint64{}}
+}
+
+// Add records a leave and reports whether it was news.
+func (s *Set) Add(l Leave) bool {
+	s.Seen(l.Endpoint, l.Incarnation)
+	if old, ok := s.left[l.Endpoint]; ok && old >= l.Incarnation {
+		return false
+	}
+	if s.seen[l.Endpoint] > l.Incarnation {
+		return false
+	}
+	s.left[l.Endpoint] = l.Incarnation
+	return true
+}
+
+// Seen records that an incarnation exists; a higher one ends the leave of
+// those before it.
+func (s *Set) Seen(endpoint string, incarnation uint64) {
+	if incarnation > s.seen[endpoint] {
+		s.seen[endpoint] = incarnation
+	}
+	if left, ok := s.left[endpoint]; ok && left < s.seen[endpoint] {
+		delete(s.left, endpoint)
+	}
+}
+
+// Leaving reports whether an incarnation must get no new work.
+func (s *Set) Leaving(endpoint string, incarnation uint64) bool {
+	if incarnation < s.seen[endpoint] {
+		return true
+	}
+	left, ok := s.left[endpoint]
+	return ok && incarnation <= left
+}
+
+// Keep forgets all endpoints that are not listed.
+func (s *Set) Keep(listed func(endpoint string) bool) {
+	for e := range s.seen {
+		if !listed(e) {
+			delete(s.seen, e)
+			delete(s.left, e)
+		}
+	}
+}
+
+// All returns the leaves in the order of their endpoints.
+func (s *Set) All() []Leave {
+	out := make([]Leave, 0, len(s.left))
+	for e, inc := range s.left {
+		out = append(out, Leave{e, inc})
+	}
+	slices.SortFunc(out, func(a, b Leave) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
--- /dev/null
+++ b/pkg/fencing/fencing.go
@@ -0,0 +1,124 @@
+// Package fencing decides which controller gives orders to engines, and which.
+//
+// # Design
+//
+// There is no election. Every controller computes from the published fleet
+// list who gives the orders of a data centre: one of its live entry VMs, by
+// rendezvous hashing. The fencing number of an order is the revision of the
+// list that it was computed from. Controllers that see the same revision agree
+// on the orderer and on the orders; one that wakes late believes in an older
+// revision, so its number is lower, and an engine that checks numbers refuses
+// it once it has seen a newer one.
+//
+// Engines that ignore the number are protected as far as possible: an order
+// states the desired end state, so a repeat is harmless; the daemon refreshes
+// its belief right before sending; and the orderer reconciles what it observes
+// with what is desired. What stays is a window: a controller that pauses
+// between the refresh and the send can set an engine back to an older desired
+// state until the next reconciliation. (Issue 4, "Orders to engines".)
+//
+// Loads of models are spread: at most so many engines of a data centre load at
+// once, because the weight store is rate-limited. The package does no I/O.
+package fencing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+)
+
+// Belief is a fleet list and its revision.
+type Belief struct {
+	Revision uint64
+	List     *fleet.List
+}
+
+// Orderer returns the VM that gives the orders of a data centre; none if the
+// data centre has no live entry.
+func Orderer(l *fleet.List, dataCenter string) (vm string, ok bool) {
+	var best uint64
+	for _, v := range l.Entries() {
+		if v.State != fleet.Live || v.DataCenter != dataCenter {
+			continue
+		}
+		rank := xxhash.Sum64String("orders/" + dataCenter + "\x00" + v.ID)
+		if !ok || rank > best {
+			vm, best, ok = v.ID, rank, true
+		}
+	}
+	return vm, ok
+}
+
+// Observed is what an engine last said of its models.
+type Observed struct {
+	Endpoint string
+	// Fencing is the highest number that the engine has taken.
+	Fencing uint64
+	Loaded  []string
+	Loading []string
+}
+
+// Order is one order to one engine.
+type Order struct {
+	Endpoint fleet.Endpoint
+	Fencing  uint64
+	Desired  []string
+}
+
+// Plan gives the orders that bring the observed engines to what is desired.
+// Engines that were not observed get none. At most maxLoading engines load at
+// once; unloading is not limited.
+func Plan(b Belief, dataCenter string, observed []Observed, maxLoading int) []Order {
+	loading := 0
+	for _, o := range observed {
+		if len(o.Loading) > 0 {
+			loading++
+		}
+	}
+	slices.SortFunc(observed, func(a, c Observed) int { return strings.Compare(a.Endpoint, c.Endpoint) })
+	var out []Order
+	for _, o := range observed {
+		e, ok := b.List.Endpoint(o.Endpoint)
+		if !ok || e.DataCenter != dataCenter || e.Type != fleet.Engine || len(e.Desired) == 0 {
+			continue
+		}
+		if o.Fencing > b.Revision || settled(e.Desired, o) {
+			continue
+		}
+		if needsLoad(e.Desired, o) {
+			if len(o.Loading) == 0 && loading >= maxLoading {
+				continue
+			}
+			if len(o.Loading) == 0 {
+				loading++
+			}
+		}
+		out = append(out, Order{Endpoint: e, Fencing: b.Revision, Desired: e.Desired})
+	}
+	return out
+}
+
+// settled reports whether the engine has, or is loading, just what is desired.
+func settled(desired []string, o Observed) bool {
+	has := append(slices.Clone(o.Loaded), o.Loading...)
+	return sameSet(desired, has)
+}
+
+func needsLoad(desired []string, o Observed) bool {
+	for _, m := range desired {
+		if !slices.Contains(o.Loaded, m) && !slices.Contains(o.Loading, m) {
+			return true
+		}
+	}
+	return false
+}
+
+func sameSet(a, b []string) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(slices.Compact(a), slices.Compact(b))
+}
--- /dev/null
+++ b/pkg/membership/assign.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+)
+
+// Assigned reports whether the owner is among the count live entries of its
+// data centre that rank highest for the job, by rendezvous hashing. Entries
+// that disagree on who is alive do a job too often or, for a moment, not at
+// all; so only jobs for which both are harmless are shared out this way:
+// polling endpoints and watching the platform.
+func (v *View) Assigned(now time.Time, job string, count int) bool {
+	mine := rank(job, v.cfg.VM)
+	above := 0
+	for _, n := range v.nodes {
+		if n.record.GetDataCenter() != v.cfg.DataCenter {
+			continue
+		}
+		if v.status(now, n) != Alive {
+			continue
+		}
+		if rank(job, n.record.GetVm()) > mine {
+			above++
+		}
+	}
+	return above < count
+}
+
+func rank(job, vm string) uint64 { return xxhash.Sum64String(job + "\x00" + vm) }
+
+// Successor picks the entry that takes over the owner's tickets: the live one
+// of the own data centre that ranks highest, else of any other. Those that have
+// refused are left out.
+func (v *View) Successor(now time.Time, refused map[string]bool) (Contact, bool) {
+	var local, remote []Contact
+	for _, m := range v.Members(now) {
+		if m.Status != Alive || !isLive(m) || refused[m.VM] {
+			continue
+		}
+		if m.DataCenter == v.cfg.DataCenter {
+			local = append(local, m.Contact)
+		} else {
+			remote = append(remote, m.Contact)
+		}
+	}
+	for _, group := range [][]Contact{local, remote} {
+		if len(group) > 0 {
+			return slices.MaxFunc(group, v.bySuccession), true
+		}
+	}
+	return Contact{}, false
+}
+
+func (v *View) bySuccession(a, b Contact) int {
+	job := "successor/" + v.cfg.VM
+	return cmp.Compare(rank(job, a.VM), rank(job, b.VM))
+}
+
+func isLive(m Member) bool { return m.Record.GetState() == peerv1.NodeState_NODE_STATE_LIVE }
+
+// Inheritor finds the member that has taken over the tickets of an incarnation.
+func (v *View) Inheritor(now time.Time, incarnation []byte) (Member, bool) {
+	for name, n := range v.nodes {
+		for _, i := range n.record.GetInherited() {
+			if bytes.Equal(i, incarnation) {
+				return v.Find(now, name)
+			}
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,159 @@
+// Package outcome holds the final outcomes of a request and the typed error
+// that carries them.
+//
+// Every request ends in exactly one outcome. NotRun is a proof and never a
+// guess: it is used only if no byte of the request can have reached an
+// endpoint, or if the endpoint refused by a reply that its protocol defines as
+// before execution. Everything uncertain is MayHaveRun. (Brief, "What must
+// always hold"; issue 4, point 3.)
+package outcome
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome is the final state of a request.
+type Outcome int
+
+// The outcomes. Their numbers are part of the peer protocol.
+const (
+	// Unknown is the zero value; it is never sent.
+	Unknown Outcome = iota
+	// Complete says that the caller has the whole answer.
+	Complete
+	// NotRun says that the request did not run.
+	NotRun
+	// MayHaveRun says that the request may have run and its answer is lost.
+	MayHaveRun
+	// Incomplete says that the caller has received a part of one answer.
+	Incomplete
+)
+
+// String gives the name used on the wire, in metrics and in logs.
+func (o Outcome) String() string {
+	switch o {
+	case Complete:
+		return "complete"
+	case NotRun:
+		return "not_run"
+	case MayHaveRun:
+		return "may_have_run"
+	case Incomplete:
+		return "incomplete"
+	default:
+		return "unknown"
+	}
+}
+
+// Parse reads a name made by String.
+func Parse(name string) Outcome {
+	for _, o := range []Outcome{Complete, NotRun, MayHaveRun, Incomplete} {
+		if o.String() == name {
+			return o
+		}
+	}
+	return Unknown
+}
+
+// Code is the machine-readable cause of an outcome.
+type Code string
+
+// The codes, grouped by who can act on them.
+const (
+	// Callers.
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "body_too_large"
+	CodeMethod           Code = "method_not_allowed"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeForbidden        Code = "workspace_mismatch"
+	CodeUnknownKind      Code = "unknown_kind"
+	CodeTicketRequired   Code = "ticket_required"
+	CodeTicketInvalid    Code = "ticket_invalid"
+	CodeTicketExpired    Code = "ticket_expired"
+	CodeTicketConflict   Code = "ticket_conflict"
+	CodeCallerGone       Code = "caller_gone"
+	CodeAnswerNotKept    Code = "answer_not_kept"
+	CodeOwnerUnreachable Code = "owner_unreachable"
+	CodeOwnerReplaced    Code = "owner_replaced"
+	// Load.
+	CodeLimit     Code = "limit_reached"
+	CodeQueueFull Code = "queue_full"
+	CodeDeadline  Code = "deadline_unreachable"
+	CodeQueueTime Code = "queue_time_exceeded"
+	// Fleet.
+	CodeNoEndpoint   Code = "no_endpoint"
+	CodeEndpointLost Code = "endpoint_lost"
+	CodeEndpointBusy Code = "endpoint_refused"
+	CodeEndpointBad  Code = "endpoint_protocol_error"
+	CodeStalled      Code = "stalled"
+	CodeStopping     Code = "stopping"
+	CodeNoTable      Code = "no_table"
+)
+
+// Error is a final outcome other than Complete.
+type Error struct {
+	Outcome Outcome
+	Code    Code
+	Message string
+	// RetryAfter says when to come back; zero says nothing.
+	RetryAfter time.Duration
+	// Delivered counts the tokens that the caller has received.
+	Delivered int
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Outcome, e.Code, e.Message)
+}
+
+// New makes an error.
+func New(o Outcome, c Code, format string, args ...any) *Error {
+	return &Error{Outcome: o, Code: c, Message: fmt.Sprintf(format, args...)}
+}
+
+// NotRunf makes a NotRun error.
+func NotRunf(c Code, format string, args ...any) *Error {
+	return New(NotRun, c, format, args...)
+}
+
+// MayHaveRunf makes a MayHaveRun error.
+func MayHaveRunf(c Code, format string, args ...any) *Error {
+	return New(MayHaveRun, c, format, args...)
+}
+
+// After returns a copy that tells the caller when to come back.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+var statusByCode = map[Code]int{
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeMethod:          http.StatusMethodNotAllowed,
+	CodeUnauthenticated: http.StatusUnauthorized,
+	CodeForbidden:       http.StatusForbidden,
+	CodeUnknownKind:     http.StatusNotFound,
+	CodeTicketRequired:  http.StatusPreconditionRequired,
+	CodeTicketInvalid:   http.StatusBadRequest,
+	CodeTicketExpired:   http.StatusGone,
+	CodeTicketConflict:  http.StatusUnprocessableEntity,
+	CodeLimit:           http.StatusTooManyRequests,
+	CodeQueueFull:       http.StatusTooManyRequests,
+	CodeEndpointBad:     http.StatusBadGateway,
+	CodeEndpointLost:    http.StatusBadGateway,
+}
+
+// Status gives the HTTP status of the error.
+func (e *Error) Status() int {
+	if s, ok := statusByCode[e.Code]; ok {
+		return s
+	}
+	if e.Outcome == NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
--- /dev/null
+++ b/pkg/retry/breaker.go
@@ -0,0 +1,100 @@
+package retry
+
+import "time"
+
+// BreakerState is the state of a circuit breaker.
+type BreakerState int
+
+// The states.
+//
+//	[closed] --failures in a row--> [open] --cool-down--> [half-open]
+//	    ^                             ^                      |   |
+//	    +------ probe succeeded ------|----------------------+   |
+//	                                  +------- probe failed -----+
+const (
+	Closed BreakerState = iota
+	Open
+	HalfOpen
+)
+
+// String names the state for status pages.
+func (s BreakerState) String() string {
+	return [...]string{"closed", "open", "half_open"}[s]
+}
+
+// Breaker settings.
+const (
+	failuresToOpen  = 3
+	coolDownFirst   = 500 * time.Millisecond
+	coolDownMax     = 15 * time.Second
+	probeForgetTime = 10 * time.Second
+)
+
+// Breaker keeps work away from an endpoint that fails. The zero value is
+// closed. The caller serialises calls.
+type Breaker struct {
+	failures int
+	open     bool
+	since    time.Time
+	coolDown time.Duration
+	probing  bool
+	probe    time.Time
+}
+
+// State gives the state at a time.
+func (b *Breaker) State(now time.Time) BreakerState {
+	if !b.open {
+		return Closed
+	}
+	if now.Sub(b.since) < b.coolDown {
+		return Open
+	}
+	return HalfOpen
+}
+
+// Allow reports whether a request may go to the endpoint. In the half-open
+// state it allows one probe at a time.
+func (b *Breaker) Allow(now time.Time) bool {
+	switch b.State(now) {
+	case Closed:
+		return true
+	case Open:
+		return false
+	default:
+		return !b.probing || now.Sub(b.probe) > probeForgetTime
+	}
+}
+
+// Sent records that a request goes to the endpoint.
+func (b *Breaker) Sent(now time.Time) {
+	if b.State(now) == HalfOpen {
+		b.probing = true
+		b.probe = now
+	}
+}
+
+// Success closes the breaker.
+func (b *Breaker) Success() { *b = Breaker{} }
+
+// Failure counts a failure and opens the breaker after enough in a row.
+func (b *Breaker) Failure(now time.Time) {
+	b.failures++
+	b.probing = false
+	if b.open {
+		b.reopen(now)
+		return
+	}
+	if b.failures >= failuresToOpen {
+		b.open = true
+		b.since = now
+		b.coolDown = coolDownFirst
+	}
+}
+
+func (b *Breaker) reopen(now time.Time) {
+	if now.Sub(b.since) < b.coolDown {
+		return
+	}
+	b.since = now
+	b.coolDown = min(b.coolDown*2, coolDownMax)
+}
--- /dev/null
+++ b/pkg/scheduler/endpoint.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/lengths"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+)
+
+const (
+	// gapSmoothing is the weight of one new gap in the mean time between tokens.
+	gapSmoothing = 0.05
+	// unexplainedFor is how long load that nobody claims is believed.
+	unexplainedFor = 3 * time.Second
+)
+
+// endpoint is one endpoint as this entry believes it to be.
+type endpoint struct {
+	spec    fleet.Endpoint
+	index   int
+	leaving bool
+	gone    bool
+	breaker retry.Breaker
+
+	own        lengths.Projection
+	ownRunning int
+	// urgent is the part of own that urgent requests hold.
+	urgent       lengths.Profile
+	peers        lengths.Profile
+	peersRunning int
+
+	report      Report
+	unexplained float64
+	// gap is the mean time between tokens in seconds; zero if unknown.
+	gap float64
+}
+
+// take counts a projection, with sign 1 to add and -1 to remove it.
+func (e *endpoint) take(it *item, sign float64) {
+	for i := range it.projection.Mean {
+		e.own.Mean[i] += sign * it.projection.Mean[i]
+		e.own.Variance[i] += sign * it.projection.Variance[i]
+		if it.req.Urgent() {
+			e.urgent[i] += sign * it.projection.Mean[i]
+		}
+	}
+}
+
+// room describes what the fit of a request is measured against.
+type room struct {
+	// margin is in standard deviations.
+	margin float64
+	// held is the share of the capacity held for urgent requests.
+	held float64
+	// extra is believed load that no share accounts for.
+	extra float64
+}
+
+// fill gives the projected use of the endpoint with one more request on top,
+// as a share of the room that the request may use.
+func (e *endpoint) fill(p *lengths.Projection, urgent bool, r room) float64 {
+	places := float64(e.ownRunning+e.peersRunning+1) / float64(e.spec.MaxRunning)
+	if e.spec.CapacityTokens == 0 {
+		return places
+	}
+	capacity := float64(e.spec.CapacityTokens)
+	if !urgent {
+		capacity *= 1 - r.held
+	}
+	top := 0.0
+	for i := range p.Mean {
+		mean := e.own.Mean[i] + e.peers[i] + p.Mean[i] + r.extra
+		variance := max(e.own.Variance[i]+p.Variance[i], 0)
+		top = max(top, mean+r.margin*math.Sqrt(variance))
+	}
+	return max(top/capacity, places)
+}
+
+// observe takes a report. What it shows above all known work is believed for
+// a while: it is the work of entries that are gone or were not heard of.
+func (e *endpoint) observe(r Report) {
+	if !r.At.After(e.report.At) && e.report.Incarnation == r.Incarnation {
+		return
+	}
+	e.report = r
+	e.unexplained = max(float64(r.UsedTokens)-e.own.Mean[0]-e.peers[0], 0)
+}
+
+// extra returns the load that no share accounts for.
+func (e *endpoint) extra(now time.Time) float64 {
+	age := now.Sub(e.report.At)
+	if e.unexplained == 0 || age > unexplainedFor {
+		return 0
+	}
+	return e.unexplained * (1 - float64(age)/float64(unexplainedFor))
+}
+
+func (e *endpoint) observeGap(gap time.Duration) {
+	s := gap.Seconds()
+	if e.gap == 0 {
+		e.gap = s
+		return
+	}
+	e.gap += gapSmoothing * (s - e.gap)
+}
