What must always hold: ledger of tickets, randomised runs, real signals, mutants

Found and mended, each red first: - storing an answer when the kept ones exceed their bound panicked (slice bounds out of range), found by the claims tests; - a handover could be adopted a second time, by a late duplicate after its tickets had expired or by the next process on the successor's VM; it is now addressed to one incarnation and adopted once; - an entry waiting for a paused owner waited without bound; owners now send heartbeats and 2 s of silence end the wait as may_have_run. Ruled out: the first red run (2 of about 600 requests ran twice) was the harness taking a duplicate of one RPC reply; a reply belongs to one call.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test demo lint generate soak bench fuzz experiment capacity
+.PHONY: all build test demo lint generate soak mutants fuzz bench experiment capacity
 
 all: build
 
@@ -27,3 +27,16 @@
 
 demo: build
 	bash scripts/demo.sh
+
+# Long runs with fresh seeds; the seeds are printed.
+soak:
+	SOAK_SEEDS=$${SOAK_SEEDS:-20} $(GO) test -count=1 -v -timeout 60m ./internal/proof ./pkg/stream ./pkg/retry
+
+# Each mechanism switched off in a scratch copy must turn a test red.
+mutants:
+	bash scripts/mutants.sh
+
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzParse$$ -fuzztime $${FUZZTIME:-20s} ./pkg/table
+	$(GO) test -run '^$$' -fuzz FuzzParseChunk -fuzztime $${FUZZTIME:-20s} ./internal/engineclient
+	$(GO) test -run '^$$' -fuzz FuzzRecord -fuzztime $${FUZZTIME:-20s} ./internal/peering
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -361,12 +361,11 @@
 }
 
 func (e *Entry) handOver(ctx context.Context) {
-	msg := e.owner.Release(ctx)
-	if msg == nil {
+	if !e.owner.Freeze(ctx) {
 		invariant.Check(false, invariant.DrainCutsNothing, "runs of tickets were open at the end of the stop")
 		return
 	}
-	if err := e.peers.HandOver(ctx, msg); err != nil {
+	if err := e.peers.HandOver(ctx, e.owner.Export); err != nil {
 		e.log.Warn("tickets not handed over", "error", err)
 		return
 	}
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -14,6 +15,7 @@
 	schemeHTTP  = "http"
 	schemeHTTPS = "https"
 
+	peerDialTimeout = time.Second
 	peerIdlePerHost = 32
 	peerIdleTimeout = time.Minute
 )
@@ -58,7 +60,9 @@
 
 // peerHTTP makes the client for peers.
 func peerHTTP(t *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
 		TLSClientConfig:     t,
 		MaxIdleConnsPerHost: peerIdlePerHost,
 		IdleConnTimeout:     peerIdleTimeout,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -169,29 +169,35 @@
 	return o.ledger.Adopt(time.Now(), msg)
 }
 
-// Release waits until no run is open, freezes the ledger and gives everything
-// away. It returns nil if the context ended first.
-func (o *Owner) Release(ctx context.Context) *peerv1.HandoverRequest {
+// Freeze waits until no run is open and ends running for good. It returns false
+// if the context ended first.
+func (o *Owner) Freeze(ctx context.Context) bool {
 	t := time.NewTicker(20 * time.Millisecond)
 	defer t.Stop()
-	for {
-		if msg := o.tryRelease(); msg != nil {
-			return msg
-		}
+	for !o.tryFreeze() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return nil
+			return false
 		}
 	}
+	return true
 }
 
-func (o *Owner) tryRelease() *peerv1.HandoverRequest {
+func (o *Owner) tryFreeze() bool {
+	return o.locked(func(l *claims.Ledger) bool {
+		if l.Running() > 0 {
+			return false
+		}
+		l.Freeze()
+		return true
+	})
+}
+
+// Export gives everything to the process with this incarnation. See
+// claims.Ledger.Export for when a second call is allowed.
+func (o *Owner) Export(to []byte) *peerv1.HandoverRequest {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ledger.Running() > 0 {
-		return nil
-	}
-	o.ledger.Freeze()
-	return o.ledger.Export(time.Now())
+	return o.ledger.Export(time.Now(), to)
 }
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -25,6 +25,10 @@
 	handoverTimeout = 5 * time.Second
 	// maxReattach bounds how often a broken link to an owner is taken up again.
 	maxReattach = 3
+	// heartbeatEvery is how often an owner shows that it is there, and
+	// maxSilence how long a caller's entry waits for that.
+	heartbeatEvery = 500 * time.Millisecond
+	maxSilence     = 2 * time.Second
 )
 
 // Config holds the settings of a Client.
@@ -165,17 +169,15 @@
 // HandOver gives the tickets of this entry to one successor. A peer that
 // refuses because it stops has adopted nothing, so the next is asked; after any
 // other failure nobody else may be asked.
-func (c *Client) HandOver(ctx context.Context, msg *peerv1.HandoverRequest) error {
+func (c *Client) HandOver(ctx context.Context, export func(to []byte) *peerv1.HandoverRequest) error {
 	tried := map[string]bool{}
 	for {
-		var to membership.Contact
-		var ok bool
-		c.cfg.Beliefs.View(func(v *membership.View) { to, ok = v.Successor(time.Now(), tried) })
+		to, ok := c.successorBut(tried)
 		if !ok {
 			return errors.New("no entry is there to take the tickets over")
 		}
 		tried[to.VM] = true
-		err := c.handOverTo(ctx, to, msg)
+		err := c.handOverTo(ctx, to.Contact, export(to.Record.GetIncarnation()))
 		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
 			continue
 		}
@@ -183,6 +185,17 @@
 	}
 }
 
+func (c *Client) successorBut(tried map[string]bool) (m membership.Member, ok bool) {
+	c.cfg.Beliefs.View(func(v *membership.View) {
+		now := time.Now()
+		var to membership.Contact
+		if to, ok = v.Successor(now, tried); ok {
+			m, ok = v.Find(now, to.VM)
+		}
+	})
+	return m, ok
+}
+
 func (c *Client) handOverTo(ctx context.Context, to membership.Contact, msg *peerv1.HandoverRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
@@ -215,31 +228,39 @@
 }
 
 // locate finds the entry that holds the authority over a ticket.
-func (c *Client) locate(t claims.Ticket) (string, *outcome.Error) {
+func (c *Client) locate(t claims.Ticket) (address string, err *outcome.Error) {
 	if s := c.handedTo(); s != "" && c.isSelf(t.OwnerVM) {
 		return s, nil
 	}
-	var holder, owner membership.Member
-	var held, known bool
 	c.cfg.Beliefs.View(func(v *membership.View) {
-		now := time.Now()
-		holder, held = v.Inheritor(now, t.Incarnation[:])
-		owner, known = v.Find(now, t.OwnerVM)
+		address, err = claims.Route(t, directory{v, time.Now()}, c.allowed)
 	})
-	if held {
-		return holder.Address, nil
-	}
-	if known && slices.Equal(owner.Record.GetIncarnation(), t.Incarnation[:]) {
-		return owner.Address, nil
-	}
-	if known && owner.Address == t.OwnerAddress && owner.Status == membership.Alive {
-		// The VM runs a newer process, which we have heard of itself.
-		return "", claims.OwnerReplaced()
-	}
-	if !c.allowed(t.OwnerAddress) {
-		return "", outcome.MayHaveRunf(outcome.CodeTicketInvalid, "the owner's address isn't one of this system")
+	return address, err
+}
+
+// directory is the membership view as package claims asks it.
+type directory struct {
+	view *membership.View
+	now  time.Time
+}
+
+// Holder implements claims.Directory.
+func (d directory) Holder(i claims.Incarnation) (string, bool) {
+	m, ok := d.view.Inheritor(d.now, i[:])
+	return m.Address, ok
+}
+
+// Peer implements claims.Directory.
+func (d directory) Peer(vm string) (claims.Peer, bool) {
+	m, ok := d.view.Find(d.now, vm)
+	if !ok {
+		return claims.Peer{}, false
 	}
-	return t.OwnerAddress, nil
+	return claims.Peer{
+		Address:     m.Address,
+		Incarnation: m.Record.GetIncarnation(),
+		Alive:       m.Status == membership.Alive,
+	}, true
 }
 
 func (c *Client) handedTo() string {
@@ -273,6 +294,10 @@
 }
 
 func (c *Client) follow(ctx context.Context, address string, j *job.Job, f *follower) (bool, *outcome.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(maxSilence, cancel)
+	defer silence.Stop()
 	stream, err := c.at(address).Run(ctx, authorize(c, runRequest(j.Ticket, j)))
 	if err != nil {
 		return false, nil
@@ -280,6 +305,7 @@
 	defer stream.Close()
 	f.seen = 0
 	for stream.Receive() {
+		silence.Reset(maxSilence)
 		f.reached = true
 		msg := stream.Msg()
 		if final := msg.GetFinal(); final != nil {
@@ -293,6 +319,9 @@
 }
 
 func (f *follower) take(msg *peerv1.RunResponse) bool {
+	if msg.GetHeartbeat() != nil {
+		return true
+	}
 	if h := msg.GetHeader(); h != nil {
 		if !f.header {
 			f.sink.Header(int(h.GetStatus()), h.GetContentType())
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,53 @@
+package peering
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+// FuzzRecord merges what a broken or forged peer might send.
+func FuzzRecord(f *testing.F) {
+	good, _ := proto.Marshal(&peerv1.NodeRecord{
+		Vm: "b", Epoch: 1, Version: 2, Shares: []*peerv1.EndpointShare{{Endpoint: "e", ProjectedTokens: make([]uint32, 9)}},
+		Reports: []*peerv1.EndpointReport{{Endpoint: "e", AgeMs: 1 << 31}}, Leaves: []*peerv1.Leave{{Endpoint: "e"}},
+	})
+	f.Add(good)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r peerv1.NodeRecord
+		if proto.Unmarshal(data, &r) != nil {
+			return
+		}
+		view := membership.New(membership.Config{VM: "a", Incarnation: []byte{1}})
+		b := NewBeliefs(view, dispatch.New(scheduler.New(scheduler.Config{})), func(drain.Leave, string) {})
+		b.Merge(time.Now(), []*peerv1.NodeRecord{&r})
+		b.Beat(time.Now(), nil)
+		if view.Self().GetVm() != "a" {
+			t.Fatal("a peer's record replaced the own one")
+		}
+	})
+}
+
+func TestPeerToken(t *testing.T) {
+	g := NewWithT(t)
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	h := requireToken("secret", ok)
+	for header, want := range map[string]int{"": 401, "Bearer other": 401, "Bearer secret": 200} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "/", nil)
+		r.Header.Set(tokenHeader, header)
+		h.ServeHTTP(w, r)
+		g.Expect(w.Code).To(Equal(want), header)
+	}
+}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -110,8 +111,10 @@
 // Run implements the service.
 func (s *Server) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
 	sink := &rpcSink{stream: stream}
+	stop := sink.beat(ctx)
 	final := s.run(ctx, req.Msg, sink)
-	return stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Final{Final: claims.FinalOf(final)}})
+	stop()
+	return sink.send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Final{Final: claims.FinalOf(final)}})
 }
 
 func (s *Server) run(ctx context.Context, msg *peerv1.RunRequest, sink job.Sink) *outcome.Error {
@@ -128,19 +131,48 @@
 
 // rpcSink passes an answer to the entry that asked.
 type rpcSink struct {
+	mu     sync.Mutex
 	stream *connect.ServerStream[peerv1.RunResponse]
 }
 
+func (s *rpcSink) send(msg *peerv1.RunResponse) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream.Send(msg)
+}
+
+// beat sends heartbeats, the first at once, until stop is called.
+func (s *rpcSink) beat(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	heartbeat := &peerv1.RunResponse{Part: &peerv1.RunResponse_Heartbeat{Heartbeat: &peerv1.Heartbeat{}}}
+	var done sync.WaitGroup
+	done.Go(func() {
+		t := time.NewTicker(heartbeatEvery)
+		defer t.Stop()
+		for s.send(heartbeat) == nil {
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
 // Header implements job.Sink.
 func (s *rpcSink) Header(status int, contentType string) {
-	_ = s.stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Header{
+	_ = s.send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Header{
 		Header: &peerv1.RunHeader{Status: int32(status), ContentType: contentType},
 	}})
 }
 
 // Data implements job.Sink.
 func (s *rpcSink) Data(part []byte) error {
-	return s.stream.Send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Data{Data: part}})
+	return s.send(&peerv1.RunResponse{Part: &peerv1.RunResponse_Data{Data: part}})
 }
 
 // Flush implements job.Sink; each message is sent at once.
--- /dev/null
+++ b/internal/proof/world_test.go
@@ -0,0 +1,304 @@
+package proof
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+)
+
+// world is virtual time, a faulty network, and the entries on it.
+type world struct {
+	rng    *rand.Rand
+	now    time.Time
+	events eventHeap
+	serial int
+	nodes  []*node
+	// cut holds the one-way links that are down.
+	cut   map[[2]int]bool
+	loss  float64
+	twice float64
+	delay time.Duration
+	// platform is what is published; stale is what a stale replica answers.
+	table, staleTable uint64
+	platformDown      bool
+	platformStale     bool
+	faults            []string
+	counts            map[string]int
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].serial < h[j].serial
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func newWorld(seed uint64, size int) *world {
+	w := &world{
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		cut:    map[[2]int]bool{},
+		delay:  5 * time.Millisecond,
+		counts: map[string]int{},
+		table:  1,
+	}
+	for i := range size {
+		n := &node{w: w, index: i, vm: fmt.Sprintf("entry-%d", i), dc: fmt.Sprintf("dc-%d", i%3)}
+		w.nodes = append(w.nodes, n)
+		n.boot()
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{w.now.Add(d), w.serial, do})
+}
+
+// run advances virtual time to the end of d.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+}
+
+func (w *world) faultf(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// send delivers a message to the process that is then at the node, late, twice
+// or never. A frozen process handles it when it wakes.
+func (w *world) send(from, to int, handle func(n *node)) {
+	if w.cut[[2]int{from, to}] || w.rng.Float64() < w.loss {
+		w.counts["lost"]++
+		return
+	}
+	copies := 1
+	if w.rng.Float64() < w.twice {
+		copies = 2
+		w.counts["doubled"]++
+	}
+	for range copies {
+		late := time.Duration(w.rng.ExpFloat64() * float64(w.delay))
+		w.after(late, func() { w.nodes[to].handle(handle) })
+	}
+}
+
+// node is one entry VM; boot replaces the process on it.
+type node struct {
+	w           *world
+	index       int
+	vm, dc      string
+	process     int
+	up          bool
+	stopping    bool
+	frozenUntil time.Time
+	epoch       uint64
+
+	incarnation claims.Incarnation
+	view        *membership.View
+	table       *register.Register[uint64]
+	drains      *drain.Set
+	ledger      *claims.Ledger
+	followers   map[claims.Key][]func(reply)
+}
+
+func (n *node) address() string { return fmt.Sprintf("127.0.0.1:%d", 10_000+n.index) }
+
+func (w *world) nodeAt(address string) int {
+	for _, n := range w.nodes {
+		if n.address() == address {
+			return n.index
+		}
+	}
+	return -1
+}
+
+func checkTable(b []byte) (uint64, error) {
+	var v uint64
+	_, err := fmt.Sscanf(string(b), "table %d", &v)
+	return v, err
+}
+
+func (n *node) boot() {
+	n.process++
+	n.up = true
+	n.stopping = false
+	n.frozenUntil = time.Time{}
+	// The VM's wall clock may have been set back.
+	n.epoch = uint64(n.w.now.UnixMilli()) - uint64(n.w.rng.IntN(20_000))
+	for i := range n.incarnation {
+		n.incarnation[i] = byte(n.w.rng.Uint32())
+	}
+	n.view = membership.New(membership.Config{
+		VM: n.vm, DataCenter: n.dc, PeerAddress: n.address(),
+		Epoch: n.epoch, Incarnation: append([]byte(nil), n.incarnation[:]...), Chance: n.w.rng.Float64,
+	})
+	var seeds []membership.Contact
+	for _, other := range n.w.nodes {
+		seeds = append(seeds, membership.Contact{VM: other.vm, DataCenter: other.dc, Address: other.address()})
+	}
+	n.view.Seed(seeds)
+	n.table = register.New(checkTable)
+	n.drains = drain.New()
+	n.ledger = claims.New(n.w.now, claims.Config{
+		VM: n.vm, PeerAddress: n.address(), Incarnation: n.incarnation,
+		Secret: append([]byte("secret"), n.incarnation[:]...), Validity: 20 * time.Second, KeepFinished: 5 * time.Second,
+	})
+	n.followers = map[claims.Key][]func(reply){}
+	n.every(500*time.Millisecond, n.gossip)
+	n.every(time.Second, n.readPlatform)
+	n.every(2*time.Second, func() { n.ledger.Expire(n.w.now) })
+}
+
+// every calls f for the life of this process; a frozen process calls it late.
+func (n *node) every(d time.Duration, f func()) {
+	process := n.process
+	var tick func()
+	tick = func() {
+		if n.process != process || !n.up {
+			return
+		}
+		if n.w.now.Before(n.frozenUntil) {
+			n.w.after(n.frozenUntil.Sub(n.w.now), tick)
+			return
+		}
+		f()
+		n.w.after(d, tick)
+	}
+	n.w.after(n.w.between(0, d), tick)
+}
+
+// handle runs a message in this process, or drops it if it is down.
+func (n *node) handle(do func(*node)) {
+	if !n.up {
+		return
+	}
+	if n.w.now.Before(n.frozenUntil) {
+		process := n.process
+		n.w.after(n.frozenUntil.Sub(n.w.now), func() {
+			if n.process == process {
+				n.handle(do)
+			}
+		})
+		return
+	}
+	do(n)
+}
+
+// later runs in this process after a while, unless it has died by then.
+func (n *node) later(d time.Duration, do func()) {
+	process := n.process
+	n.w.after(d, func() {
+		if n.process == process {
+			n.handle(func(*node) { do() })
+		}
+	})
+}
+
+func (n *node) kill() {
+	n.up = false
+	n.process++
+	n.w.counts["killed"]++
+}
+
+func (n *node) gossip() {
+	n.view.Beat(func(r *peerv1.NodeRecord) {
+		r.Inherited = n.ledger.Inherited()
+		r.Leaves = r.Leaves[:0]
+		for _, l := range n.drains.All() {
+			r.Leaves = append(r.Leaves, &peerv1.Leave{Endpoint: l.Endpoint, Incarnation: l.Incarnation})
+		}
+	})
+	for _, c := range n.view.Round(n.w.now) {
+		n.exchange(n.w.nodeAt(c.Address))
+	}
+}
+
+// exchange is what the daemons do over connect: digests, answer, push.
+func (n *node) exchange(to int) {
+	digests, held := n.view.Digests(), n.held()
+	n.w.send(n.index, to, func(p *node) {
+		records, wanted := p.view.Answer(digests)
+		theirs := p.held()
+		p.w.send(p.index, n.index, func(n *node) {
+			n.merge(records)
+			n.offer(theirs)
+			push := n.view.Records(wanted)
+			n.w.send(n.index, p.index, func(p *node) {
+				p.merge(push)
+				p.offer(held)
+			})
+		})
+	})
+}
+
+func (n *node) merge(records []*peerv1.NodeRecord) {
+	for _, r := range n.view.Merge(n.w.now, records) {
+		for _, l := range r.GetLeaves() {
+			n.drains.Add(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()})
+		}
+	}
+}
+
+func (n *node) held() uint64 {
+	if h := n.table.Current(); h != nil {
+		return h.Revision
+	}
+	return 0
+}
+
+func (n *node) offer(revision uint64) {
+	if revision == 0 {
+		return
+	}
+	before := n.held()
+	_, _ = n.table.Offer(n.w.now, revision, fmt.Appendf(nil, "table %d", revision))
+	if n.held() < before {
+		n.w.faultf("%s went from revision %d back to %d", n.vm, before, n.held())
+	}
+}
+
+func (n *node) readPlatform() {
+	w := n.w
+	if w.platformDown || !n.view.Assigned(w.now, "watch", 2) {
+		return
+	}
+	if w.platformStale {
+		n.offer(w.staleTable)
+		return
+	}
+	n.offer(w.table)
+}
--- a/pkg/claims/bounds.go
+++ b/pkg/claims/bounds.go
@@ -41,10 +41,10 @@
 	q.bytes += len(r.answer.Body)
 	for q.bytes > l.cfg.MaxAnswerBytes && len(q.queue) > 0 {
 		q.forget(q.queue[0])
-		q.queue = q.queue[1:]
 	}
 }
 
+// forget drops one answer, and from the queue's front those that are gone.
 func (q *answerQueue) forget(r *record) {
 	if r.answer == nil {
 		return
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -163,6 +163,8 @@
 	minted      mintWindow
 	answers     answerQueue
 	frozen      bool
+	// adopted are the incarnations ever taken over, and the own one.
+	adopted map[Incarnation]bool
 }
 
 // New makes a ledger whose own time starts now.
@@ -172,6 +174,7 @@
 		cfg:         cfg,
 		authorities: map[Incarnation]*authority{},
 		records:     map[Key]*record{},
+		adopted:     map[Incarnation]bool{cfg.Incarnation: true},
 	}
 	l.authorities[cfg.Incarnation] = &authority{secret: cfg.Secret, since: now}
 	return l
--- a/pkg/claims/handover.go
+++ b/pkg/claims/handover.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"bytes"
 	"errors"
 	"time"
 
@@ -12,16 +13,21 @@
 // sender may offer it to another entry.
 var ErrStopping = errors.New("claims: this entry is stopping and takes no tickets over")
 
+// ErrNotAddressed refuses a handover that was meant for another process, such as
+// the one that ran on this VM before. The sender must not offer it elsewhere.
+var ErrNotAddressed = errors.New("claims: the handover is for another process")
+
 // Freeze ends minting and running for good. Runs that have begun go on.
 func (l *Ledger) Freeze() { l.frozen = true }
 
 // Frozen reports whether the ledger is frozen.
 func (l *Ledger) Frozen() bool { return l.frozen }
 
-// Export gives away every authority. It must be called after Freeze, with no
-// run open, and its result goes to one entry only: a message whose fate is
-// unknown must never be sent to a second one.
-func (l *Ledger) Export(now time.Time) *peerv1.HandoverRequest {
+// Export gives every authority to the process with the given incarnation. It
+// must be called after Freeze, with no run open, and its result goes to that
+// process only: a message whose fate is unknown must never be followed by one
+// to a second process.
+func (l *Ledger) Export(now time.Time, to []byte) *peerv1.HandoverRequest {
 	if !l.frozen || l.Running() > 0 {
 		return nil
 	}
@@ -30,7 +36,7 @@
 		i := r.key.Incarnation
 		byIncarnation[i] = append(byIncarnation[i], r.export())
 	}
-	msg := &peerv1.HandoverRequest{FromVm: l.cfg.VM}
+	msg := &peerv1.HandoverRequest{FromVm: l.cfg.VM, ToIncarnation: to}
 	for i, a := range l.authorities {
 		msg.Authorities = append(msg.Authorities, &peerv1.Authority{
 			Incarnation: i[:],
@@ -60,9 +66,13 @@
 	return out
 }
 
-// Adopt takes over the authorities of a stopping entry. Doing it twice with
-// the same message changes nothing.
+// Adopt takes over the authorities of a stopping entry. An authority is adopted
+// once in the life of a process: a late duplicate of the message would bring
+// back tickets that have been run or given away since.
 func (l *Ledger) Adopt(now time.Time, msg *peerv1.HandoverRequest) error {
+	if !bytes.Equal(msg.GetToIncarnation(), l.cfg.Incarnation[:]) {
+		return ErrNotAddressed
+	}
 	if l.frozen {
 		return ErrStopping
 	}
@@ -72,9 +82,10 @@
 			return errors.New("claims: bad incarnation in handover")
 		}
 		copy(i[:], a.GetIncarnation())
-		if l.Holds(i) {
+		if l.adopted[i] {
 			continue
 		}
+		l.adopted[i] = true
 		elapsed := time.Duration(a.GetElapsedMs()) * time.Millisecond
 		l.authorities[i] = &authority{secret: a.GetSecret(), since: now, elapsed: elapsed}
 		for _, r := range a.GetRecords() {
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Switches off, in a scratch copy and one at a time, the mechanisms behind the
+# promises, and runs the tests that must then fail. Exits 1 if one stays green.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+green=0
+
+mutant() { # PROMISE FILE SED PACKAGES
+  local promise=$1 file=$2 expr=$3 packages=$4
+  rm -rf "$scratch/copy"
+  mkdir -p "$scratch/copy"
+  git ls-files -z | xargs -0 cp --parents -t "$scratch/copy"
+  sed -i "$expr" "$scratch/copy/$file"
+  if cmp -s "$file" "$scratch/copy/$file"; then
+    echo "STALE  $promise: the edit no longer applies to $file"
+    green=1
+    return
+  fi
+  if ! (cd "$scratch/copy" && go build ./... >"$scratch/out" 2>&1); then
+    echo "BROKEN $promise: the edit doesn't build"
+    green=1
+    return
+  fi
+  # shellcheck disable=SC2086
+  if (cd "$scratch/copy" && timeout 180 go test -count=1 $packages >"$scratch/out" 2>&1); then
+    echo "GREEN  $promise: $file: $expr"
+    green=1
+  else
+    echo "red    $promise: $file: $expr ($(grep -m1 -oE -- '--- FAIL: [A-Za-z]+|\[FAIL\].{0,60}|panic: .{0,60}' "$scratch/out"))"
+  fi
+}
+
+P=./internal/proof
+mutant "one generation: foreign chunks taken" pkg/stream/stream.go 's/if a.bound \&\& c.Generation != a.gen {/if false {/' ./pkg/stream
+mutant "one generation: duplicates taken" pkg/stream/stream.go 's/if c.Index < a.next {/if false {/' ./pkg/stream
+mutant "one generation: reset after release" pkg/stream/stream.go 's/if a.released > 0 {/if false {/' ./pkg/stream
+mutant "own answer: replies not matched" internal/engineclient/engineclient.go 's/got != "" \&\& got != requestID/got == "\\n"/' ./internal/engineclient
+mutant "not run: any failure counts as proof" pkg/retry/retry.go 's/return f == NotSent || f == RefusedBeforeExecution/return true/' ./pkg/retry
+mutant "not run: connected counts as not sent" internal/engineclient/engineclient.go 's/if !connected.Load() {/if true {/' ./internal/engineclient
+mutant "at most once: records not kept" pkg/claims/claims.go 's/if r := l.records\[key\]; r != nil {/if r := l.records[key]; false {/' "$P ./pkg/claims"
+mutant "at most once: refusals not burnt" pkg/claims/claims.go 's/^\tr.phase = finished$/\tr.phase = finished\n\tif err != nil \&\& err.Outcome == outcome.NotRun {\n\t\tdelete(l.records, key)\n\t}/' "$P"
+mutant "at most once: old owner not frozen" pkg/claims/handover.go 's/func (l \*Ledger) Freeze() { l.frozen = true }/func (l *Ledger) Freeze() {}/' "$P ./pkg/claims"
+mutant "at most once: handover adopted again" pkg/claims/handover.go 's/if l.adopted\[i\] {/if l.Holds(i) {/' ./pkg/claims
+mutant "at most once: handover taken by any process" pkg/claims/handover.go 's/if !bytes.Equal(msg.GetToIncarnation(), l.cfg.Incarnation\[:\]) {/if bytes.Equal(msg.GetToIncarnation(), nil) {/' "$P ./pkg/claims"
+mutant "at most once: expired tickets run" pkg/claims/claims.go 's/if auth.age(now, t.MintedMS) > l.cfg.Validity {/if false {/' "$P ./pkg/claims"
+mutant "at most once: signature not checked" pkg/claims/claims.go 's/if !hmac.Equal(t.mac, /if hmac.Equal(nil, /' ./pkg/claims
+mutant "leaving: a stale list brings back" pkg/drain/drain.go 's/return ok \&\& incarnation <= left/return ok \&\& incarnation < left/' "$P"
+mutant "leaving: not told to peers" internal/proof/world_test.go 's/n.drains.Add(drain.Leave/_ = (drain.Leave/' "$P"
+mutant "revision: adopted whatever its order" pkg/register/register.go 's/if revision <= r.seen {/if false {/' "$P ./pkg/register"
+mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if o.Fencing > b.Revision || settled/if settled/' ./pkg/fencing
+exit $green
