--- a/internal/proof/atmostonce_test.go
+++ b/internal/proof/atmostonce_test.go
@@ -299,8 +299,7 @@
 }
 
 func TestAtMostOnceUnderFaults(t *testing.T) {
-	old := invariant.SetHook(invariant.PanicHook)
-	defer invariant.SetHook(old)
+	defer invariant.Strict()()
 	g := NewWithT(t)
 	first, count, d := soak()
 	total := map[string]int{}
--- a/internal/proof/gossip_test.go
+++ b/internal/proof/gossip_test.go
@@ -57,8 +57,7 @@
 )
 
 func TestTableChangesUnderFaults(t *testing.T) {
-	old := invariant.SetHook(invariant.PanicHook)
-	defer invariant.SetHook(old)
+	defer invariant.Strict()()
 	g := NewWithT(t)
 	first, count, _ := soak()
 	var slowest time.Duration
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -48,23 +48,23 @@
 	counts = map[Name]uint64{}
 )
 
-// SetHook replaces the hook; nil only counts. It returns the former hook.
-func SetHook(h Hook) Hook {
-	var old *Hook
+// SetHook replaces the hook; nil only counts.
+func SetHook(h Hook) {
 	if h == nil {
-		old = hook.Swap(nil)
-	} else {
-		old = hook.Swap(&h)
+		hook.Store(nil)
+		return
 	}
-	if old == nil {
-		return nil
-	}
-	return *old
+	hook.Store(&h)
 }
 
-// PanicHook stops the program at the first violation; tests use it.
-func PanicHook(name Name, detail string) {
-	panic(fmt.Sprintf("invariant %s violated: %s", name, detail))
+// Strict stops the program at the first violation; tests use it. It returns a
+// function that restores the former hook.
+func Strict() (restore func()) {
+	strict := Hook(func(name Name, detail string) {
+		panic(fmt.Sprintf("invariant %s violated: %s", name, detail))
+	})
+	old := hook.Swap(&strict)
+	return func() { hook.Store(old) }
 }
 
 // Check reports a violation if ok is false, and returns ok.
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -16,8 +16,7 @@
 // TestOneGeneration feeds an assembler chunks of several generations, late,
 // doubled, missing and out of order, with resets in between.
 func TestOneGeneration(t *testing.T) {
-	old := invariant.SetHook(invariant.PanicHook)
-	defer invariant.SetHook(old)
+	defer invariant.Strict()()
 	rapid.Check(t, func(t *rapid.T) {
 		var a stream.Assembler
 		length := rapid.IntRange(1, 8).Draw(t, "length")
