Scheduler v2 to v4: urgent overcommit, steadier drain rate, memory in parts

Change: v2 sends an urgent request that fits nowhere to the least filled endpoint; v3 has a finite prior, a rate over 10 s, costs made anew as lengths are learnt, displacement from 3 times on; v4 splits each endpoint's memory among its home entries, who use their part without any news of the others, and borrow beyond it up to 85% of believed fill. All versions stay by name.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,7 +116,9 @@
 	case PolicyLeastInFlight:
 		return scheduler.NewLeastInFlight()
 	default:
-		return scheduler.New(scheduler.Config{DataCenter: cfg.DataCenter})
+		c := scheduler.Version(scheduler.Current)
+		c.DataCenter = cfg.DataCenter
+		return scheduler.New(c)
 	}
 }
 
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -19,6 +19,18 @@
 	Queued() *limits.Counter
 }
 
+// homed is a policy that splits endpoints among their home entries.
+type homed interface {
+	SetHome(endpoint string, parts int)
+}
+
+// HomeEntries is among how many entries of its data centre the memory of an
+// endpoint is split.
+const HomeEntries = 3
+
+// homesEvery is how often the home entries are computed anew.
+const homesEvery = 2 * time.Second
+
 // Beliefs is what an entry knows of the others and of the endpoints. It feeds
 // the scheduler. It is safe for concurrent use.
 type Beliefs struct {
@@ -28,6 +40,7 @@
 	list       *fleet.List
 	reports    map[string]scheduler.Report
 	counted    map[string]bool
+	homesAt    time.Time
 	state      peerv1.NodeState
 	dispatcher *dispatch.Dispatcher
 	onLeave    func(drain.Leave, string)
@@ -177,6 +190,32 @@
 	})
 	b.view.Forget(now)
 	b.applyMembers(now)
+	if now.Sub(b.homesAt) >= homesEvery {
+		b.homesAt = now
+		b.applyHomes(now)
+	}
+}
+
+// applyHomes tells the scheduler which endpoints this entry is a home of.
+func (b *Beliefs) applyHomes(now time.Time) {
+	if b.list == nil {
+		return
+	}
+	parts := min(b.view.LocalSize(now), HomeEntries)
+	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		h, ok := p.(homed)
+		if !ok {
+			return
+		}
+		for _, e := range b.list.Endpoints {
+			mine := e.DataCenter == b.view.Self().GetDataCenter() && b.view.Assigned(now, "home/"+e.ID, HomeEntries)
+			if mine {
+				h.SetHome(e.ID, parts)
+			} else {
+				h.SetHome(e.ID, 0)
+			}
+		}
+	})
 }
 
 // applyMembers drops the work of members that are dead or gone.
--- a/pkg/lengths/lengths.go
+++ b/pkg/lengths/lengths.go
@@ -75,8 +75,9 @@
 	memory = 150
 	// lean is how many requests the estimate of the wider group counts for.
 	lean = 4
-	// priorHazard of a bucket: about one in eight ends in each.
-	priorHazard = 0.125
+	// PriorHazard is the share of outputs that end in each bucket, as assumed
+	// while nothing is known. From 0.231 on the expected length is finite.
+	PriorHazard = 0.25
 	// rescaleAt keeps the growing weights of forward decay within range.
 	rescaleAt = 1e9
 )
@@ -110,6 +111,7 @@
 // group counts survival for one key, or for a kind over all workspaces.
 type group struct {
 	parent  *group
+	prior   float64
 	weight  float64
 	reached [buckets]float64
 	ended   [buckets]float64
@@ -117,8 +119,8 @@
 	dirty   bool
 }
 
-func newGroup(parent *group) *group {
-	return &group{parent: parent, weight: 1, dirty: true}
+func newGroup(parent *group, prior float64) *group {
+	return &group{parent: parent, prior: prior, weight: 1, dirty: true}
 }
 
 func (g *group) reach(b int) {
@@ -144,7 +146,7 @@
 }
 
 func (g *group) hazard(b int) float64 {
-	wider := priorHazard
+	wider := g.prior
 	if g.parent != nil {
 		wider = g.parent.hazard(b)
 	}
@@ -181,21 +183,21 @@
 type Estimator struct {
 	kinds map[string]*group
 	keys  map[Key]*group
-	limit int
+	prior float64
 }
 
 // MaxKeys bounds the keys kept apart; further ones share their kind's group.
 const MaxKeys = 4096
 
 // New makes an estimator that knows only the prior.
-func New() *Estimator {
-	return &Estimator{kinds: map[string]*group{}, keys: map[Key]*group{}, limit: MaxKeys}
+func New(priorHazard float64) *Estimator {
+	return &Estimator{kinds: map[string]*group{}, keys: map[Key]*group{}, prior: priorHazard}
 }
 
 func (e *Estimator) kind(name string) *group {
 	g := e.kinds[name]
 	if g == nil {
-		g = newGroup(nil)
+		g = newGroup(nil, e.prior)
 		e.kinds[name] = g
 	}
 	return g
@@ -206,10 +208,10 @@
 		return g
 	}
 	kind := e.kind(k.Kind)
-	if len(e.keys) >= e.limit {
+	if len(e.keys) >= MaxKeys {
 		return kind
 	}
-	g := newGroup(kind)
+	g := newGroup(kind, e.prior)
 	e.keys[k] = g
 	return g
 }
--- a/pkg/membership/assign.go
+++ b/pkg/membership/assign.go
@@ -33,6 +33,17 @@
 	return above < count
 }
 
+// LocalSize counts the live entries of the own data centre, the owner included.
+func (v *View) LocalSize(now time.Time) int {
+	n := 1
+	for _, other := range v.nodes {
+		if other.record.GetDataCenter() == v.cfg.DataCenter && v.status(now, other) == Alive {
+			n++
+		}
+	}
+	return n
+}
+
 func rank(job, vm string) uint64 { return xxhash.Sum64String(job + "\x00" + vm) }
 
 // Successor picks the entry that takes over the owner's tickets: the live one
--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -21,6 +21,9 @@
 	spec    fleet.Endpoint
 	index   int
 	leaving bool
+	// parts is among how many home entries the memory is split; zero if this
+	// entry is none of them.
+	parts   int
 	gone    bool
 	breaker retry.Breaker
 
@@ -58,10 +61,15 @@
 	extra float64
 }
 
+// places gives the share of its places in use, with one more request.
+func (e *endpoint) places() float64 {
+	return float64(e.ownRunning+e.peersRunning+1) / float64(e.spec.MaxRunning)
+}
+
 // fill gives the projected use of the endpoint with one more request on top,
 // as a share of the room that the request may use.
 func (e *endpoint) fill(p *lengths.Projection, urgent bool, r room) float64 {
-	places := float64(e.ownRunning+e.peersRunning+1) / float64(e.spec.MaxRunning)
+	places := e.places()
 	if e.spec.CapacityTokens == 0 {
 		return places
 	}
@@ -78,6 +86,27 @@
 	return max(top/capacity, places)
 }
 
+// ownFill gives the projected use by this entry's own work with one more
+// request, as a share of this entry's part; it is infinite without a part.
+// The margin of an endpoint grows with the root of the number of parts, and is
+// split among them.
+func (e *endpoint) ownFill(p *lengths.Projection, urgent bool, r room) float64 {
+	if e.parts == 0 {
+		return math.Inf(1)
+	}
+	part := float64(e.spec.CapacityTokens) / float64(e.parts)
+	if !urgent {
+		part *= 1 - r.held
+	}
+	margin := r.margin / math.Sqrt(float64(e.parts))
+	top := 0.0
+	for i := range p.Mean {
+		variance := max(e.own.Variance[i]+p.Variance[i], 0)
+		top = max(top, e.own.Mean[i]+p.Mean[i]+margin*math.Sqrt(variance))
+	}
+	return top / part
+}
+
 // observe takes a report. What it shows above all known work is believed for
 // a while: it is the work of entries that are gone or were not heard of.
 func (e *endpoint) observe(r Report) {
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -46,7 +46,9 @@
 	// zero while it is unknown.
 	rate      float64
 	rateSince time.Time
-	drained   float64
+	// supply is the rate that the endpoints could sustain; zero if not used.
+	supply  float64
+	drained float64
 }
 
 func (q *queue) insert(it *item) {
@@ -90,34 +92,33 @@
 	return sum
 }
 
-// Rate measurement.
-const (
-	rateWindow    = 500 * time.Millisecond
-	rateSmoothing = 0.2
-)
+// rateWindow is the window over which the drain rate is measured.
+const rateWindow = 500 * time.Millisecond
 
 // drain counts cost that left the queue for an endpoint.
 func (q *queue) drain(cost float64) { q.drained += cost }
 
-// measure updates the rate at the end of each window in which requests waited.
-func (q *queue) measure(now time.Time) {
+// measure updates the rate at the end of each window in which requests waited,
+// and reports whether one has ended.
+func (q *queue) measure(now time.Time, smoothing float64) bool {
 	if q.rateSince.IsZero() || len(q.items) == 0 {
 		q.rateSince = now
 		q.drained = 0
-		return
+		return false
 	}
 	passed := now.Sub(q.rateSince)
 	if passed < rateWindow {
-		return
+		return false
 	}
 	rate := q.drained / passed.Seconds()
 	if q.rate == 0 {
 		q.rate = rate
 	} else {
-		q.rate += rateSmoothing * (rate - q.rate)
+		q.rate += smoothing * (rate - q.rate)
 	}
 	q.rateSince = now
 	q.drained = 0
+	return true
 }
 
 // wait gives the expected wait behind so much cost, and false if it is unknown.
@@ -125,10 +126,11 @@
 	if cost == 0 {
 		return 0, true
 	}
-	if q.rate <= 0 {
+	rate := max(q.rate, q.supply)
+	if rate <= 0 {
 		return 0, false
 	}
-	seconds := min(cost/q.rate, maxWait.Seconds())
+	seconds := min(cost/rate, maxWait.Seconds())
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -23,6 +23,27 @@
 	Margin float64
 	// UrgentShare is the part of each engine's memory held for urgent requests.
 	UrgentShare float64
+	// UrgentOvercommit sends an urgent request that fits nowhere to the least
+	// filled endpoint: the engine then pushes a long one aside for it.
+	UrgentOvercommit bool
+	// SupplyRate takes the drain rate from what the endpoints can supply as long
+	// as it is higher than the measured one.
+	SupplyRate bool
+	// RateSmoothing is the weight of one new measurement of the drain rate.
+	RateSmoothing float64
+	// Recost makes the costs of waiting requests anew as lengths are learnt.
+	Recost bool
+	// DisplaceRatio is by how much a request must be worth more per cost than a
+	// waiting one that it displaces.
+	DisplaceRatio float64
+	// PriorHazard is what is assumed of output lengths while none are known; see
+	// package lengths.
+	PriorHazard float64
+	// Parts makes the entries split each endpoint's memory among its home
+	// entries; see SetHome.
+	Parts bool
+	// Entries that share the endpoints, this one included.
+	Entries int
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// Rand is the source of all randomness.
@@ -44,14 +65,22 @@
 	// spillFill is the highest fill up to which an endpoint of another data
 	// centre gets work that no local one has room for.
 	spillFill = 0.7
-	// displaceRatio is by how much a request must be worth more than one that
-	// it displaces.
-	displaceRatio = 1.25
+	// borrowFill is the highest fill up to which an entry uses more of an
+	// endpoint than its own part.
+	borrowFill = 0.85
+	// partFill is the highest believed fill up to which it uses its own part.
+	partFill = 1.2
+	// DefaultRateSmoothing and DefaultDisplaceRatio are those of version v1.
+	DefaultRateSmoothing = 0.2
+	DefaultDisplaceRatio = 1.25
 )
 
 func (c Config) withDefaults() Config {
 	c.Margin = cmp.Or(c.Margin, DefaultMargin)
 	c.UrgentShare = cmp.Or(c.UrgentShare, DefaultUrgentShare)
+	c.PriorHazard = cmp.Or(c.PriorHazard, lengths.PriorHazard)
+	c.RateSmoothing = cmp.Or(c.RateSmoothing, DefaultRateSmoothing)
+	c.DisplaceRatio = cmp.Or(c.DisplaceRatio, DefaultDisplaceRatio)
 	if c.Pipeline.Filters == nil {
 		c.Pipeline = routing.Default()
 	}
@@ -73,6 +102,7 @@
 	queued    *limits.Counter
 	shares    map[string][]Share
 	leaving   map[string]bool
+	homes     map[string]int
 
 	candidates []routing.Candidate
 	actions    Actions
@@ -83,10 +113,12 @@
 
 // New makes a scheduler without endpoints.
 func New(cfg Config) *Scheduler {
+	cfg = cfg.withDefaults()
 	return &Scheduler{
-		cfg:       cfg.withDefaults(),
+		cfg:       cfg,
 		byID:      map[string]*endpoint{},
-		estimator: lengths.New(),
+		homes:     map[string]int{},
+		estimator: lengths.New(cfg.PriorHazard),
 		queues:    map[string]*queue{},
 		running:   map[ID]*item{},
 		inFlight:  limits.New(),
@@ -118,6 +150,7 @@
 		e.spec = spec
 		e.index = i
 		e.leaving = s.leaving[spec.ID]
+		e.parts = s.homes[spec.ID]
 		s.byID[spec.ID] = e
 		s.endpoints = append(s.endpoints, e)
 	}
@@ -141,6 +174,22 @@
 	}
 }
 
+// SetHome says that the entry is one of so many home entries of an endpoint, or
+// with zero that it is none. Home entries split the endpoint's memory in equal
+// parts: within its part an entry needs no news of the others, so that stale
+// news can't make all of them send at once. Beyond its part, and elsewhere, it
+// sends only while the endpoint looks no fuller than borrowFill.
+func (s *Scheduler) SetHome(id string, parts int) {
+	if parts == 0 {
+		delete(s.homes, id)
+	} else {
+		s.homes[id] = parts
+	}
+	if e := s.byID[id]; e != nil {
+		e.parts = parts
+	}
+}
+
 func (s *Scheduler) queue(target string) *queue {
 	q := s.queues[target]
 	if q == nil {
@@ -219,7 +268,7 @@
 func (s *Scheduler) displace(q *queue, it *item, left time.Duration) bool {
 	var victims []*item
 	for _, other := range q.items {
-		if other.before(it) && other.density()*displaceRatio < it.density() {
+		if other.before(it) && other.density()*s.cfg.DisplaceRatio < it.density() {
 			victims = append(victims, other)
 		}
 	}
@@ -269,7 +318,12 @@
 	s.actions.Refusals = append(s.actions.Refusals[:0], s.displaced...)
 	s.displaced = s.displaced[:0]
 	for target, q := range s.queues {
-		q.measure(now)
+		if q.measure(now, s.cfg.RateSmoothing) && s.cfg.Recost {
+			s.recost(q)
+		}
+		if s.cfg.SupplyRate {
+			q.supply = s.supply(target)
+		}
 		if len(q.items) > 0 {
 			s.serve(now, target, q)
 		}
@@ -277,6 +331,18 @@
 	return s.actions
 }
 
+// recost makes the costs and projections of waiting requests anew.
+func (s *Scheduler) recost(q *queue) {
+	q.cost = 0
+	for _, it := range q.items {
+		if it.req.PromptTokens > 0 {
+			it.projection = s.estimator.Project(lengthKey(&it.req), it.req.PromptTokens, 0)
+			it.cost = s.cost(&it.req)
+		}
+		q.cost += it.cost
+	}
+}
+
 // serve goes through one queue in order. A request that doesn't fit holds back
 // those behind it that are not urgent; one over its own limit holds back none.
 func (s *Scheduler) serve(now time.Time, target string, q *queue) {
@@ -355,6 +421,24 @@
 	return sum / float64(n)
 }
 
+// supply is the cost that the endpoints of a target can take on in a second,
+// for this entry's part: a token of memory for a step, over all of the memory.
+func (s *Scheduler) supply(target string) float64 {
+	sum := 0.0
+	typical := s.typicalGap()
+	for _, e := range s.endpoints {
+		if e.leaving || !slices.Contains(e.spec.Targets, target) {
+			continue
+		}
+		gap := typical
+		if e.gap > 0 {
+			gap = e.gap
+		}
+		sum += float64(e.spec.CapacityTokens) / gap
+	}
+	return sum / float64(max(s.cfg.Entries, 1))
+}
+
 // snapshot fills the candidates of a target with all but what depends on the
 // single request.
 func (s *Scheduler) snapshot(now time.Time, target string) {
@@ -382,11 +466,24 @@
 // fits says whether a candidate has room. One of another data centre must have
 // more of it, because what is known of its load is older. An idle local endpoint
 // takes any request, else one larger than the endpoint would wait for ever.
-func fits(c *routing.Candidate, e *endpoint) bool {
+func (s *Scheduler) fits(c *routing.Candidate, e *endpoint, it *item) bool {
 	if !c.Local {
 		return c.Fill <= spillFill
 	}
-	return c.Fill <= 1 || e.ownRunning+e.peersRunning == 0
+	if e.ownRunning+e.peersRunning == 0 {
+		return true
+	}
+	if !s.cfg.Parts || e.spec.CapacityTokens == 0 {
+		return c.Fill <= 1
+	}
+	if c.Fill <= borrowFill {
+		return true
+	}
+	return c.Fill <= partFill && e.ownFill(&it.projection, it.req.Urgent(), s.room(0)) <= 1
+}
+
+func (s *Scheduler) room(extra float64) room {
+	return room{s.cfg.Margin, s.cfg.UrgentShare, extra}
 }
 
 func (s *Scheduler) choose(now time.Time, it *item) *endpoint {
@@ -397,14 +494,37 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		e := s.endpoints[c.Index]
-		c.Fill = e.fill(&it.projection, r.Urgent, room{s.cfg.Margin, s.cfg.UrgentShare, e.extra(now)})
-		c.Fits = fits(c, e)
+		c.Fill = e.fill(&it.projection, r.Urgent, s.room(e.extra(now)))
+		c.Fits = s.fits(c, e, it)
 	}
 	i := s.cfg.Pipeline.Choose(s.cfg.Rand, &r, s.candidates)
-	if i == routing.None {
+	if i != routing.None {
+		return s.endpoints[i]
+	}
+	if r.Urgent && s.cfg.UrgentOvercommit {
+		return s.leastFilled(&r)
+	}
+	return nil
+}
+
+// leastFilled finds the least filled endpoint that has a place, local ones
+// first.
+func (s *Scheduler) leastFilled(r *routing.Request) *endpoint {
+	var best *routing.Candidate
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		e := s.endpoints[c.Index]
+		if !(routing.Usable{}).Keep(r, c) || c.Index == r.Avoid || e.places() > 1 {
+			continue
+		}
+		if best == nil || c.Local && !best.Local || c.Local == best.Local && c.Fill < best.Fill {
+			best = c
+		}
+	}
+	if best == nil {
 		return nil
 	}
-	return s.endpoints[i]
+	return s.endpoints[best.Index]
 }
 
 func (s *Scheduler) dispatch(now time.Time, it *item, e *endpoint) {
@@ -587,8 +707,8 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		e := s.endpoints[c.Index]
-		c.Fill = e.fill(&it.projection, r.Urgent(), room{s.cfg.Margin, s.cfg.UrgentShare, e.extra(now)})
-		c.Fits = fits(c, e)
+		c.Fill = e.fill(&it.projection, r.Urgent(), s.room(e.extra(now)))
+		c.Fits = s.fits(c, e, it)
 		out.IDs = append(out.IDs, e.spec.ID)
 	}
 	out.Candidates = slices.Clone(s.candidates)
