--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -30,7 +30,6 @@
 	for _, name := range scheduler.Versions() {
 		out = append(out, NamedPolicy{name, func(dc string, _, entries int, rng *rand.Rand) scheduler.Policy {
 			cfg := scheduler.Version(name)
-			cfg.Entries = entries
 			cfg.DataCenter = dc
 			cfg.Rand = rng
 			s := scheduler.New(cfg)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -102,7 +102,9 @@
 		with(himal("quiet"), func(sc *Scenario) { sc.Rate = 2 }),
 		himal("himal-burst"),
 		with(himal("himal-one-entry"), func(sc *Scenario) { sc.Entries = 1 }),
+		with(himal("himal-crush"), func(sc *Scenario) { sc.Rate = 150 }),
 		allkiri("allkiri-rush"),
+		with(allkiri("allkiri-crush"), func(sc *Scenario) { sc.Rate = 75 }),
 		with(himal("engine-reclaimed"), func(sc *Scenario) {
 			sc.Rate = 24
 			sc.Disturb = func(s *sim) { s.after(middle, func() { s.engines[0].reclaim() }) }
--- a/pkg/lengths/lengths.go
+++ b/pkg/lengths/lengths.go
@@ -78,6 +78,10 @@
 	// PriorHazard is the share of outputs that end in each bucket, as assumed
 	// while nothing is known. From 0.231 on the expected length is finite.
 	PriorHazard = 0.25
+	// maxChanges to a settled group, one with so many requests, go by before its
+	// survival is computed anew.
+	maxChanges = 16
+	settled    = 32
 	// rescaleAt keeps the growing weights of forward decay within range.
 	rescaleAt = 1e9
 )
@@ -116,22 +120,23 @@
 	reached [buckets]float64
 	ended   [buckets]float64
 	surv    [buckets + 1]float64
-	dirty   bool
+	// changes counts those that surv doesn't show yet.
+	changes int
 }
 
 func newGroup(parent *group, prior float64) *group {
-	return &group{parent: parent, prior: prior, weight: 1, dirty: true}
+	return &group{parent: parent, prior: prior, weight: 1, changes: maxChanges}
 }
 
 func (g *group) reach(b int) {
 	g.reached[b] += g.weight
-	g.dirty = true
+	g.changes++
 }
 
 func (g *group) end(b int) {
 	g.ended[b] += g.weight
 	g.weight *= 1 + 1.0/memory
-	g.dirty = true
+	g.changes++
 	if g.weight > rescaleAt {
 		g.rescale()
 	}
@@ -157,14 +162,14 @@
 
 // survival returns the chance, by bucket bound, that an output is longer.
 func (g *group) survival() *[buckets + 1]float64 {
-	if !g.dirty {
+	if g.changes == 0 || g.changes < maxChanges && g.reached[0] > settled*g.weight {
 		return &g.surv
 	}
 	g.surv[0] = 1
 	for b := range buckets {
 		g.surv[b+1] = g.surv[b] * (1 - g.hazard(b))
 	}
-	g.dirty = false
+	g.changes = 0
 	return &g.surv
 }
 
@@ -225,14 +230,14 @@
 // Start counts a request that begins to decode.
 func (e *Estimator) Start(k Key) Run {
 	r := Run{group: e.group(k)}
-	r.each(func(g *group) { g.reach(0) })
+	r.reach(0)
 	return r
 }
 
-func (r *Run) each(f func(*group)) {
-	f(r.group)
+func (r *Run) reach(b int) {
+	r.group.reach(b)
 	if r.group.parent != nil {
-		f(r.group.parent)
+		r.group.parent.reach(b)
 	}
 }
 
@@ -244,7 +249,7 @@
 		return false
 	}
 	for i := r.bucket + 1; i <= b; i++ {
-		r.each(func(g *group) { g.reach(i) })
+		r.reach(i)
 	}
 	r.bucket = b
 	return true
@@ -254,7 +259,10 @@
 // request that was cut short must not be counted.
 func (r *Run) End(length int) {
 	r.Advance(length)
-	r.each(func(g *group) { g.end(r.bucket) })
+	r.group.end(r.bucket)
+	if r.group.parent != nil {
+		r.group.parent.end(r.bucket)
+	}
 }
 
 // Project gives the memory that a request is expected to hold.
--- /dev/null
+++ b/pkg/scheduler/bench_test.go
@@ -0,0 +1,77 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+var row = table.Row{Workspace: "*", Kind: "k", Target: "m", Weight: 10, Priority: 3,
+	MaxInFlight: 1 << 20, MaxQueued: 1 << 20, MaxQueueTime: time.Minute, Timeout: 2 * time.Minute, Idempotent: true}
+
+// loaded makes a scheduler of one entry of 34 before so many endpoints, each
+// with some work of its own and of its peers.
+func loaded(endpoints int) (*scheduler.Scheduler, time.Time) {
+	cfg := scheduler.Version(scheduler.Current)
+	cfg.DataCenter = "hall"
+	cfg.Rand = rand.New(rand.NewPCG(1, 1))
+	s := scheduler.New(cfg)
+	now := time.Unix(1000, 0)
+	var list []fleet.Endpoint
+	var shares []scheduler.Share
+	for i := range endpoints {
+		id := fmt.Sprint("e", i)
+		list = append(list, fleet.Endpoint{ID: id, Type: fleet.Engine, DataCenter: "hall", Address: "127.0.0.1:1",
+			Targets: []string{"m"}, Incarnation: 1, State: fleet.Live, CapacityTokens: 100_000, MaxRunning: 256})
+		sh := scheduler.Share{Endpoint: id, Running: 20}
+		for h := range sh.Projected {
+			sh.Projected[h] = 20_000
+		}
+		shares = append(shares, sh)
+	}
+	s.SetEndpoints(now, list)
+	for i := range 10 {
+		s.SetHome(fmt.Sprint("e", i*endpoints/10), 3)
+	}
+	s.SetShares(now, "peer", shares)
+	return s, now
+}
+
+// BenchmarkDecision measures one request from Submit over its choice among the
+// endpoints to Finish.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{15, 120, 1200} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s, now := loaded(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := scheduler.ID(i + 1)
+				r := scheduler.Request{ID: id, Workspace: "w", Kind: "k", Row: row, PromptTokens: 300, Arrived: now}
+				if err := s.Submit(now, r); err != nil {
+					b.Fatal(err)
+				}
+				if len(s.Next(now).Dispatches) != 1 {
+					b.Fatal("not dispatched")
+				}
+				s.Finish(now, id, scheduler.Result{Complete: true, Generated: 200})
+			}
+		})
+	}
+}
+
+func BenchmarkProgress(b *testing.B) {
+	s, now := loaded(120)
+	if err := s.Submit(now, scheduler.Request{ID: 1, Workspace: "w", Kind: "k", Row: row, PromptTokens: 300, Arrived: now}); err != nil {
+		b.Fatal(err)
+	}
+	s.Next(now)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Progress(now, 1, i%30_000)
+	}
+}
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -46,9 +46,7 @@
 	// zero while it is unknown.
 	rate      float64
 	rateSince time.Time
-	// supply is the rate that the endpoints could sustain; zero if not used.
-	supply  float64
-	drained float64
+	drained   float64
 }
 
 func (q *queue) insert(it *item) {
@@ -126,11 +124,10 @@
 	if cost == 0 {
 		return 0, true
 	}
-	rate := max(q.rate, q.supply)
-	if rate <= 0 {
+	if q.rate <= 0 {
 		return 0, false
 	}
-	seconds := min(cost/rate, maxWait.Seconds())
+	seconds := min(cost/q.rate, maxWait.Seconds())
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -26,9 +26,6 @@
 	// UrgentOvercommit sends an urgent request that fits nowhere to the least
 	// filled endpoint: the engine then pushes a long one aside for it.
 	UrgentOvercommit bool
-	// SupplyRate takes the drain rate from what the endpoints can supply as long
-	// as it is higher than the measured one.
-	SupplyRate bool
 	// RateSmoothing is the weight of one new measurement of the drain rate.
 	RateSmoothing float64
 	// Recost makes the costs of waiting requests anew as lengths are learnt.
@@ -42,8 +39,6 @@
 	// Parts makes the entries split each endpoint's memory among its home
 	// entries; see SetHome.
 	Parts bool
-	// Entries that share the endpoints, this one included.
-	Entries int
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// Rand is the source of all randomness.
@@ -103,7 +98,12 @@
 	shares    map[string][]Share
 	leaving   map[string]bool
 	homes     map[string]int
+	targets   map[string]*target
+	gap       float64
+	gapAt     time.Time
+	free      []*item
 
+	request    routing.Request
 	candidates []routing.Candidate
 	actions    Actions
 	displaced  []Refusal
@@ -118,6 +118,7 @@
 		cfg:       cfg,
 		byID:      map[string]*endpoint{},
 		homes:     map[string]int{},
+		targets:   map[string]*target{},
 		estimator: lengths.New(cfg.PriorHazard),
 		queues:    map[string]*queue{},
 		running:   map[ID]*item{},
@@ -159,6 +160,7 @@
 			e.gone = true
 		}
 	}
+	clear(s.targets)
 	s.sumShares()
 }
 
@@ -185,8 +187,9 @@
 	} else {
 		s.homes[id] = parts
 	}
-	if e := s.byID[id]; e != nil {
+	if e := s.byID[id]; e != nil && e.parts != parts {
 		e.parts = parts
+		clear(s.targets)
 	}
 }
 
@@ -205,16 +208,17 @@
 
 // Submit implements Policy.
 func (s *Scheduler) Submit(now time.Time, r Request) *outcome.Error {
-	it := s.newItem(r)
 	q := s.queue(r.Row.Target)
-	if !s.serves(r.Row.Target) {
+	if s.target(r.Row.Target).size() == 0 {
 		return s.refusal(outcome.CodeNoEndpoint, minRetryAfter, "no endpoint answers for %q", r.Row.Target)
 	}
 	if !s.queued.Allows(limitKey(&r), max(r.Row.MaxQueued, 1)) {
 		wait, _ := q.wait(q.cost)
 		return s.refusal(outcome.CodeQueueFull, wait, "%d requests of this kind wait already", r.Row.MaxQueued)
 	}
+	it := s.newItem(r)
 	if err := s.admitToQueue(now, q, it); err != nil {
+		s.release(it)
 		return err
 	}
 	q.insert(it)
@@ -223,7 +227,8 @@
 }
 
 func (s *Scheduler) newItem(r Request) *item {
-	it := &item{req: r, startBy: r.Arrived.Add(r.Row.MaxQueueTime)}
+	it := s.take()
+	*it = item{req: r, startBy: r.Arrived.Add(r.Row.MaxQueueTime)}
 	if r.PromptTokens > 0 {
 		it.projection = s.estimator.Project(lengthKey(&r), r.PromptTokens, 0)
 		it.cost = s.cost(&r)
@@ -233,21 +238,32 @@
 	return it
 }
 
+// take and release keep items for reuse.
+func (s *Scheduler) take() *item {
+	n := len(s.free)
+	if n == 0 {
+		return &item{}
+	}
+	it := s.free[n-1]
+	s.free = s.free[:n-1]
+	return it
+}
+
+// maxFree bounds the items kept for reuse.
+const maxFree = 1024
+
+func (s *Scheduler) release(it *item) {
+	if len(s.free) < maxFree {
+		s.free = append(s.free, it)
+	}
+}
+
 // cost is the memory that the request holds, summed over its steps.
 func (s *Scheduler) cost(r *Request) float64 {
 	steps := s.estimator.Remaining(lengthKey(r), 0)
 	return steps * (float64(r.PromptTokens) + steps/2)
 }
 
-func (s *Scheduler) serves(target string) bool {
-	for _, e := range s.endpoints {
-		if slices.Contains(e.spec.Targets, target) {
-			return true
-		}
-	}
-	return false
-}
-
 // admitToQueue refuses a request that could not start in time, unless waiting
 // ones that are worth less make way for it.
 func (s *Scheduler) admitToQueue(now time.Time, q *queue, it *item) *outcome.Error {
@@ -291,6 +307,7 @@
 		wait, _ := q.wait(q.cost)
 		err := s.refusal(outcome.CodeDeadline, wait, "requests of more worth wait")
 		s.displaced = append(s.displaced, Refusal{v.req.ID, err})
+		s.release(v)
 	}
 	return true
 }
@@ -306,6 +323,7 @@
 	for _, q := range s.queues {
 		if it := q.remove(id); it != nil {
 			s.queued.Release(limitKey(&it.req))
+			s.release(it)
 			return true
 		}
 	}
@@ -321,9 +339,6 @@
 		if q.measure(now, s.cfg.RateSmoothing) && s.cfg.Recost {
 			s.recost(q)
 		}
-		if s.cfg.SupplyRate {
-			q.supply = s.supply(target)
-		}
 		if len(q.items) > 0 {
 			s.serve(now, target, q)
 		}
@@ -388,6 +403,7 @@
 	q.removeAt(i)
 	s.queued.Release(limitKey(&it.req))
 	s.actions.Refusals = append(s.actions.Refusals, Refusal{it.req.ID, err})
+	s.release(it)
 }
 
 // hopeless refuses a request that can't be expected to finish before its
@@ -398,7 +414,7 @@
 	}
 	left := it.req.Arrived.Add(it.req.Row.Timeout).Sub(now)
 	steps := s.estimator.Remaining(lengthKey(&it.req), 0)
-	need := time.Duration(steps * s.typicalGap() * float64(time.Second))
+	need := time.Duration(steps * s.typicalGap(now) * float64(time.Second))
 	if need <= left {
 		return nil
 	}
@@ -406,8 +422,19 @@
 		need.Round(time.Second), left.Round(time.Second))
 }
 
+// gapEvery is how often the typical gap is computed anew.
+const gapEvery = 200 * time.Millisecond
+
 // typicalGap is the mean time between tokens over the endpoints, in seconds.
-func (s *Scheduler) typicalGap() float64 {
+func (s *Scheduler) typicalGap(now time.Time) float64 {
+	if s.gap == 0 || now.Sub(s.gapAt) >= gapEvery {
+		s.gap = s.meanGap()
+		s.gapAt = now
+	}
+	return s.gap
+}
+
+func (s *Scheduler) meanGap() float64 {
 	sum, n := 0.0, 0
 	for _, e := range s.endpoints {
 		if e.gap > 0 {
@@ -421,46 +448,45 @@
 	return sum / float64(n)
 }
 
-// supply is the cost that the endpoints of a target can take on in a second,
-// for this entry's part: a token of memory for a step, over all of the memory.
-func (s *Scheduler) supply(target string) float64 {
-	sum := 0.0
-	typical := s.typicalGap()
-	for _, e := range s.endpoints {
-		if e.leaving || !slices.Contains(e.spec.Targets, target) {
-			continue
-		}
-		gap := typical
-		if e.gap > 0 {
-			gap = e.gap
-		}
-		sum += float64(e.spec.CapacityTokens) / gap
+// snapshot fills the candidates of a target with all but what depends on the
+// single request: its home endpoints, and a sample of the others, so that the
+// cost of a decision is bounded whatever the size of the fleet.
+func (s *Scheduler) snapshot(now time.Time, name string) {
+	t := s.target(name)
+	s.candidates = s.candidates[:0]
+	typical := s.typicalGap(now)
+	for _, e := range t.homes {
+		s.addCandidate(now, e, typical)
 	}
-	return sum / float64(max(s.cfg.Entries, 1))
+	s.sample(now, t.local, sampleLocal, typical)
+	s.sample(now, t.remote, sampleRemote, typical)
 }
 
-// snapshot fills the candidates of a target with all but what depends on the
-// single request.
-func (s *Scheduler) snapshot(now time.Time, target string) {
-	typical := s.typicalGap()
-	s.candidates = s.candidates[:0]
-	for i, e := range s.endpoints {
-		if !slices.Contains(e.spec.Targets, target) {
-			continue
-		}
-		slowness := 1.0
-		if e.gap > 0 {
-			slowness = e.gap / typical
-		}
-		s.candidates = append(s.candidates, routing.Candidate{
-			Index:    i,
-			Serves:   true,
-			Leaving:  e.leaving,
-			Broken:   !e.breaker.Allow(now),
-			Local:    e.spec.DataCenter == s.cfg.DataCenter,
-			Slowness: slowness,
-		})
+func (s *Scheduler) sample(now time.Time, from []*endpoint, most int, typical float64) {
+	if len(from) == 0 {
+		return
+	}
+	count := min(len(from), most)
+	first := s.cfg.Rand.IntN(len(from))
+	stride := len(from) / count
+	for i := range count {
+		s.addCandidate(now, from[(first+i*stride)%len(from)], typical)
+	}
+}
+
+func (s *Scheduler) addCandidate(now time.Time, e *endpoint, typical float64) {
+	slowness := 1.0
+	if e.gap > 0 {
+		slowness = e.gap / typical
 	}
+	s.candidates = append(s.candidates, routing.Candidate{
+		Index:    e.index,
+		Serves:   true,
+		Leaving:  e.leaving,
+		Broken:   !e.breaker.Allow(now),
+		Local:    e.spec.DataCenter == s.cfg.DataCenter,
+		Slowness: slowness,
+	})
 }
 
 // fits says whether a candidate has room. One of another data centre must have
@@ -487,7 +513,9 @@
 }
 
 func (s *Scheduler) choose(now time.Time, it *item) *endpoint {
-	r := routing.Request{Urgent: it.req.Urgent(), Avoid: routing.None}
+	// The request is a field, since it would escape to the heap with each call.
+	r := &s.request
+	*r = routing.Request{Urgent: it.req.Urgent(), Avoid: routing.None}
 	if e := s.byID[it.req.Avoid]; e != nil && len(s.candidates) > 1 {
 		r.Avoid = e.index
 	}
@@ -497,12 +525,12 @@
 		c.Fill = e.fill(&it.projection, r.Urgent, s.room(e.extra(now)))
 		c.Fits = s.fits(c, e, it)
 	}
-	i := s.cfg.Pipeline.Choose(s.cfg.Rand, &r, s.candidates)
+	i := s.cfg.Pipeline.Choose(s.cfg.Rand, r, s.candidates)
 	if i != routing.None {
 		return s.endpoints[i]
 	}
 	if r.Urgent && s.cfg.UrgentOvercommit {
-		return s.leastFilled(&r)
+		return s.leastFilled(r)
 	}
 	return nil
 }
@@ -528,7 +556,9 @@
 }
 
 func (s *Scheduler) dispatch(now time.Time, it *item, e *endpoint) {
-	invariant.Check(!e.leaving, invariant.NoNewWorkOnLeaving, "dispatch to %s", e.spec.ID)
+	if e.leaving {
+		invariant.Check(false, invariant.NoNewWorkOnLeaving, "dispatch to %s", e.spec.ID)
+	}
 	s.queued.Release(limitKey(&it.req))
 	s.inFlight.Take(limitKey(&it.req))
 	it.endpoint = e
@@ -596,6 +626,7 @@
 	} else if res.Complete {
 		e.breaker.Success()
 	}
+	s.release(it)
 }
 
 // Report implements Policy.
@@ -607,12 +638,27 @@
 
 // SetShares implements Policy.
 func (s *Scheduler) SetShares(_ time.Time, vm string, shares []Share) {
+	for _, sh := range s.shares[vm] {
+		if e := s.byID[sh.Endpoint]; e != nil {
+			e.peers = e.peers.Sub(sh.Projected)
+			e.peersRunning -= sh.Running
+		}
+	}
 	if shares == nil {
 		delete(s.shares, vm)
-	} else {
-		s.shares[vm] = shares
+		return
+	}
+	s.shares[vm] = shares
+	s.addShares(shares)
+}
+
+func (s *Scheduler) addShares(shares []Share) {
+	for _, sh := range shares {
+		if e := s.byID[sh.Endpoint]; e != nil {
+			e.peers = e.peers.Add(sh.Projected)
+			e.peersRunning += sh.Running
+		}
 	}
-	s.sumShares()
 }
 
 func (s *Scheduler) sumShares() {
@@ -621,12 +667,7 @@
 		e.peersRunning = 0
 	}
 	for _, shares := range s.shares {
-		for _, sh := range shares {
-			if e := s.byID[sh.Endpoint]; e != nil {
-				e.peers = e.peers.Add(sh.Projected)
-				e.peersRunning += sh.Running
-			}
-		}
+		s.addShares(shares)
 	}
 }
 
