--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -12,21 +12,23 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
-	"github.com/bridgehoist/bridgehoist/pkg/lengths"
+	"github.com/bridgehoist/bridgehoist/pkg/limits"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 )
 
 // Interval of the exchange, the default of the entries.
-const Interval = 500 * time.Millisecond
+const Interval = time.Second
+
+// payloadTicks is the number of intervals after which the payload changes.
+const payloadTicks = 2
 
 // Size is one point to measure.
 type Size struct {
 	Nodes       int
 	DataCenters int
-	// EndpointsPerNode that a node reads the load of, and has work at.
-	Polled int
-	Homes  int
-	// Limits is the number of workspace and kind pairs in use at a node.
+	// Homes is the number of endpoints that a node is a home entry of.
+	Homes int
+	// Limits is the number of limits under pressure whose use a node tells.
 	Limits int
 	// Loss is the share of exchanges that fail.
 	Loss float64
@@ -36,11 +38,11 @@
 // Sizes are the points of docs/CAPACITY.md, from today's to those of letter 1.
 func Sizes() []Size {
 	return []Size{
-		{Nodes: 3, DataCenters: 1, Polled: 3, Homes: 5, Limits: 10},
-		{Nodes: 9, DataCenters: 3, Polled: 3, Homes: 5, Limits: 10},
-		{Nodes: 30, DataCenters: 3, Polled: 7, Homes: 10, Limits: 20},
-		{Nodes: 100, DataCenters: 5, Polled: 7, Homes: 10, Limits: 20},
-		{Nodes: 340, DataCenters: 10, Polled: 7, Homes: 10, Limits: 20},
+		{Nodes: 3, DataCenters: 1, Homes: 5, Limits: 10},
+		{Nodes: 9, DataCenters: 3, Homes: 5, Limits: 10},
+		{Nodes: 30, DataCenters: 3, Homes: 10, Limits: limits.MaxPublished},
+		{Nodes: 100, DataCenters: 5, Homes: 10, Limits: limits.MaxPublished},
+		{Nodes: 340, DataCenters: 10, Homes: 10, Limits: limits.MaxPublished},
 	}
 }
 
@@ -77,6 +79,7 @@
 	byName   map[string]*node
 	cut      string
 	loss     float64
+	ticks    int
 	messages int
 	bytes    int
 }
@@ -109,26 +112,25 @@
 	return n
 }
 
-// beat renews a node's record with a payload of the usual size.
-func (n *network) beat(nd *node) {
+// beat renews a node's record; its payload changes every other time, as in the
+// entries.
+func (n *network) beat(i int, nd *node) {
 	size := n.size
+	if (n.ticks+i)%payloadTicks != 0 {
+		nd.view.Beat(nil)
+		return
+	}
 	nd.view.Beat(func(r *peerv1.NodeRecord) {
-		r.Reports, r.Shares, r.Usage = nil, nil, nil
-		for i := range size.Polled {
-			r.Reports = append(r.Reports, &peerv1.EndpointReport{
-				Endpoint: fmt.Sprintf("engine-%04d", i), Incarnation: 12, AgeMs: 400,
-				UsedTokens: 150_000 + n.rng.Uint32N(50_000), CapacityTokens: 200_000, Running: 100, Waiting: 3, Preemptions: 40,
-			})
-		}
-		for i := range size.Homes {
-			sh := &peerv1.EndpointShare{Endpoint: fmt.Sprintf("engine-%04d", i), Running: 12}
-			for range lengths.Horizons {
-				sh.ProjectedTokens = append(sh.ProjectedTokens, 20_000+n.rng.Uint32N(20_000))
-			}
-			r.Shares = append(r.Shares, sh)
+		r.FillEndpoints, r.Fills = nil, nil
+		r.UsageKeys, r.UsageInFlight, r.UsageQueued = nil, nil, nil
+		for k := range size.Homes {
+			r.FillEndpoints = append(r.FillEndpoints, uint32(i*1000+k)*2654435761)
+			r.Fills = append(r.Fills, byte(n.rng.IntN(17)))
 		}
-		for i := range size.Limits {
-			r.Usage = append(r.Usage, &peerv1.Usage{Workspace: fmt.Sprintf("workspace-%03d", i), Kind: "contract-review", InFlight: 9, Queued: 3})
+		for k := range size.Limits {
+			r.UsageKeys = append(r.UsageKeys, uint32(k)*2654435761)
+			r.UsageInFlight = append(r.UsageInFlight, n.rng.Uint32N(60))
+			r.UsageQueued = append(r.UsageQueued, n.rng.Uint32N(300))
 		}
 	})
 }
@@ -136,8 +138,9 @@
 // tick is one interval of every node.
 func (n *network) tick() {
 	n.now = n.now.Add(Interval)
-	for _, nd := range n.nodes {
-		n.beat(nd)
+	n.ticks++
+	for i, nd := range n.nodes {
+		n.beat(i, nd)
 		for _, c := range nd.view.Round(n.now) {
 			n.exchange(nd, n.byName[c.VM])
 		}
@@ -152,23 +155,28 @@
 	if n.rng.Float64() < n.loss {
 		return
 	}
+	scope := a.view.ScopeWith(membership.Contact{DataCenter: b.dc})
 	req := &peerv1.ExchangeRequest{
-		Digests:         a.view.Digests(),
+		FromVm:          a.view.Self().GetVm(),
+		DataCenter:      a.dc,
+		All:             scope == "",
+		Digests:         a.view.Digests(n.now, scope),
 		DocumentDigests: []*peerv1.DocumentDigest{{Name: "table", Revision: a.table}, {Name: "fleet", Revision: 1}},
 	}
-	n.pass(req, &peerv1.ExchangeRequest{})
-	resp := &peerv1.ExchangeResponse{}
-	resp.Records, resp.WantedNodes = b.view.Answer(req.GetDigests())
+	asked := &peerv1.ExchangeRequest{}
+	n.pass(req, asked)
+	b.view.Heard(n.now, asked.GetDigests())
+	answer := b.view.Answer(n.now, asked.GetDigests(), scope)
 	got := &peerv1.ExchangeResponse{}
-	n.pass(resp, got)
+	n.pass(&peerv1.ExchangeResponse{Digests: answer.Digests, Records: answer.Records, WantedNodes: answer.Wanted}, got)
 	a.view.Merge(n.now, got.GetRecords())
+	a.view.Heard(n.now, got.GetDigests())
 	a.table, b.table = max(a.table, b.table), max(a.table, b.table)
-	if len(resp.GetWantedNodes()) == 0 {
+	if len(got.GetWantedNodes()) == 0 {
 		return
 	}
-	push := &peerv1.ExchangeRequest{PushOnly: true, Records: a.view.Records(resp.GetWantedNodes())}
 	pushed := &peerv1.ExchangeRequest{}
-	n.pass(push, pushed)
+	n.pass(&peerv1.ExchangeRequest{PushOnly: true, Records: a.view.Records(got.GetWantedNodes())}, pushed)
 	b.view.Merge(n.now, pushed.GetRecords())
 }
 
--- a/internal/controllers/controllers.go
+++ b/internal/controllers/controllers.go
@@ -18,6 +18,9 @@
 	Run(ctx context.Context)
 }
 
+// minKick is the shortest time between rounds that news has triggered.
+const minKick = 100 * time.Millisecond
+
 // every calls f at an interval with a jitter of a tenth, until the context ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
 	for {
@@ -41,15 +44,41 @@
 	SeedPeers []string
 	// OnRound is told how many peers answered of how many.
 	OnRound func(answered, asked int)
+	// Kicked asks for a round at once; see Kick.
+	Kicked chan struct{}
+}
+
+// Kick makes the next round happen soon, because there is news that shouldn't
+// wait: a new table, or an endpoint that leaves. It never blocks.
+func (c *Exchange) Kick() {
+	select {
+	case c.Kicked <- struct{}{}:
+	default:
+	}
 }
 
 // Run implements Controller.
 func (c *Exchange) Run(ctx context.Context) {
-	every(ctx, c.Interval, func() {
-		c.Beliefs.Beat(time.Now(), c.Inherited())
-		answered, asked := c.Client.Round(ctx)
-		c.OnRound(answered, asked)
-	})
+	go c.runKicked(ctx)
+	every(ctx, c.Interval, func() { c.round(ctx) })
+}
+
+func (c *Exchange) runKicked(ctx context.Context) {
+	for {
+		select {
+		case <-c.Kicked:
+			c.round(ctx)
+			pause(ctx, minKick)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Exchange) round(ctx context.Context) {
+	c.Beliefs.Beat(time.Now(), c.Inherited())
+	answered, asked := c.Client.Round(ctx)
+	c.OnRound(answered, asked)
 }
 
 // Catchup reconciles once with every peer of the list that is near enough to
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -12,21 +12,17 @@
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
-// Pollers is how many entries of a data centre read the load of one endpoint;
-// the others hear of it in the exchange.
-const Pollers = 2
-
 const (
 	maxPollsAtOnce = 8
 	pollTimeout    = time.Second
 )
 
-// Load reads the load of the endpoints that this entry is assigned.
+// Load reads the load of the engines that this entry is a home entry of; the
+// others hear of it in the exchange.
 type Load struct {
-	Beliefs    *peering.Beliefs
-	Client     *engineclient.Client
-	DataCenter string
-	Interval   time.Duration
+	Beliefs  *peering.Beliefs
+	Client   *engineclient.Client
+	Interval time.Duration
 }
 
 // Run implements Controller.
@@ -37,7 +33,7 @@
 func (c *Load) poll(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(maxPollsAtOnce)
-	for _, e := range c.Beliefs.ToPoll(time.Now(), c.DataCenter, Pollers) {
+	for _, e := range c.Beliefs.ToPoll(time.Now()) {
 		g.Go(func() error {
 			c.read(ctx, e)
 			return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,6 +164,7 @@
 		Inherited: e.owner.Inherited,
 		Interval:  e.cfg.ExchangeEvery,
 		SeedPeers: e.cfg.seeds,
+		Kicked:    make(chan struct{}, 1),
 		OnRound: func(answered, asked int) {
 			e.metrics.PeersAsked.Add(float64(asked))
 			e.metrics.PeersAnswered.Add(float64(answered))
@@ -222,10 +223,18 @@
 
 // onLeave, onValue and onViolation log changes of state.
 func (e *Entry) onLeave(l drain.Leave, source string) {
+	e.kick()
 	e.metrics.Leaves.WithLabelValues(leaveSource(source)).Inc()
 	e.log.Info("endpoint leaving", "endpoint", l.Endpoint, "incarnation", l.Incarnation, "source", source)
 }
 
+// kick passes news on soon. Values may come before there is an exchange.
+func (e *Entry) kick() {
+	if e.caughtUp.Load() {
+		e.exchange.Kick()
+	}
+}
+
 // leaveSource bounds the label: all peers count as one source.
 func leaveSource(source string) string {
 	if source == "fleet" || source == "endpoint" {
@@ -237,6 +246,7 @@
 func (e *Entry) onValue(ev published.Event) {
 	e.metrics.Values.WithLabelValues(ev.Name, ev.Verdict.String()).Inc()
 	if ev.Verdict == register.Adopted {
+		e.kick()
 		e.log.Info("value in force", "name", ev.Name, "revision", ev.Revision, "source", ev.Source)
 		return
 	}
@@ -291,7 +301,7 @@
 	return []controllers.Controller{
 		e.exchange,
 		e.config,
-		&controllers.Load{Beliefs: e.beliefs, Client: e.client, DataCenter: e.cfg.DataCenter, Interval: e.cfg.PollEvery},
+		&controllers.Load{Beliefs: e.beliefs, Client: e.client, Interval: e.cfg.PollEvery},
 		&controllers.Housekeeping{Interval: housekeepingEvery, Tasks: []func(){e.owner.Expire}},
 	}
 }
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -38,9 +38,12 @@
 	view       *membership.View
 	drains     *drain.Set
 	list       *fleet.List
+	byHash     map[uint32]fleet.Endpoint
+	homes      map[string]bool
 	reports    map[string]scheduler.Report
 	counted    map[string]bool
 	homesAt    time.Time
+	payloadAt  time.Time
 	state      peerv1.NodeState
 	dispatcher *dispatch.Dispatcher
 	onLeave    func(drain.Leave, string)
@@ -52,6 +55,7 @@
 	return &Beliefs{
 		view:       view,
 		drains:     drain.New(),
+		homes:      map[string]bool{},
 		reports:    map[string]scheduler.Report{},
 		counted:    map[string]bool{},
 		state:      peerv1.NodeState_NODE_STATE_LIVE,
@@ -65,6 +69,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list = list
+	b.byHash = make(map[uint32]fleet.Endpoint, len(list.Endpoints))
+	for _, e := range list.Endpoints {
+		b.byHash[endpointHash(e.ID)] = e
+	}
+	b.homesAt = time.Time{}
 	b.drains.Keep(func(id string) bool { _, ok := list.Endpoint(id); return ok })
 	for _, e := range list.Endpoints {
 		b.drains.Seen(e.ID, e.Incarnation)
@@ -130,19 +139,18 @@
 	}
 }
 
-// ToPoll lists the endpoints that this entry reads the load of.
-func (b *Beliefs) ToPoll(now time.Time, dataCenter string, pollers int) []fleet.Endpoint {
+// ToPoll lists the endpoints that this entry reads the load of: the engines
+// that it is a home entry of.
+func (b *Beliefs) ToPoll(now time.Time) []fleet.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.list == nil {
 		return nil
 	}
+	b.renewHomes(now)
 	var out []fleet.Endpoint
 	for _, e := range b.list.Endpoints {
-		if e.Type != fleet.Engine || e.DataCenter != dataCenter {
-			continue
-		}
-		if b.view.Assigned(now, "poll/"+e.ID, pollers) {
+		if e.Type == fleet.Engine && b.homes[e.ID] {
 			out = append(out, e)
 		} else {
 			delete(b.reports, e.ID)
@@ -169,55 +177,72 @@
 func (b *Beliefs) Beat(now time.Time, inherited [][]byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var shares []scheduler.Share
-	var usage []*peerv1.Usage
-	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
-		shares = p.Shares()
-		if l, ok := p.(limited); ok {
-			usage = usageOut(l.InFlight().Own(), l.Queued().Own())
-		}
-	})
+	changed := now.Sub(b.payloadAt) >= payloadEvery
+	if changed {
+		b.payloadAt = now
+	}
 	b.view.Beat(func(r *peerv1.NodeRecord) {
 		r.State = b.state
 		r.Inherited = inherited
-		r.Shares = sharesOut(shares)
-		r.Usage = usage
 		r.Leaves = leavesOut(b.drains.All())
-		r.Reports = r.Reports[:0]
-		for _, rep := range b.reports {
-			r.Reports = append(r.Reports, reportOut(now, rep))
+		if changed {
+			b.setPayload(r)
 		}
 	})
 	b.view.Forget(now)
 	b.applyMembers(now)
-	if now.Sub(b.homesAt) >= homesEvery {
-		b.homesAt = now
-		b.applyHomes(now)
-	}
+	b.renewHomes(now)
 }
 
-// applyHomes tells the scheduler which endpoints this entry is a home of.
-func (b *Beliefs) applyHomes(now time.Time) {
-	if b.list == nil {
+// payloadEvery is how often what changes all the time is told to peers: fills
+// and usage. The rest of the record is told at once.
+const payloadEvery = 2 * time.Second
+
+func (b *Beliefs) setPayload(r *peerv1.NodeRecord) {
+	setFills(r, b.reports)
+	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		if l, ok := p.(limited); ok {
+			setUsage(r, l.InFlight().Published(), l.Queued().Published())
+		}
+	})
+}
+
+// renewHomes tells the scheduler now and then which endpoints this entry is a
+// home entry of.
+func (b *Beliefs) renewHomes(now time.Time) {
+	if b.list == nil || now.Sub(b.homesAt) < homesEvery {
 		return
 	}
-	parts := min(b.view.LocalSize(now), HomeEntries)
+	b.homesAt = now
+	size := b.view.LocalSize(now)
+	clear(b.homes)
 	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
 		h, ok := p.(homed)
-		if !ok {
-			return
-		}
 		for _, e := range b.list.Endpoints {
-			mine := e.DataCenter == b.view.Self().GetDataCenter() && b.view.Assigned(now, "home/"+e.ID, HomeEntries)
-			if mine {
+			parts := b.partsOf(now, e, size)
+			b.homes[e.ID] = parts > 0
+			if ok {
 				h.SetHome(e.ID, parts)
-			} else {
-				h.SetHome(e.ID, 0)
 			}
 		}
 	})
 }
 
+// partsOf says among how many entries an endpoint is split; zero if this entry
+// is none of them. A plain service is split among all of the data centre.
+func (b *Beliefs) partsOf(now time.Time, e fleet.Endpoint, size int) int {
+	if e.DataCenter != b.view.Self().GetDataCenter() {
+		return 0
+	}
+	if e.Type == fleet.Service {
+		return size
+	}
+	if !b.view.Assigned(now, "home/"+e.ID, HomeEntries) {
+		return 0
+	}
+	return min(size, HomeEntries)
+}
+
 // applyMembers drops the work of members that are dead or gone.
 func (b *Beliefs) applyMembers(now time.Time) {
 	live := map[string]bool{}
@@ -229,13 +254,12 @@
 	for vm := range b.counted {
 		if !live[vm] {
 			delete(b.counted, vm)
-			b.dispatcher.Update(func(now time.Time, p scheduler.Policy) { forgetPeer(now, p, vm) })
+			b.dispatcher.Update(func(_ time.Time, p scheduler.Policy) { forgetPeer(p, vm) })
 		}
 	}
 }
 
-func forgetPeer(now time.Time, p scheduler.Policy, vm string) {
-	p.SetShares(now, vm, nil)
+func forgetPeer(p scheduler.Policy, vm string) {
 	if l, ok := p.(limited); ok {
 		l.InFlight().SetPeer(vm, nil)
 		l.Queued().SetPeer(vm, nil)
@@ -252,28 +276,37 @@
 			news := b.learn(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()}, r.GetVm())
 			leaves = leaves || news
 		}
-		b.applyRecord(r)
+		b.applyRecord(now, r)
 	}
 	if leaves {
 		b.applyLeaving()
 	}
 }
 
-func (b *Beliefs) applyRecord(r *peerv1.NodeRecord) {
+func (b *Beliefs) applyRecord(now time.Time, r *peerv1.NodeRecord) {
 	b.counted[r.GetVm()] = true
-	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) {
-		p.SetShares(now, r.GetVm(), sharesIn(r.GetShares()))
-		for _, rep := range r.GetReports() {
-			p.Report(now, reportIn(now, rep))
-		}
+	b.dispatcher.Update(func(_ time.Time, p scheduler.Policy) {
+		b.applyFills(now, p, r)
 		if l, ok := p.(limited); ok {
-			inFlight, queued := usageIn(r.GetUsage())
+			inFlight, queued := usageOf(r)
 			l.InFlight().SetPeer(r.GetVm(), inFlight)
 			l.Queued().SetPeer(r.GetVm(), queued)
 		}
 	})
 }
 
+// applyFills takes what a peer says of endpoints that this entry doesn't read
+// itself.
+func (b *Beliefs) applyFills(now time.Time, p scheduler.Policy, r *peerv1.NodeRecord) {
+	for i, hash := range r.GetFillEndpoints() {
+		e, known := b.byHash[hash]
+		if !known || b.homes[e.ID] || i >= len(r.GetFills()) {
+			continue
+		}
+		p.Report(now, fillReport(e, r.GetFills()[i], now))
+	}
+}
+
 // View reads the membership view.
 func (b *Beliefs) View(read func(*membership.View)) {
 	b.mu.Lock()
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -108,11 +108,14 @@
 	return count
 }
 
-func (c *Client) digests() *peerv1.ExchangeRequest {
+func (c *Client) digests(p membership.Contact) *peerv1.ExchangeRequest {
 	req := &peerv1.ExchangeRequest{}
 	c.cfg.Beliefs.View(func(v *membership.View) {
+		scope := v.ScopeWith(p)
 		req.FromVm = v.Self().GetVm()
-		req.Digests = v.Digests()
+		req.DataCenter = v.Self().GetDataCenter()
+		req.All = scope == ""
+		req.Digests = v.Digests(time.Now(), scope)
 	})
 	for name, revision := range c.cfg.Store.Seen() {
 		req.DocumentDigests = append(req.DocumentDigests, &peerv1.DocumentDigest{Name: name, Revision: revision})
@@ -123,13 +126,14 @@
 func (c *Client) exchange(ctx context.Context, p membership.Contact) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	resp, err := c.call(ctx, p, c.digests())
+	resp, err := c.call(ctx, p, c.digests(p))
 	if err != nil {
 		return err
 	}
 	now := time.Now()
 	takeDocuments(now, c.cfg.Store, resp.GetDocuments(), p.VM)
 	c.cfg.Beliefs.Merge(now, resp.GetRecords())
+	c.cfg.Beliefs.View(func(v *membership.View) { v.Heard(now, resp.GetDigests()) })
 	push := c.wanted(resp)
 	if push == nil {
 		return nil
--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -1,109 +1,89 @@
 package peering
 
 import (
-	"math"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/platformapi"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
-	"github.com/bridgehoist/bridgehoist/pkg/lengths"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
-// clamp converts a float to a count of tokens.
-func clamp(v float64) uint32 { return uint32(min(max(v, 0), math.MaxUint32)) }
+// fillSteps is the resolution of the fills that entries tell each other.
+const fillSteps = 16
+
+func endpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-func sharesOut(in []scheduler.Share) []*peerv1.EndpointShare {
-	out := make([]*peerv1.EndpointShare, 0, len(in))
-	for _, s := range in {
-		msg := &peerv1.EndpointShare{Endpoint: s.Endpoint, Running: uint32(s.Running)}
-		for _, tokens := range s.Projected {
-			msg.ProjectedTokens = append(msg.ProjectedTokens, clamp(tokens))
+// setFills writes how full the polled endpoints are.
+func setFills(r *peerv1.NodeRecord, reports map[string]scheduler.Report) {
+	r.FillEndpoints, r.Fills = nil, nil
+	ids := slices.Sorted(maps.Keys(reports))
+	for _, id := range ids {
+		rep := reports[id]
+		if rep.CapacityTokens <= 0 {
+			continue
 		}
-		out = append(out, msg)
+		fill := float64(rep.UsedTokens) / float64(rep.CapacityTokens)
+		r.FillEndpoints = append(r.FillEndpoints, endpointHash(id))
+		r.Fills = append(r.Fills, byte(min(max(fill, 0), 2)*fillSteps))
 	}
-	return out
 }
 
-func sharesIn(in []*peerv1.EndpointShare) []scheduler.Share {
-	out := make([]scheduler.Share, 0, len(in))
-	for _, msg := range in {
-		s := scheduler.Share{Endpoint: msg.GetEndpoint(), Running: int(msg.GetRunning())}
-		for i, tokens := range msg.GetProjectedTokens() {
-			if i < len(lengths.Horizons) {
-				s.Projected[i] = float64(tokens)
-			}
-		}
-		out = append(out, s)
+// fillReport makes the report of an endpoint that a peer has read.
+func fillReport(e fleet.Endpoint, fill byte, at time.Time) scheduler.Report {
+	part := float64(fill) / fillSteps
+	return scheduler.Report{
+		Endpoint:       e.ID,
+		Incarnation:    e.Incarnation,
+		At:             at,
+		UsedTokens:     int(part * float64(e.CapacityTokens)),
+		CapacityTokens: e.CapacityTokens,
+		Running:        int(part * float64(e.MaxRunning)),
 	}
-	return out
 }
 
-func usageOut(inFlight, queued map[limits.Key]int) []*peerv1.Usage {
-	byKey := map[limits.Key]*peerv1.Usage{}
-	get := func(k limits.Key) *peerv1.Usage {
-		if byKey[k] == nil {
-			byKey[k] = &peerv1.Usage{Workspace: k.Workspace, Kind: k.Kind}
+// setUsage writes the own use of the limits under pressure.
+func setUsage(r *peerv1.NodeRecord, inFlight, queued []limits.Use) {
+	r.UsageKeys, r.UsageInFlight, r.UsageQueued = nil, nil, nil
+	index := map[limits.Hash]int{}
+	place := func(h limits.Hash) int {
+		i, ok := index[h]
+		if !ok {
+			i = len(r.UsageKeys)
+			index[h] = i
+			r.UsageKeys = append(r.UsageKeys, uint32(h))
+			r.UsageInFlight = append(r.UsageInFlight, 0)
+			r.UsageQueued = append(r.UsageQueued, 0)
 		}
-		return byKey[k]
+		return i
 	}
-	for k, n := range inFlight {
-		get(k).InFlight = uint32(n)
+	for _, u := range inFlight {
+		r.UsageInFlight[place(u.Hash)] = uint32(u.Count)
 	}
-	for k, n := range queued {
-		get(k).Queued = uint32(n)
+	for _, u := range queued {
+		r.UsageQueued[place(u.Hash)] = uint32(u.Count)
 	}
-	out := make([]*peerv1.Usage, 0, len(byKey))
-	for _, u := range byKey {
-		out = append(out, u)
-	}
-	return out
 }
 
-func usageIn(in []*peerv1.Usage) (inFlight, queued map[limits.Key]int) {
-	inFlight = map[limits.Key]int{}
-	queued = map[limits.Key]int{}
-	for _, u := range in {
-		k := limits.Key{Workspace: u.GetWorkspace(), Kind: u.GetKind()}
-		if u.GetInFlight() > 0 {
-			inFlight[k] = int(u.GetInFlight())
-		}
-		if u.GetQueued() > 0 {
-			queued[k] = int(u.GetQueued())
+func usageOf(r *peerv1.NodeRecord) (inFlight, queued map[limits.Hash]int) {
+	inFlight = map[limits.Hash]int{}
+	queued = map[limits.Hash]int{}
+	for i, key := range r.GetUsageKeys() {
+		if i < len(r.GetUsageInFlight()) && i < len(r.GetUsageQueued()) {
+			inFlight[limits.Hash(key)] = int(r.GetUsageInFlight()[i])
+			queued[limits.Hash(key)] = int(r.GetUsageQueued()[i])
 		}
 	}
 	return inFlight, queued
 }
 
-func reportOut(now time.Time, r scheduler.Report) *peerv1.EndpointReport {
-	return &peerv1.EndpointReport{
-		Endpoint:       r.Endpoint,
-		Incarnation:    r.Incarnation,
-		AgeMs:          uint32(now.Sub(r.At).Milliseconds()),
-		UsedTokens:     uint32(r.UsedTokens),
-		CapacityTokens: uint32(r.CapacityTokens),
-		Running:        uint32(r.Running),
-		Waiting:        uint32(r.Waiting),
-		Preemptions:    uint32(r.Preemptions),
-	}
-}
-
-func reportIn(now time.Time, r *peerv1.EndpointReport) scheduler.Report {
-	return scheduler.Report{
-		Endpoint:       r.GetEndpoint(),
-		Incarnation:    r.GetIncarnation(),
-		At:             now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
-		UsedTokens:     int(r.GetUsedTokens()),
-		CapacityTokens: int(r.GetCapacityTokens()),
-		Running:        int(r.GetRunning()),
-		Waiting:        int(r.GetWaiting()),
-		Preemptions:    int(r.GetPreemptions()),
-	}
-}
-
 func leavesOut(in []drain.Leave) []*peerv1.Leave {
 	out := make([]*peerv1.Leave, 0, len(in))
 	for _, l := range in {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -19,8 +19,8 @@
 // FuzzRecord merges what a broken or forged peer might send.
 func FuzzRecord(f *testing.F) {
 	good, _ := proto.Marshal(&peerv1.NodeRecord{
-		Vm: "b", Epoch: 1, Version: 2, Shares: []*peerv1.EndpointShare{{Endpoint: "e", ProjectedTokens: make([]uint32, 9)}},
-		Reports: []*peerv1.EndpointReport{{Endpoint: "e", AgeMs: 1 << 31}}, Leaves: []*peerv1.Leave{{Endpoint: "e"}},
+		Vm: "b", Epoch: 1, Version: 2, FillEndpoints: []uint32{1, 2}, Fills: []byte{255},
+		UsageKeys: []uint32{1, 2}, UsageInFlight: []uint32{3}, Leaves: []*peerv1.Leave{{Endpoint: "e"}},
 	})
 	f.Add(good)
 	f.Add([]byte{0xff})
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -88,7 +88,16 @@
 }
 
 func (s *Server) answer(msg *peerv1.ExchangeRequest, resp *peerv1.ExchangeResponse) {
-	s.beliefs.View(func(v *membership.View) { resp.Records, resp.WantedNodes = v.Answer(msg.GetDigests()) })
+	now := time.Now()
+	scope := membership.Scope(msg.GetDataCenter())
+	if msg.GetAll() {
+		scope = ""
+	}
+	s.beliefs.View(func(v *membership.View) {
+		v.Heard(now, msg.GetDigests())
+		a := v.Answer(now, msg.GetDigests(), scope)
+		resp.Digests, resp.Records, resp.WantedNodes = a.Digests, a.Records, a.Wanted
+	})
 	theirs := map[string]uint64{}
 	for _, d := range msg.GetDocumentDigests() {
 		theirs[d.GetName()] = d.GetRevision()
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -178,7 +178,7 @@
 		Secret: append([]byte("secret"), n.incarnation[:]...), Validity: 20 * time.Second, KeepFinished: 5 * time.Second,
 	})
 	n.followers = map[claims.Key][]func(reply){}
-	n.every(500*time.Millisecond, n.gossip)
+	n.every(time.Second, n.gossip)
 	n.every(time.Second, n.readPlatform)
 	n.every(2*time.Second, func() { n.ledger.Expire(n.w.now) })
 }
@@ -249,14 +249,17 @@
 
 // exchange is what the daemons do over connect: digests, answer, push.
 func (n *node) exchange(to int) {
-	digests, held := n.view.Digests(), n.held()
+	scope := n.view.ScopeWith(membership.Contact{DataCenter: n.w.nodes[to].dc})
+	digests, held := n.view.Digests(n.w.now, scope), n.held()
 	n.w.send(n.index, to, func(p *node) {
-		records, wanted := p.view.Answer(digests)
+		p.view.Heard(p.w.now, digests)
+		a := p.view.Answer(p.w.now, digests, scope)
 		theirs := p.held()
 		p.w.send(p.index, n.index, func(n *node) {
-			n.merge(records)
+			n.merge(a.Records)
+			n.view.Heard(n.w.now, a.Digests)
 			n.offer(theirs)
-			push := n.view.Records(wanted)
+			push := n.view.Records(a.Wanted)
 			n.w.send(n.index, p.index, func(p *node) {
 				p.merge(push)
 				p.offer(held)
@@ -266,13 +269,21 @@
 }
 
 func (n *node) merge(records []*peerv1.NodeRecord) {
+	news := false
 	for _, r := range n.view.Merge(n.w.now, records) {
 		for _, l := range r.GetLeaves() {
-			n.drains.Add(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()})
+			added := n.drains.Add(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()})
+			news = news || added
 		}
 	}
+	if news {
+		n.kick()
+	}
 }
 
+// kick passes news on soon, as the entries do.
+func (n *node) kick() { n.later(50*time.Millisecond, n.gossip) }
+
 func (n *node) held() uint64 {
 	if h := n.table.Current(); h != nil {
 		return h.Revision
@@ -286,6 +297,9 @@
 	}
 	before := n.held()
 	_, _ = n.table.Offer(n.w.now, revision, fmt.Appendf(nil, "table %d", revision))
+	if n.held() > before {
+		n.kick()
+	}
 	if n.held() < before {
 		n.w.faultf("%s went from revision %d back to %d", n.vm, before, n.held())
 	}
--- a/pkg/limits/limits.go
+++ b/pkg/limits/limits.go
@@ -1,21 +1,45 @@
 // Package limits holds the table's limits over entries that share nothing.
 //
 // Each entry knows its own use and, from the exchange, what the others said of
-// theirs. It may take one more if the known sum is below the limit. Each entry
-// also always has its floor, the limit divided by the published entries but at
-// least one: that is what a side of a cut can go on with, and what bounds the
-// overshoot while news is under way. (Issue 5, "Workspace limits held across
-// entries".)
+// theirs. It may take one more if the known sum is below the limit. It also
+// always has its floor, the limit divided by the published entries, so that news
+// that is wrong or late can't shut it out. Overshoot is what all take while news
+// is under way; under a cut each side may go up to the limit. (Issue 5,
+// "Workspace limits held across entries".)
+//
+// Only limits under pressure are exchanged, the ones used most first, and at
+// most MaxPublished; the others are far from mattering.
 package limits
 
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxPublished bounds the limits of which an entry tells its use.
+const MaxPublished = 16
+
+// pressure is the known share of a limit from which on its use is told.
+const pressure = 0.25
+
 // Key names a limit: a workspace and a kind.
 type Key struct{ Workspace, Kind string }
 
+// Hash names a key in the exchange. Two keys with one hash would only count for
+// each other.
+type Hash uint32
+
+// Hash computes the hash of a key.
+func (k Key) Hash() Hash { return Hash(xxhash.Sum64String(k.Workspace + "\x00" + k.Kind)) }
+
 // Counter holds one entry's view. The caller serialises calls.
 type Counter struct {
 	own     map[Key]int
-	peers   map[string]map[Key]int
-	sums    map[Key]int
+	limits  map[Key]int
+	peers   map[string]map[Hash]int
+	sums    map[Hash]int
 	entries int
 }
 
@@ -23,8 +47,9 @@
 func New() *Counter {
 	return &Counter{
 		own:     map[Key]int{},
-		peers:   map[string]map[Key]int{},
-		sums:    map[Key]int{},
+		limits:  map[Key]int{},
+		peers:   map[string]map[Hash]int{},
+		sums:    map[Hash]int{},
 		entries: 1,
 	}
 }
@@ -33,7 +58,7 @@
 func (c *Counter) SetEntries(n int) { c.entries = max(n, 1) }
 
 // SetPeer replaces what a peer said of its use; nil forgets the peer.
-func (c *Counter) SetPeer(vm string, use map[Key]int) {
+func (c *Counter) SetPeer(vm string, use map[Hash]int) {
 	for k, n := range c.peers[vm] {
 		c.sums[k] -= n
 		if c.sums[k] == 0 {
@@ -53,10 +78,20 @@
 // Allows reports whether one more may be taken under a limit.
 func (c *Counter) Allows(k Key, limit int) bool {
 	own := c.own[k]
-	if own < max(limit/c.entries, 1) {
-		return own < limit
+	if own > 0 {
+		c.limits[k] = limit
+	}
+	if own < limit/c.entries {
+		return true
+	}
+	return own+c.others(k) < limit
+}
+
+func (c *Counter) others(k Key) int {
+	if len(c.sums) == 0 {
+		return 0
 	}
-	return own+c.sums[k] < limit
+	return c.sums[k.Hash()]
 }
 
 // Take counts one more.
@@ -67,11 +102,36 @@
 	c.own[k]--
 	if c.own[k] <= 0 {
 		delete(c.own, k)
+		delete(c.limits, k)
 	}
 }
 
-// Own returns this entry's use; the caller must not change it.
-func (c *Counter) Own() map[Key]int { return c.own }
+// Use is the own use of one limit.
+type Use struct {
+	Hash  Hash
+	Count int
+
+	share float64
+}
+
+// Published returns the own use that the others need to know.
+func (c *Counter) Published() []Use {
+	var out []Use
+	for k, n := range c.own {
+		limit := c.limits[k]
+		if limit == 0 {
+			continue
+		}
+		share := float64(n+c.others(k)) / float64(limit)
+		if share >= pressure {
+			out = append(out, Use{k.Hash(), n, share})
+		}
+	}
+	slices.SortFunc(out, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.Hash, b.Hash))
+	})
+	return out[:min(len(out), MaxPublished)]
+}
 
 // Sum returns the use known over all entries.
-func (c *Counter) Sum(k Key) int { return c.own[k] + c.sums[k] }
+func (c *Counter) Sum(k Key) int { return c.own[k] + c.others(k) }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -2,15 +2,23 @@
 //
 // # Design
 //
-// Every entry owns one NodeRecord and raises its version with each heartbeat.
-// Twice a second or so an entry picks a few peers of its own data centre and,
-// more rarely, one of another, and reconciles with them: it sends digests of
-// what it knows, takes the newer records in return, and pushes what the other
-// wants. Nobody decides for others that a node is gone: each entry suspects a
-// node whose record it has not seen move for SuspectAfter on its own clock,
-// and calls it dead after DeadAfter.
+// Every entry owns one NodeRecord. Each second or so it beats: its heartbeat
+// rises, and the record's version if anything in it has changed. It then picks
+// a few peers of its own data centre and, rarely, one of another, and
+// reconciles: it sends digests, which are a hash, the heartbeat and the version
+// of each node; takes the records in return that are newer there; and pushes
+// those that the other wants. An unchanged record costs its digest only.
 //
-//	          heard a higher version
+// Digests are of the own data centre; only one exchange in twenty, and those with
+// other data centres, are of all nodes. The cost of a node is therefore bounded
+// by the size of its own data centre, and what is known of others is older.
+//
+// Nobody decides for others that a node is gone: each entry suspects a node
+// whose heartbeat it has not seen rise for SuspectAfter on its own clock, and
+// calls it dead after DeadAfter. Dead nodes are left out of digests, so that
+// they don't come back as news from one that has not yet noticed.
+//
+//	        heard a higher heartbeat
 //	      +------------------------------+
 //	      v                              |
 //	[alive] --no news SuspectAfter--> [suspect] --no news DeadAfter--> [dead] --ForgetAfter--> gone
@@ -22,19 +30,19 @@
 // was set back), we raise ours above it: no two clocks are ever compared for
 // safety, only to order the incarnations of one VM.
 //
-// Records of other data centres are passed on whole but asked for rarely, so
-// that the cost per node is bounded by the size of its own data centre. The
-// package does no I/O: the daemon moves the messages. The caller serialises
+// The package does no I/O: the daemon moves the messages. The caller serialises
 // calls.
 package membership
 
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
@@ -78,15 +86,18 @@
 	Chance func() float64
 }
 
-// Default times; the intervals are of the heartbeat, which is 500 ms.
+// Defaults for a heartbeat a second.
 const (
-	DefaultSuspectAfter = 4 * time.Second
-	DefaultDeadAfter    = 12 * time.Second
+	DefaultSuspectAfter = 8 * time.Second
+	DefaultDeadAfter    = 16 * time.Second
 	DefaultForgetAfter  = 10 * time.Minute
-	DefaultRemoteFactor = 5
+	DefaultRemoteFactor = 8
 	DefaultFanout       = 2
 )
 
+// allShare is the share of exchanges within a data centre that are of all nodes.
+const allShare = 0.05
+
 // WithDefaults fills what is not set.
 func (c Config) WithDefaults() Config {
 	c.SuspectAfter = cmp.Or(c.SuspectAfter, DefaultSuspectAfter)
@@ -100,9 +111,25 @@
 	return c
 }
 
+// ID names one incarnation of a node.
+type ID uint64
+
+// IDOf computes the ID of the node that a record is of.
+func IDOf(r *peerv1.NodeRecord) ID {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.GetVm())
+	var epoch [9]byte
+	binary.BigEndian.PutUint64(epoch[1:], r.GetEpoch())
+	_, _ = h.Write(epoch[:])
+	_, _ = h.Write(r.GetIncarnation())
+	return ID(h.Sum64())
+}
+
 type node struct {
-	record *peerv1.NodeRecord
-	heard  time.Time
+	id        ID
+	record    *peerv1.NodeRecord
+	heartbeat uint64
+	heard     time.Time
 }
 
 // Contact is a peer to reconcile with.
@@ -116,16 +143,18 @@
 type Member struct {
 	Contact
 	Status Status
-	// Age is the time since the record last moved.
+	// Age is the time since the heartbeat last rose.
 	Age    time.Duration
 	Record *peerv1.NodeRecord
 }
 
 // View holds what one entry knows.
 type View struct {
-	cfg   Config
-	self  *peerv1.NodeRecord
-	nodes map[string]*node
+	cfg       Config
+	self      *peerv1.NodeRecord
+	heartbeat uint64
+	nodes     map[string]*node
+	byID      map[ID]*node
 	// seeds are the published entries that no record has come from yet.
 	seeds map[string]Contact
 }
@@ -136,6 +165,7 @@
 	return &View{
 		cfg:   cfg,
 		nodes: map[string]*node{},
+		byID:  map[ID]*node{},
 		seeds: map[string]Contact{},
 		self: &peerv1.NodeRecord{
 			Vm:          cfg.VM,
@@ -172,16 +202,48 @@
 	return out
 }
 
-// Beat raises the owner's version after update has changed its payload.
+// payloadSteps is how many changes of mere payload go by before the record is
+// also passed to other data centres. A version is a multiple of it plus the
+// payload changes since.
+const payloadSteps = 16
+
+// Beat raises the owner's heartbeat, and its version if update has changed its
+// record.
 func (v *View) Beat(update func(*peerv1.NodeRecord)) {
+	v.heartbeat++
+	if update == nil {
+		return
+	}
 	next := proto.CloneOf(v.self)
-	if update != nil {
-		update(next)
+	update(next)
+	if proto.Equal(next, v.self) {
+		return
 	}
 	next.Version++
+	if !sameCore(next, v.self) {
+		next.Version = (next.Version/payloadSteps + 1) * payloadSteps
+	}
 	v.self = next
 }
 
+// sameCore reports whether two records differ only in what matters within the
+// data centre: fills and usage.
+func sameCore(a, b *peerv1.NodeRecord) bool {
+	return a.GetState() == b.GetState() &&
+		slices.EqualFunc(a.GetInherited(), b.GetInherited(), bytes.Equal) &&
+		slices.EqualFunc(a.GetLeaves(), b.GetLeaves(), func(x, y *peerv1.Leave) bool { return proto.Equal(x, y) })
+}
+
+// rankVersion gives the version of a record by which an exchange of this scope goes.
+// With nodes of other data centres, changes of mere payload count only now and
+// then.
+func (v *View) rankVersion(r *peerv1.NodeRecord, version uint64, scope Scope) uint64 {
+	if scope != "" || r.GetDataCenter() == v.cfg.DataCenter {
+		return version
+	}
+	return version / payloadSteps
+}
+
 // Merge takes records from a peer and returns those that were news.
 func (v *View) Merge(now time.Time, records []*peerv1.NodeRecord) []*peerv1.NodeRecord {
 	var news []*peerv1.NodeRecord
@@ -200,6 +262,20 @@
 	return news
 }
 
+// Heard takes the heartbeats that a peer knows of.
+func (v *View) Heard(now time.Time, d *peerv1.Digests) {
+	for i, id := range d.GetNodes() {
+		n := v.byID[ID(id)]
+		if n == nil || i >= len(d.GetHeartbeats()) {
+			continue
+		}
+		if beat := d.GetHeartbeats()[i]; beat > n.heartbeat {
+			n.heartbeat = beat
+			n.heard = now
+		}
+	}
+}
+
 func (v *View) refute(r *peerv1.NodeRecord) {
 	if bytes.Equal(r.GetIncarnation(), v.cfg.Incarnation) {
 		return
@@ -215,82 +291,132 @@
 
 func (v *View) take(now time.Time, r *peerv1.NodeRecord) bool {
 	old := v.nodes[r.GetVm()]
-	if old != nil && !newer(r, old.record.GetEpoch(), old.record.GetVersion()) {
+	if old != nil && !newer(r, old.record) {
 		return false
 	}
-	v.nodes[r.GetVm()] = &node{record: r, heard: now}
+	n := &node{id: IDOf(r), record: r, heard: now}
+	if old != nil && old.id == n.id {
+		n.heartbeat = old.heartbeat
+	}
+	v.drop(old)
+	v.nodes[r.GetVm()] = n
+	v.byID[n.id] = n
 	return true
 }
 
-func newer(r *peerv1.NodeRecord, epoch, version uint64) bool {
-	if r.GetEpoch() != epoch {
-		return r.GetEpoch() > epoch
+func (v *View) drop(n *node) {
+	if n == nil {
+		return
 	}
-	return r.GetVersion() > version
+	delete(v.nodes, n.record.GetVm())
+	delete(v.byID, n.id)
 }
 
-// Digests names all that is known, the owner first.
-func (v *View) Digests() []*peerv1.Digest {
-	out := make([]*peerv1.Digest, 0, len(v.nodes)+1)
-	out = append(out, digest(v.self))
+func newer(r, than *peerv1.NodeRecord) bool {
+	if r.GetEpoch() != than.GetEpoch() {
+		return r.GetEpoch() > than.GetEpoch()
+	}
+	return r.GetVersion() > than.GetVersion()
+}
+
+// Scope says which nodes an exchange is about: those of one data centre, or
+// all if it is empty.
+type Scope string
+
+func (s Scope) has(r *peerv1.NodeRecord) bool { return s == "" || r.GetDataCenter() == string(s) }
+
+// ScopeWith chooses the scope of an exchange with a peer.
+func (v *View) ScopeWith(c Contact) Scope {
+	if c.DataCenter != v.cfg.DataCenter || v.cfg.Chance() < allShare {
+		return ""
+	}
+	return Scope(v.cfg.DataCenter)
+}
+
+// Digests names all nodes of a scope that aren't dead, the owner first.
+func (v *View) Digests(now time.Time, scope Scope) *peerv1.Digests {
+	d := &peerv1.Digests{}
+	appendDigest(d, IDOf(v.self), v.heartbeat, v.self.GetVersion())
 	for _, n := range v.nodes {
-		out = append(out, digest(n.record))
+		if scope.has(n.record) && v.status(now, n) != Dead {
+			appendDigest(d, n.id, n.heartbeat, n.record.GetVersion())
+		}
 	}
-	return out
+	return d
+}
+
+func appendDigest(d *peerv1.Digests, id ID, heartbeat, version uint64) {
+	d.Nodes = append(d.Nodes, uint64(id))
+	d.Heartbeats = append(d.Heartbeats, heartbeat)
+	d.Versions = append(d.Versions, version)
 }
 
-func digest(r *peerv1.NodeRecord) *peerv1.Digest {
-	return &peerv1.Digest{Vm: r.GetVm(), Epoch: r.GetEpoch(), Version: r.GetVersion()}
+// Answer is what a peer's digests are answered with.
+type Answer struct {
+	// Digests of the nodes whose heartbeat is newer here.
+	Digests *peerv1.Digests
+	// Records that are newer here.
+	Records []*peerv1.NodeRecord
+	// Wanted are nodes that are newer there.
+	Wanted []uint64
 }
 
-// Answer compares a peer's digests with what is known: records that are
-// newer here, and the names of nodes that are newer there.
-func (v *View) Answer(digests []*peerv1.Digest) (records []*peerv1.NodeRecord, wanted []string) {
-	theirs := make(map[string]*peerv1.Digest, len(digests))
-	for _, d := range digests {
-		theirs[d.GetVm()] = d
-		if v.wants(d) {
-			wanted = append(wanted, d.GetVm())
+type known struct{ heartbeat, version uint64 }
+
+// Answer compares a peer's digests with what is known within the same scope.
+func (v *View) Answer(now time.Time, theirs *peerv1.Digests, scope Scope) Answer {
+	out := Answer{Digests: &peerv1.Digests{}}
+	if len(theirs.GetHeartbeats()) != len(theirs.GetNodes()) || len(theirs.GetVersions()) != len(theirs.GetNodes()) {
+		return out
+	}
+	byID := make(map[ID]known, len(theirs.GetNodes()))
+	for i, id := range theirs.GetNodes() {
+		k := known{theirs.GetHeartbeats()[i], theirs.GetVersions()[i]}
+		byID[ID(id)] = k
+		if v.wants(ID(id), k.version, scope) {
+			out.Wanted = append(out.Wanted, id)
 		}
 	}
-	records = appendIfNewer(records, v.self, theirs)
+	v.compare(&out, byID, IDOf(v.self), v.heartbeat, v.self, scope)
 	for _, n := range v.nodes {
-		records = appendIfNewer(records, n.record, theirs)
+		if scope.has(n.record) && v.status(now, n) != Dead {
+			v.compare(&out, byID, n.id, n.heartbeat, n.record, scope)
+		}
 	}
-	return records, wanted
+	return out
 }
 
-func (v *View) wants(d *peerv1.Digest) bool {
-	if d.GetVm() == v.cfg.VM {
-		return d.GetEpoch() > v.self.GetEpoch()
+func (v *View) wants(id ID, version uint64, scope Scope) bool {
+	if id == IDOf(v.self) {
+		return false
 	}
-	known := v.nodes[d.GetVm()]
-	if known == nil {
+	n := v.byID[id]
+	if n == nil {
 		return true
 	}
-	if d.GetEpoch() != known.record.GetEpoch() {
-		return d.GetEpoch() > known.record.GetEpoch()
-	}
-	return d.GetVersion() > known.record.GetVersion()
+	return v.rankVersion(n.record, version, scope) > v.rankVersion(n.record, n.record.GetVersion(), scope)
 }
 
-func appendIfNewer(out []*peerv1.NodeRecord, r *peerv1.NodeRecord, theirs map[string]*peerv1.Digest) []*peerv1.NodeRecord {
-	d := theirs[r.GetVm()]
-	if newer(r, d.GetEpoch(), d.GetVersion()) {
-		return append(out, r)
+func (v *View) compare(out *Answer, theirs map[ID]known, id ID, heartbeat uint64, r *peerv1.NodeRecord, scope Scope) {
+	k, ok := theirs[id]
+	if !ok || heartbeat > k.heartbeat {
+		appendDigest(out.Digests, id, heartbeat, r.GetVersion())
+	}
+	if !ok || v.rankVersion(r, r.GetVersion(), scope) > v.rankVersion(r, k.version, scope) {
+		out.Records = append(out.Records, r)
 	}
-	return out
 }
 
 // Records returns the records of the named nodes.
-func (v *View) Records(names []string) []*peerv1.NodeRecord {
+func (v *View) Records(ids []uint64) []*peerv1.NodeRecord {
 	var out []*peerv1.NodeRecord
-	for _, name := range names {
-		if name == v.cfg.VM {
+	own := IDOf(v.self)
+	for _, id := range ids {
+		if ID(id) == own {
 			out = append(out, v.self)
 			continue
 		}
-		if n := v.nodes[name]; n != nil {
+		if n := v.byID[ID(id)]; n != nil {
 			out = append(out, n.record)
 		}
 	}
@@ -317,12 +443,12 @@
 
 // Forget drops nodes that have been dead or gone for ForgetAfter.
 func (v *View) Forget(now time.Time) {
-	for name, n := range v.nodes {
+	for _, n := range v.nodes {
 		if s := v.status(now, n); s != Dead && s != Left {
 			continue
 		}
 		if now.Sub(n.heard) >= v.cfg.ForgetAfter {
-			delete(v.nodes, name)
+			v.drop(n)
 		}
 	}
 }
--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -62,7 +62,11 @@
 }
 
 // places gives the share of its places in use, with one more request.
+// A plain service tells no load, so its places are split among its home entries.
 func (e *endpoint) places() float64 {
+	if e.spec.CapacityTokens == 0 && e.parts > 0 {
+		return float64(e.ownRunning+1) / float64(max(e.spec.MaxRunning/e.parts, 1))
+	}
 	return float64(e.ownRunning+e.peersRunning+1) / float64(e.spec.MaxRunning)
 }
 
@@ -117,6 +121,33 @@
 	e.unexplained = max(float64(r.UsedTokens)-e.own.Mean[0]-e.peers[0], 0)
 }
 
+// observePeers takes a report as the sum of all entries' work. What isn't this
+// entry's own is the others', and is projected to grow as the own work is.
+func (e *endpoint) observePeers(r Report) {
+	if !r.At.After(e.report.At) && e.report.Incarnation == r.Incarnation {
+		return
+	}
+	e.report = r
+	held := max(float64(r.UsedTokens)-e.own.Mean[0], 0)
+	for i := range e.peers {
+		e.peers[i] = held * e.growth(i)
+	}
+	e.peersRunning = max(r.Running+r.Waiting-e.ownRunning, 0)
+}
+
+// assumedGrowth is the projected growth while there is no own work to go by.
+const assumedGrowth = 1.1
+
+func (e *endpoint) growth(horizon int) float64 {
+	if horizon == 0 {
+		return 1
+	}
+	if e.own.Mean[0] <= 0 {
+		return assumedGrowth
+	}
+	return e.own.Mean[horizon] / e.own.Mean[0]
+}
+
 // extra returns the load that no share accounts for.
 func (e *endpoint) extra(now time.Time) float64 {
 	age := now.Sub(e.report.At)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -39,6 +39,12 @@
 	// Parts makes the entries split each endpoint's memory among its home
 	// entries; see SetHome.
 	Parts bool
+	// BorrowFill is the highest believed fill up to which an entry uses more of
+	// an endpoint than its own part.
+	BorrowFill float64
+	// PeersFromReports takes the others' work from the endpoints' load reports,
+	// so that entries need not tell each other.
+	PeersFromReports bool
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// Rand is the source of all randomness.
@@ -60,9 +66,8 @@
 	// spillFill is the highest fill up to which an endpoint of another data
 	// centre gets work that no local one has room for.
 	spillFill = 0.7
-	// borrowFill is the highest fill up to which an entry uses more of an
-	// endpoint than its own part.
-	borrowFill = 0.85
+	// DefaultBorrowFill is that of version v4.
+	DefaultBorrowFill = 0.85
 	// partFill is the highest believed fill up to which it uses its own part.
 	partFill = 1.2
 	// DefaultRateSmoothing and DefaultDisplaceRatio are those of version v1.
@@ -73,6 +78,7 @@
 func (c Config) withDefaults() Config {
 	c.Margin = cmp.Or(c.Margin, DefaultMargin)
 	c.UrgentShare = cmp.Or(c.UrgentShare, DefaultUrgentShare)
+	c.BorrowFill = cmp.Or(c.BorrowFill, DefaultBorrowFill)
 	c.PriorHazard = cmp.Or(c.PriorHazard, lengths.PriorHazard)
 	c.RateSmoothing = cmp.Or(c.RateSmoothing, DefaultRateSmoothing)
 	c.DisplaceRatio = cmp.Or(c.DisplaceRatio, DefaultDisplaceRatio)
@@ -180,7 +186,7 @@
 // with zero that it is none. Home entries split the endpoint's memory in equal
 // parts: within its part an entry needs no news of the others, so that stale
 // news can't make all of them send at once. Beyond its part, and elsewhere, it
-// sends only while the endpoint looks no fuller than borrowFill.
+// sends only while the endpoint looks no fuller than BorrowFill.
 func (s *Scheduler) SetHome(id string, parts int) {
 	if parts == 0 {
 		delete(s.homes, id)
@@ -502,7 +508,7 @@
 	if !s.cfg.Parts || e.spec.CapacityTokens == 0 {
 		return c.Fill <= 1
 	}
-	if c.Fill <= borrowFill {
+	if c.Fill <= s.cfg.BorrowFill {
 		return true
 	}
 	return c.Fill <= partFill && e.ownFill(&it.projection, it.req.Urgent(), s.room(0)) <= 1
@@ -631,13 +637,22 @@
 
 // Report implements Policy.
 func (s *Scheduler) Report(_ time.Time, r Report) {
-	if e := s.byID[r.Endpoint]; e != nil {
-		e.observe(r)
+	e := s.byID[r.Endpoint]
+	if e == nil {
+		return
+	}
+	if s.cfg.PeersFromReports {
+		e.observePeers(r)
+		return
 	}
+	e.observe(r)
 }
 
 // SetShares implements Policy.
 func (s *Scheduler) SetShares(_ time.Time, vm string, shares []Share) {
+	if s.cfg.PeersFromReports {
+		return
+	}
 	for _, sh := range s.shares[vm] {
 		if e := s.byID[sh.Endpoint]; e != nil {
 			e.peers = e.peers.Sub(sh.Projected)
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -1,33 +1,54 @@
 package scheduler
 
-// Current is the name of the version that the entries use.
-const Current = "v4"
+import "slices"
 
-// Versions lists the versions of the scheduler, the oldest first. Earlier ones
-// are kept so that each change stays measurable against what was before.
-func Versions() []string { return []string{"v1", "v2", "v3", "v4"} }
+// Current is the name of the version that the entries use.
+const Current = "v5"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
 
-// Version returns the configuration of a version.
+// versions lists what each version changed, the oldest first. Earlier ones are
+// kept so that each change stays measurable against what was before.
+var versions = []struct {
+	name   string
+	change func(*Config)
+}{
+	{"v1", func(c *Config) { c.PriorHazard = priorOfV1 }},
+	{"v2", func(c *Config) { c.UrgentOvercommit = true }},
+	{"v3", func(c *Config) {
+		c.PriorHazard = 0
+		c.RateSmoothing = 0.05
+		c.Recost = true
+		c.DisplaceRatio = 3
+	}},
+	{"v4", func(c *Config) { c.Parts = true }},
+	{"v5", func(c *Config) {
+		c.PeersFromReports = true
+		c.BorrowFill = 0.75
+	}},
+}
+
+// Versions lists the names of the versions, the oldest first.
+func Versions() []string {
+	var out []string
+	for _, v := range versions {
+		out = append(out, v.name)
+	}
+	return out
+}
+
+// Version returns the configuration of a version: all changes up to it.
 func Version(name string) Config {
 	cfg := Config{Margin: DefaultMargin, UrgentShare: DefaultUrgentShare}
-	if name == "v1" {
-		cfg.PriorHazard = priorOfV1
+	if !slices.Contains(Versions(), name) {
 		return cfg
 	}
-	cfg.UrgentOvercommit = true
-	if name == "v2" {
-		cfg.PriorHazard = priorOfV1
-		return cfg
-	}
-	cfg.RateSmoothing = 0.05
-	cfg.Recost = true
-	cfg.DisplaceRatio = 3
-	if name == "v3" {
-		return cfg
+	for _, v := range versions {
+		v.change(&cfg)
+		if v.name == name {
+			break
+		}
 	}
-	cfg.Parts = true
 	return cfg
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -47,7 +47,7 @@
 mutant "at most once: expired tickets run" pkg/claims/claims.go 's/if auth.age(now, t.MintedMS) > l.cfg.Validity {/if false {/' "$P ./pkg/claims"
 mutant "at most once: signature not checked" pkg/claims/claims.go 's/if !hmac.Equal(t.mac, /if hmac.Equal(nil, /' ./pkg/claims
 mutant "leaving: a stale list brings back" pkg/drain/drain.go 's/return ok \&\& incarnation <= left/return ok \&\& incarnation < left/' "$P"
-mutant "leaving: not told to peers" internal/proof/world_test.go 's/n.drains.Add(drain.Leave/_ = (drain.Leave/' "$P"
+mutant "leaving: not told to peers" internal/proof/world_test.go 's/added := n.drains.Add(drain.Leave/added := drain.New().Add(drain.Leave/' "$P"
 mutant "revision: adopted whatever its order" pkg/register/register.go 's/if revision <= r.seen {/if false {/' "$P ./pkg/register"
 mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if o.Fencing > b.Revision || settled/if settled/' ./pkg/fencing
 exit $green
