Spill by fresh reports, shared room, and a drain rate that is warmed up

Cause: in make demo 48 requests were pushed aside: entries sent work to the other data centre by load that was up to 32 s old. And 9 to 11 shift reports were refused as unreachable (predicted waits above 60 s) where real waits ended at 5 s: the drain rate was taken from the first half second after the endpoints had filled up, in which nothing ends.

Ruled out: a lower spill limit alone (0.7 to 0.6: 22 pushed aside).

Change: while requests wait, an entry reads the load of four engines elsewhere, always the same for one entry; work spills only by a report of at most 5 s, and the room that a report shows is split among three. v6: the rate counts once requests have waited for 4 s.

--- a/cmd/bridgehoist-load/main.go
+++ b/cmd/bridgehoist-load/main.go
@@ -23,6 +23,7 @@
 	profile  string
 	rate     float64
 	duration time.Duration
+	longest  int
 	seed     uint64
 	json     bool
 }
@@ -35,6 +36,7 @@
 	set.StringVar(&cfg.profile, "profile", "both", "himal, allkiri or both")
 	set.Float64Var(&cfg.rate, "rate", 20, "requests a second, doubled in the middle third")
 	set.DurationVar(&cfg.duration, "duration", 10*time.Second, "length of the burst")
+	set.IntVar(&cfg.longest, "longest", load.MaxOutputTokens, "longest output in tokens")
 	set.Uint64Var(&cfg.seed, "seed", 1, "seed of the arrivals")
 	set.BoolVar(&cfg.json, "json", false, "print JSON")
 	settings.Main(set, func() { cfg.check(set) }, func() error { return run(cfg) })
@@ -52,6 +54,7 @@
 	if c.rate <= 0 || c.rate > 10_000 {
 		s.Findf("rate", "%v is not within 0 (excluded) to 10000", c.rate)
 	}
+	s.NeedInt("longest", c.longest, 1, load.MaxOutputTokens)
 	s.NeedDuration("duration", c.duration, time.Millisecond, time.Hour)
 	if kinds(c.profile) == nil {
 		s.Findf("profile", "%q is none of himal, allkiri, both", c.profile)
@@ -74,6 +77,7 @@
 func run(cfg config) error {
 	rng := rand.New(rand.NewPCG(cfg.seed, 0))
 	arrivals := load.Plan(rng, kinds(cfg.profile), cfg.rate, cfg.duration)
+	load.Cap(arrivals, cfg.longest)
 	c := load.NewClient(strings.Split(cfg.entries, ","), fmt.Sprintf("s%d", cfg.seed))
 	records := c.Run(context.Background(), arrivals)
 	result := load.Summarize(cfg.seed, records)
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -65,6 +65,13 @@
 	OutputTokens int
 }
 
+// Cap bounds the output lengths of arrivals.
+func Cap(arrivals []Arrival, longest int) {
+	for i := range arrivals {
+		arrivals[i].OutputTokens = min(arrivals[i].OutputTokens, longest)
+	}
+}
+
 // Plan draws the arrivals of a burst: a Poisson stream whose rate doubles in
 // the middle third.
 func Plan(rng *rand.Rand, kinds []Kind, rate float64, duration time.Duration) []Arrival {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -62,14 +63,15 @@
 
 // KindResult sums up one kind.
 type KindResult struct {
-	Kind        string        `json:"kind"`
-	Sent        int           `json:"sent"`
-	Classes     map[Class]int `json:"classes"`
-	Weighted    int           `json:"weighted_answered"`
-	Preemptions int           `json:"preemptions"`
-	Stall       Quantiles     `json:"stall_ms"`
-	FirstToken  Quantiles     `json:"first_token_ms"`
-	Gap         Quantiles     `json:"token_gap_ms"`
+	Kind        string         `json:"kind"`
+	Sent        int            `json:"sent"`
+	Classes     map[Class]int  `json:"classes"`
+	Codes       map[string]int `json:"codes,omitempty"`
+	Weighted    int            `json:"weighted_answered"`
+	Preemptions int            `json:"preemptions"`
+	Stall       Quantiles      `json:"stall_ms"`
+	FirstToken  Quantiles      `json:"first_token_ms"`
+	Gap         Quantiles      `json:"token_gap_ms"`
 }
 
 // Result sums up a run.
@@ -104,12 +106,13 @@
 }
 
 func summarizeKind(name string, records []Record) KindResult {
-	out := KindResult{Kind: name, Sent: len(records), Classes: map[Class]int{}}
+	out := KindResult{Kind: name, Sent: len(records), Classes: map[Class]int{}, Codes: map[string]int{}}
 	var stalls, firsts, gaps []time.Duration
 	for _, r := range records {
 		out.Classes[r.Class]++
 		out.Preemptions += r.Preemptions
 		if r.Class != Answered {
+			out.Codes[r.Code]++
 			continue
 		}
 		out.Weighted += r.Weight
@@ -149,6 +152,9 @@
 		fmt.Fprintf(w, "%-16s %5d %8d %7d %7d %7d %6d %7d | %s | %s | %s\n", k.Kind, k.Sent, k.Classes[Answered],
 			k.Classes[NotRun], k.Classes[MayHaveRun], k.Classes[Incomplete], k.Classes[Broken], k.Preemptions,
 			k.Stall.text(), k.FirstToken.text(), k.Gap.text())
+		for _, code := range slices.Sorted(maps.Keys(k.Codes)) {
+			fmt.Fprintf(w, "%-16s %5d not answered: %s\n", "", k.Codes[code], code)
+		}
 	}
 	for _, f := range r.Faults {
 		fmt.Fprintln(w, "FAULT", f)
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -1,6 +1,8 @@
 package peering
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,7 +133,9 @@
 // Polled takes a load report that this entry has read itself.
 func (b *Beliefs) Polled(r scheduler.Report, draining bool) {
 	b.mu.Lock()
-	b.reports[r.Endpoint] = r
+	if b.homes[r.Endpoint] {
+		b.reports[r.Endpoint] = r
+	}
 	b.mu.Unlock()
 	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) { p.Report(now, r) })
 	if draining {
@@ -139,8 +143,13 @@
 	}
 }
 
+// spillPolls bounds the endpoints of other data centres whose load is read for
+// one target while requests wait for it.
+const spillPolls = 4
+
 // ToPoll lists the endpoints that this entry reads the load of: the engines
-// that it is a home entry of.
+// that it is a home entry of and, while requests wait, a few of other data
+// centres, where work may go that has no room here.
 func (b *Beliefs) ToPoll(now time.Time) []fleet.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -156,9 +165,37 @@
 			delete(b.reports, e.ID)
 		}
 	}
+	for _, target := range b.waitingTargets() {
+		out = append(out, b.spillTargets(target)...)
+	}
+	return out
+}
+
+func (b *Beliefs) waitingTargets() (out []string) {
+	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		if s, ok := p.(*scheduler.Scheduler); ok {
+			out = s.WaitingTargets()
+		}
+	})
 	return out
 }
 
+// spillTargets picks engines of other data centres, always the same ones for
+// this entry, and others for other entries.
+func (b *Beliefs) spillTargets(target string) []fleet.Endpoint {
+	self := b.view.Self()
+	var out []fleet.Endpoint
+	for _, e := range b.list.Endpoints {
+		if e.Type == fleet.Engine && e.DataCenter != self.GetDataCenter() && slices.Contains(e.Targets, target) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(x, y fleet.Endpoint) int {
+		return cmp.Compare(membership.Rank("spill/"+x.ID, self.GetVm()), membership.Rank("spill/"+y.ID, self.GetVm()))
+	})
+	return out[:min(len(out), spillPolls)]
+}
+
 // Assigned reports whether this entry does a shared job of its data centre.
 func (b *Beliefs) Assigned(now time.Time, name string, count int) bool {
 	b.mu.Lock()
--- a/pkg/membership/assign.go
+++ b/pkg/membership/assign.go
@@ -17,7 +17,7 @@
 // all; so only jobs for which both are harmless are shared out this way:
 // polling endpoints and watching the platform.
 func (v *View) Assigned(now time.Time, job string, count int) bool {
-	mine := rank(job, v.cfg.VM)
+	mine := Rank(job, v.cfg.VM)
 	above := 0
 	for _, n := range v.nodes {
 		if n.record.GetDataCenter() != v.cfg.DataCenter {
@@ -26,7 +26,7 @@
 		if v.status(now, n) != Alive {
 			continue
 		}
-		if rank(job, n.record.GetVm()) > mine {
+		if Rank(job, n.record.GetVm()) > mine {
 			above++
 		}
 	}
@@ -44,7 +44,7 @@
 	return n
 }
 
-func rank(job, vm string) uint64 { return xxhash.Sum64String(job + "\x00" + vm) }
+func Rank(job, vm string) uint64 { return xxhash.Sum64String(job + "\x00" + vm) }
 
 // Successor picks the entry that takes over the owner's tickets: the live one
 // of the own data centre that ranks highest, else of any other. Those that have
@@ -71,7 +71,7 @@
 
 func (v *View) bySuccession(a, b Contact) int {
 	job := "successor/" + v.cfg.VM
-	return cmp.Compare(rank(job, a.VM), rank(job, b.VM))
+	return cmp.Compare(Rank(job, a.VM), Rank(job, b.VM))
 }
 
 func isLive(m Member) bool { return m.Record.GetState() == peerv1.NodeState_NODE_STATE_LIVE }
--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -121,6 +121,28 @@
 	e.unexplained = max(float64(r.UsedTokens)-e.own.Mean[0]-e.peers[0], 0)
 }
 
+// freshFor is how long a report is good enough to send work to another data
+// centre by.
+const freshFor = 5 * time.Second
+
+func (e *endpoint) fresh(now time.Time) bool {
+	return e.spec.CapacityTokens == 0 || now.Sub(e.report.At) <= freshFor
+}
+
+// sharers is among how many entries the room that a report shows is split, where
+// nobody has a part. All that read the report see the same room.
+const sharers = 3
+
+// shared gives the fill up to which this entry may go on its own, if the last
+// report left room below a limit.
+func (e *endpoint) shared(limit float64) float64 {
+	if e.spec.CapacityTokens == 0 {
+		return limit
+	}
+	reported := float64(e.report.UsedTokens) / float64(e.spec.CapacityTokens)
+	return reported + (limit-reported)/sharers
+}
+
 // observePeers takes a report as the sum of all entries' work. What isn't this
 // entry's own is the others', and is projected to grow as the own work is.
 func (e *endpoint) observePeers(r Report) {
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -42,11 +42,7 @@
 	items []*item
 	// cost sums the costs of items.
 	cost float64
-	// rate is the measured cost dispatched per second while requests waited;
-	// zero while it is unknown.
-	rate      float64
-	rateSince time.Time
-	drained   float64
+	rate drainRate
 }
 
 func (q *queue) insert(it *item) {
@@ -90,44 +86,19 @@
 	return sum
 }
 
-// rateWindow is the window over which the drain rate is measured.
-const rateWindow = 500 * time.Millisecond
-
 // drain counts cost that left the queue for an endpoint.
-func (q *queue) drain(cost float64) { q.drained += cost }
-
-// measure updates the rate at the end of each window in which requests waited,
-// and reports whether one has ended.
-func (q *queue) measure(now time.Time, smoothing float64) bool {
-	if q.rateSince.IsZero() || len(q.items) == 0 {
-		q.rateSince = now
-		q.drained = 0
-		return false
-	}
-	passed := now.Sub(q.rateSince)
-	if passed < rateWindow {
-		return false
-	}
-	rate := q.drained / passed.Seconds()
-	if q.rate == 0 {
-		q.rate = rate
-	} else {
-		q.rate += smoothing * (rate - q.rate)
-	}
-	q.rateSince = now
-	q.drained = 0
-	return true
-}
+func (q *queue) drain(cost float64) { q.rate.drained += cost }
 
 // wait gives the expected wait behind so much cost, and false if it is unknown.
 func (q *queue) wait(cost float64) (time.Duration, bool) {
 	if cost == 0 {
 		return 0, true
 	}
-	if q.rate <= 0 {
+	rate, known := q.rate.perSecond()
+	if !known {
 		return 0, false
 	}
-	seconds := min(cost/q.rate, maxWait.Seconds())
+	seconds := min(cost/rate, maxWait.Seconds())
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -28,6 +28,9 @@
 	UrgentOvercommit bool
 	// RateSmoothing is the weight of one new measurement of the drain rate.
 	RateSmoothing float64
+	// RateWarmUp is for how long requests must have waited before the drain rate
+	// is believed.
+	RateWarmUp time.Duration
 	// Recost makes the costs of waiting requests anew as lengths are learnt.
 	Recost bool
 	// DisplaceRatio is by how much a request must be worth more per cost than a
@@ -65,7 +68,7 @@
 	retryAfterJitter = 0.25
 	// spillFill is the highest fill up to which an endpoint of another data
 	// centre gets work that no local one has room for.
-	spillFill = 0.7
+	spillFill = 0.6
 	// DefaultBorrowFill is that of version v4.
 	DefaultBorrowFill = 0.85
 	// partFill is the highest believed fill up to which it uses its own part.
@@ -105,9 +108,11 @@
 	leaving   map[string]bool
 	homes     map[string]int
 	targets   map[string]*target
-	gap       float64
-	gapAt     time.Time
-	free      []*item
+	// reported are engines of other data centres with a fresh report.
+	reported []*endpoint
+	gap      float64
+	gapAt    time.Time
+	free     []*item
 
 	request    routing.Request
 	candidates []routing.Candidate
@@ -255,6 +260,9 @@
 	return it
 }
 
+// maxReported bounds the engines of other data centres that a decision looks at.
+const maxReported = 32
+
 // maxFree bounds the items kept for reuse.
 const maxFree = 1024
 
@@ -342,7 +350,7 @@
 	s.actions.Refusals = append(s.actions.Refusals[:0], s.displaced...)
 	s.displaced = s.displaced[:0]
 	for target, q := range s.queues {
-		if q.measure(now, s.cfg.RateSmoothing) && s.cfg.Recost {
+		if q.rate.measure(now, len(q.items) > 0, s.cfg.RateSmoothing, s.cfg.RateWarmUp) && s.cfg.Recost {
 			s.recost(q)
 		}
 		if len(q.items) > 0 {
@@ -465,7 +473,17 @@
 		s.addCandidate(now, e, typical)
 	}
 	s.sample(now, t.local, sampleLocal, typical)
-	s.sample(now, t.remote, sampleRemote, typical)
+	s.sample(now, t.remoteServices, sampleRemote, typical)
+	if !s.cfg.PeersFromReports {
+		s.sample(now, t.remoteEngines, sampleRemote, typical)
+		return
+	}
+	s.reported = slices.DeleteFunc(s.reported, func(e *endpoint) bool { return e.gone || !e.fresh(now) })
+	for _, e := range s.reported {
+		if slices.Contains(e.spec.Targets, name) {
+			s.addCandidate(now, e, typical)
+		}
+	}
 }
 
 func (s *Scheduler) sample(now time.Time, from []*endpoint, most int, typical float64) {
@@ -498,16 +516,22 @@
 // fits says whether a candidate has room. One of another data centre must have
 // more of it, because what is known of its load is older. An idle local endpoint
 // takes any request, else one larger than the endpoint would wait for ever.
-func (s *Scheduler) fits(c *routing.Candidate, e *endpoint, it *item) bool {
-	if !c.Local {
+func (s *Scheduler) fits(now time.Time, c *routing.Candidate, e *endpoint, it *item) bool {
+	if !c.Local && !s.cfg.PeersFromReports {
 		return c.Fill <= spillFill
 	}
+	if !c.Local {
+		return e.fresh(now) && c.Fill <= e.shared(spillFill)
+	}
 	if e.ownRunning+e.peersRunning == 0 {
 		return true
 	}
 	if !s.cfg.Parts || e.spec.CapacityTokens == 0 {
 		return c.Fill <= 1
 	}
+	if e.parts == 0 && s.cfg.PeersFromReports {
+		return c.Fill <= e.shared(s.cfg.BorrowFill)
+	}
 	if c.Fill <= s.cfg.BorrowFill {
 		return true
 	}
@@ -529,7 +553,7 @@
 		c := &s.candidates[i]
 		e := s.endpoints[c.Index]
 		c.Fill = e.fill(&it.projection, r.Urgent, s.room(e.extra(now)))
-		c.Fits = s.fits(c, e, it)
+		c.Fits = s.fits(now, c, e, it)
 	}
 	i := s.cfg.Pipeline.Choose(s.cfg.Rand, r, s.candidates)
 	if i != routing.None {
@@ -641,11 +665,14 @@
 	if e == nil {
 		return
 	}
-	if s.cfg.PeersFromReports {
-		e.observePeers(r)
+	if !s.cfg.PeersFromReports {
+		e.observe(r)
 		return
 	}
-	e.observe(r)
+	e.observePeers(r)
+	if e.spec.DataCenter != s.cfg.DataCenter && len(s.reported) < maxReported && !slices.Contains(s.reported, e) {
+		s.reported = append(s.reported, e)
+	}
 }
 
 // SetShares implements Policy.
@@ -734,6 +761,17 @@
 	return out
 }
 
+// WaitingTargets lists the targets that requests wait for.
+func (s *Scheduler) WaitingTargets() []string {
+	var out []string
+	for name, q := range s.queues {
+		if len(q.items) > 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Waiting counts the requests that wait.
 func (s *Scheduler) Waiting() int {
 	n := 0
@@ -764,7 +802,7 @@
 		c := &s.candidates[i]
 		e := s.endpoints[c.Index]
 		c.Fill = e.fill(&it.projection, r.Urgent(), s.room(e.extra(now)))
-		c.Fits = s.fits(c, e, it)
+		c.Fits = s.fits(now, c, e, it)
 		out.IDs = append(out.IDs, e.spec.ID)
 	}
 	out.Candidates = slices.Clone(s.candidates)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -13,12 +13,16 @@
 type target struct {
 	// homes are local endpoints that this entry has a part of.
 	homes []*endpoint
-	// local and remote are the others.
-	local  []*endpoint
-	remote []*endpoint
+	// local are the others of the data centre.
+	local []*endpoint
+	// remoteEngines and remoteServices are those of other data centres.
+	remoteEngines  []*endpoint
+	remoteServices []*endpoint
 }
 
-func (t *target) size() int { return len(t.homes) + len(t.local) + len(t.remote) }
+func (t *target) size() int {
+	return len(t.homes) + len(t.local) + len(t.remoteEngines) + len(t.remoteServices)
+}
 
 // target returns the endpoints of a target; they are looked up once after each
 // change of the endpoints or homes.
@@ -30,8 +34,10 @@
 	for _, e := range s.endpoints {
 		switch {
 		case !slices.Contains(e.spec.Targets, name):
+		case e.spec.DataCenter != s.cfg.DataCenter && e.spec.CapacityTokens > 0:
+			t.remoteEngines = append(t.remoteEngines, e)
 		case e.spec.DataCenter != s.cfg.DataCenter:
-			t.remote = append(t.remote, e)
+			t.remoteServices = append(t.remoteServices, e)
 		case e.parts > 0:
 			t.homes = append(t.homes, e)
 		default:
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -1,9 +1,12 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Current is the name of the version that the entries use.
-const Current = "v5"
+const Current = "v6"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
@@ -27,6 +30,7 @@
 		c.PeersFromReports = true
 		c.BorrowFill = 0.75
 	}},
+	{"v6", func(c *Config) { c.RateWarmUp = 4 * time.Second }},
 }
 
 // Versions lists the names of the versions, the oldest first.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,7 +85,7 @@
 echo "burst over three entries, two data centres, four engines and one plain service:"
 status=0
 bin/bridgehoist-load -entries http://127.0.0.1:21021,http://127.0.0.1:21022,http://127.0.0.1:21023 \
-  -standins "$standins" -seed "$seed" -rate "$rate" -duration "$duration" || status=$?
+  -standins "$standins" -seed "$seed" -rate "$rate" -duration "$duration" -longest 900 || status=$?
 
 for i in 1 2 3; do
   bin/bridgehoistctl status -operator "http://127.0.0.1:2103$i" -require-no-violations >"$work/status-$i" || status=1
