Limits and length estimates mended; tests of the scheduler and its parts

Cause, each found by a new test, red first: - limits: an entry told its use only above a quarter of the limit, so nine entries could hold 15 each of 64 and tell nothing (18 over 64 with fresh news, at 9 entries); and the floor let entries pass the limit while others had borrowed (3 over 64 at 3 entries); - lengths: 400 tokens into outputs of a median of 200 the estimate of what remains was 416 where the true mean is about 113: the prior counted as four requests in each bucket, at both levels.

Change: an entry tells a use that would be 5% of the limit if all used as much; the floor holds only while a counted peer has not been heard of; the prior counts as one request. Platform look-ins stretch with the data centre's size.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -24,7 +24,8 @@
 	Beliefs  *peering.Beliefs
 	// Wait is how long one watch waits.
 	Wait time.Duration
-	// LookIn is how often an entry that isn't a watcher reads the platform.
+	// LookIn is how often one of the entries of a data centre that aren't watchers
+	// reads the platform.
 	LookIn time.Duration
 	// OnError is told of each failed read.
 	OnError func(error)
@@ -42,7 +43,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
-		if !watcher && now.Sub(lookedIn) < c.LookIn && c.Store.Ready() {
+		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
 			pause(ctx, failurePause)
 			continue
 		}
@@ -57,6 +58,13 @@
 	}
 }
 
+// lookIn stretches the interval with the size of the data centre, so that its
+// entries together look in once in LookIn, however many they are.
+func (c *Config) lookIn(now time.Time) time.Duration {
+	others := c.Beliefs.LocalSize(now) - Watchers
+	return c.LookIn * time.Duration(max(others, 1))
+}
+
 // Read asks the platform once; it returns false if that failed.
 func (c *Config) Read(ctx context.Context, wait time.Duration) bool {
 	values, err := c.Platform.Watch(ctx, c.Store.Seen(), wait)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -71,7 +71,7 @@
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", time.Second, "interval of the exchange with other entries")
 	s.DurationVar(&c.PollEvery, "poll-every", 2*time.Second, "interval of reading endpoints' load")
 	s.DurationVar(&c.WatchWait, "watch-wait", 30*time.Second, "how long one watch of the platform waits")
-	s.DurationVar(&c.LookIn, "look-in", 2*time.Minute, "how often an entry that isn't a watcher reads the platform")
+	s.DurationVar(&c.LookIn, "look-in", 2*time.Minute, "how often one of the entries of a data centre that do not watch reads the platform")
 	s.DurationVar(&c.DrainDelay, "drain-delay", 5*time.Second, "time between unready and closing the listener, for the balancer")
 	s.DurationVar(&c.DrainTimeout, "drain-timeout", 10*time.Minute, "longest time for open requests to end at a stop")
 	s.DurationVar(&c.HandoverLinger, "handover-linger", 2*time.Second, "time for which peers are still served after the tickets were handed over")
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -203,6 +203,13 @@
 	return b.view.Assigned(now, name, count)
 }
 
+// LocalSize counts the live entries of the data centre, this one included.
+func (b *Beliefs) LocalSize(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.LocalSize(now)
+}
+
 // SetState changes what the entry declares of itself.
 func (b *Beliefs) SetState(s peerv1.NodeState) {
 	b.mu.Lock()
@@ -283,11 +290,14 @@
 // applyMembers drops the work of members that are dead or gone.
 func (b *Beliefs) applyMembers(now time.Time) {
 	live := map[string]bool{}
+	doubt := false
 	for _, m := range b.view.Members(now) {
+		doubt = doubt || m.Status == membership.Suspect && b.counted[m.VM]
 		if m.Status == membership.Alive || m.Status == membership.Suspect {
 			live[m.VM] = true
 		}
 	}
+	b.setDoubt(doubt)
 	for vm := range b.counted {
 		if !live[vm] {
 			delete(b.counted, vm)
@@ -296,6 +306,16 @@
 	}
 }
 
+// setDoubt tells the limits whether the use of a counted member is in doubt.
+func (b *Beliefs) setDoubt(doubt bool) {
+	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		if l, ok := p.(limited); ok {
+			l.InFlight().SetDoubt(doubt)
+			l.Queued().SetDoubt(doubt)
+		}
+	})
+}
+
 func forgetPeer(p scheduler.Policy, vm string) {
 	if l, ok := p.(limited); ok {
 		l.InFlight().SetPeer(vm, nil)
--- a/pkg/lengths/lengths.go
+++ b/pkg/lengths/lengths.go
@@ -73,8 +73,10 @@
 	// memory is the number of ended requests after which counts have decayed
 	// to about a third.
 	memory = 150
-	// lean is how many requests the estimate of the wider group counts for.
-	lean = 4
+	// lean is how many requests the estimate of a kind counts for in that of a
+	// workspace, and leanPrior how many the prior counts for in that of a kind.
+	lean      = 4
+	leanPrior = 1
 	// PriorHazard is the share of outputs that end in each bucket, as assumed
 	// while nothing is known. From 0.231 on the expected length is finite.
 	PriorHazard = 0.25
@@ -151,13 +153,12 @@
 }
 
 func (g *group) hazard(b int) float64 {
-	wider := g.prior
-	if g.parent != nil {
-		wider = g.parent.hazard(b)
-	}
 	reached := g.reached[b] / g.weight
 	ended := g.ended[b] / g.weight
-	return min((ended+lean*wider)/(reached+lean), 1)
+	if g.parent == nil {
+		return min((ended+leanPrior*g.prior)/(reached+leanPrior), 1)
+	}
+	return min((ended+lean*g.parent.hazard(b))/(reached+lean), 1)
 }
 
 // survival returns the chance, by bucket bound, that an output is longer.
--- a/pkg/limits/limits.go
+++ b/pkg/limits/limits.go
@@ -1,10 +1,11 @@
 // Package limits holds the table's limits over entries that share nothing.
 //
 // Each entry knows its own use and, from the exchange, what the others said of
-// theirs. It may take one more if the known sum is below the limit. It also
-// always has its floor, the limit divided by the published entries, so that news
-// that is wrong or late can't shut it out. Overshoot is what all take while news
-// is under way; under a cut each side may go up to the limit. (Issue 5,
+// theirs. It may take one more if the known sum is below the limit. While it is in
+// doubt, because a peer that it counts has not been heard of for a while, it
+// also has its floor, the limit divided by the published entries, so that the
+// last words of a peer that is gone can't shut it out. Overshoot is what all
+// take while news is under way; under a cut each side may go up to the limit. (Issue 5,
 // "Workspace limits held across entries".)
 //
 // Only limits under pressure are exchanged, the ones used most first, and at
@@ -21,8 +22,10 @@
 // MaxPublished bounds the limits of which an entry tells its use.
 const MaxPublished = 16
 
-// pressure is the known share of a limit from which on its use is told.
-const pressure = 0.25
+// pressure is the share of a limit from which on its use is told: the known use
+// of all, or what it would be if all entries used as much as this one. What no
+// entry tells is therefore below this share in sum.
+const pressure = 0.05
 
 // Key names a limit: a workspace and a kind.
 type Key struct{ Workspace, Kind string }
@@ -41,6 +44,7 @@
 	peers   map[string]map[Hash]int
 	sums    map[Hash]int
 	entries int
+	doubt   bool
 }
 
 // New makes a counter of a single entry.
@@ -57,6 +61,9 @@
 // SetEntries sets the number of published entries, this one included.
 func (c *Counter) SetEntries(n int) { c.entries = max(n, 1) }
 
+// SetDoubt says whether a peer that is counted has not been heard of lately.
+func (c *Counter) SetDoubt(doubt bool) { c.doubt = doubt }
+
 // SetPeer replaces what a peer said of its use; nil forgets the peer.
 func (c *Counter) SetPeer(vm string, use map[Hash]int) {
 	for k, n := range c.peers[vm] {
@@ -78,10 +85,7 @@
 // Allows reports whether one more may be taken under a limit.
 func (c *Counter) Allows(k Key, limit int) bool {
 	own := c.own[k]
-	if own > 0 {
-		c.limits[k] = limit
-	}
-	if own < limit/c.entries {
+	if c.doubt && own < limit/c.entries {
 		return true
 	}
 	return own+c.others(k) < limit
@@ -94,8 +98,11 @@
 	return c.sums[k.Hash()]
 }
 
-// Take counts one more.
-func (c *Counter) Take(k Key) { c.own[k]++ }
+// Take counts one more under a limit.
+func (c *Counter) Take(k Key, limit int) {
+	c.own[k]++
+	c.limits[k] = limit
+}
 
 // Release counts one less.
 func (c *Counter) Release(k Key) {
@@ -122,7 +129,7 @@
 		if limit == 0 {
 			continue
 		}
-		share := float64(n+c.others(k)) / float64(limit)
+		share := float64(max(n+c.others(k), n*c.entries)) / float64(limit)
 		if share >= pressure {
 			out = append(out, Use{k.Hash(), n, share})
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -233,7 +233,7 @@
 		return err
 	}
 	q.insert(it)
-	s.queued.Take(limitKey(&r))
+	s.queued.Take(limitKey(&r), r.Row.MaxQueued)
 	return nil
 }
 
@@ -590,7 +590,7 @@
 		invariant.Check(false, invariant.NoNewWorkOnLeaving, "dispatch to %s", e.spec.ID)
 	}
 	s.queued.Release(limitKey(&it.req))
-	s.inFlight.Take(limitKey(&it.req))
+	s.inFlight.Take(limitKey(&it.req), it.req.Row.MaxInFlight)
 	it.endpoint = e
 	it.dispatched = now
 	it.generated = 0
--- /dev/null
+++ b/pkg/scheduler/scheduler_test.go
@@ -0,0 +1,235 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/limits"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+func TestScheduler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scheduler")
+}
+
+func engineAt(id, dc string, tokens int) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Type: fleet.Engine, DataCenter: dc, Address: "127.0.0.1:1", Targets: []string{"m"},
+		Incarnation: 1, State: fleet.Live, CapacityTokens: tokens, MaxRunning: 100}
+}
+
+// bed is a scheduler with a clock.
+type bed struct {
+	*scheduler.Scheduler
+	now  time.Time
+	next scheduler.ID
+}
+
+func newBed(endpoints ...fleet.Endpoint) *bed {
+	cfg := scheduler.Version(scheduler.Current)
+	cfg.DataCenter = "hall"
+	cfg.Rand = rand.New(rand.NewPCG(5, 5))
+	b := &bed{Scheduler: scheduler.New(cfg), now: time.Unix(1000, 0)}
+	b.SetEndpoints(b.now, endpoints)
+	for _, e := range endpoints {
+		if e.DataCenter == "hall" {
+			b.SetHome(e.ID, 1)
+		}
+	}
+	return b
+}
+
+func (b *bed) submit(prompt int, change func(*scheduler.Request)) (scheduler.ID, *outcome.Error) {
+	b.next++
+	r := scheduler.Request{ID: b.next, Workspace: "w", Kind: "k", Row: row, PromptTokens: prompt, Arrived: b.now}
+	if change != nil {
+		change(&r)
+	}
+	return b.next, b.Submit(b.now, r)
+}
+
+func (b *bed) dispatched() (ids []scheduler.ID) {
+	for _, d := range b.Next(b.now).Dispatches {
+		ids = append(ids, d.ID)
+	}
+	return ids
+}
+
+func urgent(r *scheduler.Request) { r.Row.Priority = 9; r.Kind = "urgent" }
+
+var _ = Describe("the scheduler", func() {
+	It("lets large requests wait for room, small ones not pass them, urgent ones pass", func() {
+		b := newBed(engineAt("e", "hall", 10_000))
+		first, _ := b.submit(6000, nil)
+		Expect(b.dispatched()).To(ConsistOf(first))
+		large, _ := b.submit(6000, nil)
+		small, _ := b.submit(10, nil)
+		quick, _ := b.submit(10, urgent)
+		Expect(b.dispatched()).To(ConsistOf(quick))
+		b.Finish(b.now, first, scheduler.Result{Complete: true, Generated: 10})
+		Expect(b.dispatched()).To(ContainElements(large, small))
+	})
+
+	It("sends an urgent request even where long ones have taken all", func() {
+		b := newBed(engineAt("e", "hall", 10_000))
+		b.submit(30_000, nil)
+		Expect(b.dispatched()).To(HaveLen(1), "an idle endpoint takes any request")
+		quick, _ := b.submit(500, urgent)
+		Expect(b.dispatched()).To(ConsistOf(quick))
+	})
+
+	It("refuses as not run, with when to come back, what has waited too long", func() {
+		b := newBed(engineAt("e", "hall", 10_000))
+		b.submit(9000, nil)
+		b.dispatched()
+		waiting, _ := b.submit(9000, nil)
+		b.now = b.now.Add(row.MaxQueueTime + time.Second)
+		refusals := b.Next(b.now).Refusals
+		Expect(refusals).To(HaveLen(1))
+		Expect(refusals[0].ID).To(Equal(waiting))
+		Expect(refusals[0].Err.Outcome).To(Equal(outcome.NotRun))
+		Expect(refusals[0].Err.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("refuses at once what can't start in time, by the measured drain rate", func() {
+		b := newBed(engineAt("e", "hall", 3_000))
+		var refused *outcome.Error
+		running := map[scheduler.ID]time.Time{}
+		for i := 0; i < 4000 && refused == nil; i++ {
+			b.now = b.now.Add(50 * time.Millisecond)
+			_, refused = b.submit(1000, nil)
+			for _, id := range b.dispatched() {
+				running[id] = b.now
+			}
+			for id, at := range running {
+				if b.now.Sub(at) > 3*time.Second {
+					b.Finish(b.now, id, scheduler.Result{Complete: true, Generated: 200})
+					delete(running, id)
+				}
+			}
+		}
+		Expect(refused).NotTo(BeNil())
+		Expect(refused.Code).To(Equal(outcome.CodeDeadline))
+		Expect(refused.Outcome).To(Equal(outcome.NotRun))
+	})
+
+	It("sends no new work to a leaving or broken endpoint", func() {
+		b := newBed(engineAt("a", "hall", 10_000), engineAt("b", "hall", 10_000))
+		b.SetLeaving("a", true)
+		for range 5 {
+			id, _ := b.submit(10, nil)
+			d := b.Next(b.now).Dispatches
+			Expect(d).To(HaveLen(1))
+			Expect(d[0].Endpoint.ID).To(Equal("b"))
+			b.Finish(b.now, id, scheduler.Result{Failed: true})
+			if b.Status(b.now)[1].Breaker.String() == "open" {
+				break
+			}
+		}
+		b.submit(10, nil)
+		Expect(b.dispatched()).To(BeEmpty())
+	})
+
+	It("goes to another data centre only by a fresh report", func() {
+		b := newBed(engineAt("near", "hall", 2_000), engineAt("far", "other", 10_000))
+		b.submit(1500, nil)
+		Expect(b.dispatched()).To(HaveLen(1))
+		b.submit(1500, nil)
+		Expect(b.dispatched()).To(BeEmpty(), "nothing is known of the other")
+		b.Report(b.now, scheduler.Report{Endpoint: "far", Incarnation: 1, At: b.now, CapacityTokens: 10_000})
+		Expect(b.dispatched()).To(HaveLen(1))
+		b.now = b.now.Add(10 * time.Second)
+		b.submit(1500, nil)
+		Expect(b.dispatched()).To(BeEmpty(), "the report is old")
+	})
+
+	It("keeps within its part without news, whatever the others do", func() {
+		b := newBed(engineAt("e", "hall", 30_000))
+		b.SetHome("e", 3)
+		b.Report(b.now, scheduler.Report{Endpoint: "e", Incarnation: 1, At: b.now, UsedTokens: 24_000, CapacityTokens: 30_000, Running: 5})
+		sum := 0
+		for range 30 {
+			b.submit(1000, nil)
+			sum += 1000 * len(b.dispatched())
+		}
+		Expect(sum).To(BeNumerically(">", 3_000))
+		Expect(sum).To(BeNumerically("<=", 10_000))
+	})
+
+	It("holds the limits of the table", func() {
+		b := newBed(engineAt("e", "hall", 1<<20))
+		limit := func(r *scheduler.Request) { r.Row.MaxInFlight = 2; r.Row.MaxQueued = 3 }
+		for range 2 {
+			b.submit(10, limit)
+		}
+		Expect(b.dispatched()).To(HaveLen(2))
+		for range 3 {
+			_, err := b.submit(10, limit)
+			Expect(err).To(BeNil())
+		}
+		Expect(b.dispatched()).To(BeEmpty())
+		_, err := b.submit(10, limit)
+		Expect(err.Code).To(Equal(outcome.CodeQueueFull))
+	})
+
+	It("forgets a request whose caller has gone", func() {
+		b := newBed(engineAt("e", "hall", 2_000))
+		b.submit(1500, nil)
+		b.dispatched()
+		id, _ := b.submit(1500, nil)
+		Expect(b.Cancel(b.now, id)).To(BeTrue())
+		Expect(b.Cancel(b.now, id)).To(BeFalse())
+		Expect(b.Waiting()).To(BeZero())
+	})
+
+	It("returns all that it has taken", func() {
+		b := newBed(engineAt("a", "hall", 50_000), engineAt("b", "hall", 50_000))
+		rng := rand.New(rand.NewPCG(9, 9))
+		var running []scheduler.ID
+		for range 3000 {
+			b.now = b.now.Add(time.Duration(rng.IntN(50)) * time.Millisecond)
+			b.submit(1+rng.IntN(3000), nil)
+			running = append(running, b.dispatched()...)
+			for len(running) > 5 {
+				i := rng.IntN(len(running))
+				b.Progress(b.now, running[i], 1+rng.IntN(500))
+				b.Finish(b.now, running[i], scheduler.Result{Complete: rng.IntN(4) > 0, Generated: 500})
+				running = append(running[:i], running[i+1:]...)
+			}
+		}
+		b.now = b.now.Add(time.Hour)
+		b.Next(b.now)
+		for _, id := range running {
+			b.Finish(b.now, id, scheduler.Result{})
+		}
+		for _, st := range b.Status(b.now) {
+			Expect(st.Running).To(BeZero())
+			Expect(st.Projected.Max()).To(BeZero())
+		}
+		k := limits.Key{Workspace: "w", Kind: "k"}
+		Expect(b.InFlight().Sum(k)).To(BeZero())
+		Expect(b.Queued().Sum(k)).To(BeZero())
+	})
+})
+
+func ExampleScheduler() {
+	now := time.Unix(0, 0)
+	s := scheduler.New(scheduler.Version(scheduler.Current))
+	s.SetEndpoints(now, []fleet.Endpoint{{ID: "engine-1", Type: fleet.Engine, Targets: []string{"m"}, CapacityTokens: 16_000, MaxRunning: 64}})
+	s.SetHome("engine-1", 1)
+	r := scheduler.Request{ID: 1, Workspace: "w", Kind: "k", Row: row, PromptTokens: 300, Arrived: now}
+	if err := s.Submit(now, r); err == nil {
+		for _, d := range s.Next(now).Dispatches {
+			fmt.Println(d.ID, d.Endpoint.ID)
+		}
+	}
+	s.Finish(now, 1, scheduler.Result{Complete: true, Generated: 120})
+	// Output: 1 engine-1
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -50,4 +50,10 @@
 mutant "leaving: not told to peers" internal/proof/world_test.go 's/added := n.drains.Add(drain.Leave/added := drain.New().Add(drain.Leave/' "$P"
 mutant "revision: adopted whatever its order" pkg/register/register.go 's/if revision <= r.seen {/if false {/' "$P ./pkg/register"
 mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if o.Fencing > b.Revision || settled/if settled/' ./pkg/fencing
+stop="./internal/e2e -run TestPlannedStop"
+mutant "planned stop: open requests cut" internal/entry/entry.go 's/err := s.callers.Shutdown(drain)/err := s.callers.Close()/' "$stop"
+mutant "planned stop: tickets not handed over" internal/entry/entry.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
+mutant "limits: small uses not told" pkg/limits/limits.go 's/max(n+c.others(k), n\*c.entries)/n+c.others(k)/' ./pkg/limits
+mutant "urgent: no overcommit" pkg/scheduler/versions.go 's/c.UrgentOvercommit = true/c.UrgentOvercommit = false/' ./pkg/scheduler
+mutant "parts: news needed" pkg/scheduler/versions.go 's/c.Parts = true/c.Parts = false/' ./pkg/scheduler
 exit $green
