--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -72,6 +72,8 @@
 	entries  []entryProcess
 	list     fleet.List
 	procs    map[string]*process
+	// extra are flags of every entry.
+	extra []string
 }
 
 type entryProcess struct{ vm, callers, peer, operator string }
@@ -85,8 +87,8 @@
 	return l.Addr().String()
 }
 
-func newCluster(t *testing.T, engines, entries int) *cluster {
-	c := &cluster{t: t, g: NewWithT(t), procs: map[string]*process{}, platform: freePort(t), service: freePort(t)}
+func newCluster(t *testing.T, engines, entries int, extra ...string) *cluster {
+	c := &cluster{t: t, g: NewWithT(t), procs: map[string]*process{}, platform: freePort(t), service: freePort(t), extra: extra}
 	for i := range engines {
 		address := freePort(t)
 		c.engines = append(c.engines, address)
@@ -134,9 +136,10 @@
 
 func (c *cluster) startEntry(i int) {
 	e := c.entries[i]
-	c.start(e.vm, "bridgehoist-entry", "-vm", e.vm, "-data-center", "hall", "-listen", e.callers, "-peer", e.peer,
-		"-operator", e.operator, "-platform", "http://"+c.platform, "-drain-delay", "300ms", "-handover-linger", "300ms",
-		"-stall-timeout", "1s")
+	args := []string{"-vm", e.vm, "-data-center", "hall", "-listen", e.callers, "-peer", e.peer,
+		"-operator", e.operator, "-platform", "http://" + c.platform, "-drain-delay", "300ms", "-handover-linger", "300ms",
+		"-stall-timeout", "1s"}
+	c.start(e.vm, "bridgehoist-entry", append(args, c.extra...)...)
 }
 
 func (c *cluster) start(name, binary string, args ...string) {
--- /dev/null
+++ b/internal/e2e/more_test.go
@@ -0,0 +1,149 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/standin"
+)
+
+// TestTwoStopsAtOnce: both entries stop; a third must end up with the tickets of
+// both, also where one was asked first to take over the other's.
+func TestTwoStopsAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	tickets := []string{c.ticket(0), c.ticket(1)}
+	for i := range 2 {
+		c.procs[c.entries[i].vm].signal(syscall.SIGTERM)
+	}
+	for i := range 2 {
+		c.g.Expect(c.waitExit(c.entries[i].vm)).To(BeZero())
+	}
+	for i, ticket := range tickets {
+		r := call{kind: "lining-check", prompt: prompt(fmt.Sprint("two stops ", i), 5), ticket: ticket}
+		a := c.send(2, r)
+		c.g.Expect(a.text).To(Equal(standin.Answer(r.prompt)), "%+v", a)
+	}
+}
+
+// TestStartWithoutThePlatform: an entry that starts while the platform is down
+// learns table and list from a peer named in its settings.
+func TestStartWithoutThePlatform(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.procs["entry-1"].signal(syscall.SIGKILL)
+	c.waitExit("entry-1")
+	c.publishTable(tableText + "*,added,kiln-scribe,10,9,256,400,20s,30s,yes\n")
+	revision := func(i int) uint64 { return c.status(i).Values[0].Revision }
+	c.g.Eventually(func() uint64 { return revision(0) }, patience, "50ms").Should(BeNumerically(">", 2))
+	c.control(c.platform, "mode", standin.PlatformMode{Down: true})
+	c.extra = []string{"-seed-peers", c.entries[0].peer}
+	c.startEntry(1)
+	c.waitReady(1)
+	c.g.Expect(revision(1)).To(Equal(revision(0)))
+	p := prompt("no platform ", 5)
+	c.g.Expect(c.send(1, call{kind: "added", prompt: p}).text).To(Equal(standin.Answer(p)))
+}
+
+// TestPeersUnderTLS runs entries with mutual TLS and a shared token between them.
+func TestPeersUnderTLS(t *testing.T) {
+	dir := t.TempDir()
+	ca, caKey := certificate(t, dir, "ca", nil, nil)
+	certificate(t, dir, "peer", ca, caKey)
+	file := func(name string) string { return filepath.Join(dir, name) }
+	c := newCluster(t, 1, 2, "-peer-token", "shared", "-peer-tls-ca", file("ca.crt"),
+		"-peer-tls-cert", file("peer.crt"), "-peer-tls-key", file("peer.key"))
+	c.g.Eventually(func() int { return len(c.status(0).Members) }, patience, "50ms").Should(Equal(1))
+	r := call{kind: "lining-check", prompt: prompt("tls ", 5), ticket: c.ticket(0)}
+	c.g.Expect(c.send(1, r).text).To(Equal(standin.Answer(r.prompt)))
+	_, err := http.Get("http://" + c.entries[0].peer)
+	if err == nil {
+		_, err = http.Get("https://" + c.entries[0].peer)
+	}
+	c.g.Expect(err).To(HaveOccurred(), "a caller without a certificate")
+}
+
+// certificate makes a key pair, signed by the authority or by itself, and writes
+// it as PEM.
+func certificate(t *testing.T, dir, name string, ca *x509.Certificate, caKey *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	g := NewWithT(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	g.Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: ca == nil, BasicConstraintsValid: true, IPAddresses: []net.IP{net.ParseIP("127.0.0.1")},
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := template, key
+	if ca != nil {
+		parent, signer = ca, caKey
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	g.Expect(err).NotTo(HaveOccurred())
+	cert, err := x509.ParseCertificate(der)
+	g.Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	g.Expect(err).NotTo(HaveOccurred())
+	c := &cluster{t: t, g: g}
+	c.write(filepath.Join(dir, name+".crt"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	c.write(filepath.Join(dir, name+".key"), pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
+	return cert, key
+}
+
+// TestControllerOrders: the orderer of the data centre brings engines to what the
+// list says, with its revision as fencing number; a second controller gives no
+// orders.
+func TestControllerOrders(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	for i := range c.entries {
+		c.start(fmt.Sprint("controller-", i), "bridgehoist-controller", "-vm", c.entries[i].vm, "-data-center", "hall",
+			"-entry-peer", c.entries[i].peer, "-operator", freePort(t), "-every", "100ms")
+	}
+	for i := range c.engines {
+		c.list.Endpoints[i].Desired = []string{"kiln-scribe", "lexmodel"}
+	}
+	list, err := json.Marshal(c.list)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.control(c.platform, "values/fleet", list)
+	for i := range c.engines {
+		c.g.Eventually(func() engineapi.OrderState { return c.orders(i) }, patience, "50ms").Should(And(
+			HaveField("Loaded", ConsistOf("kiln-scribe", "lexmodel")), HaveField("Fencing", BeNumerically(">", 2))))
+	}
+	given := 0
+	for i := range c.entries {
+		p := c.procs[fmt.Sprint("controller-", i)]
+		p.signal(syscall.SIGTERM)
+		_ = p.cmd.Wait()
+		if strings.Contains(p.log.String(), "order given") {
+			given++
+		}
+	}
+	c.g.Expect(given).To(Equal(1), "one orderer")
+}
+
+func (c *cluster) orders(engine int) (st engineapi.OrderState) {
+	resp, err := http.Get("http://" + c.engines[engine] + engineapi.PathOrders)
+	if err != nil {
+		return st
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&st)
+	return st
+}
