--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	cost float64
 	// startBy is the latest time at which it may start.
 	startBy time.Time
+	// orderBy places it in the queue; it is never after startBy.
+	orderBy time.Time
 
 	endpoint   *endpoint
 	run        lengths.Run
@@ -26,13 +29,13 @@
 // density is the worth of the request per cost.
 func (it *item) density() float64 { return float64(it.req.Row.Weight) / max(it.cost, 1) }
 
-// before orders waiting requests: urgent ones first, then by startBy.
+// before orders waiting requests: urgent ones first, then by orderBy.
 func (it *item) before(other *item) bool {
 	if it.req.Urgent() != other.req.Urgent() {
 		return it.req.Urgent()
 	}
-	if !it.startBy.Equal(other.startBy) {
-		return it.startBy.Before(other.startBy)
+	if !it.orderBy.Equal(other.orderBy) {
+		return it.orderBy.Before(other.orderBy)
 	}
 	return it.req.ID < other.req.ID
 }
@@ -43,8 +46,34 @@
 	// cost sums the costs of items.
 	cost float64
 	rate drainRate
+	// typical is the mean logarithm of the density of requests that came and were
+	// not urgent, decaying; it is not a number until one has come.
+	typical float64
 }
 
+// place sets where a request stands in the queue. Without worth it is first in,
+// first out by startBy. With worth, a request that is worth more than usual per
+// cost counts as one that has less time to wait, down to leastPatience of it; so
+// every request is some day the first.
+func (q *queue) place(it *item, byWorth bool) {
+	it.orderBy = it.startBy
+	if !byWorth || it.req.Urgent() {
+		return
+	}
+	d := math.Log(it.density())
+	if math.IsNaN(q.typical) {
+		q.typical = d
+	}
+	q.typical += densitySmoothing * (d - q.typical)
+	patience := min(max(math.Exp(q.typical-d)/2, leastPatience), 1)
+	it.orderBy = it.req.Arrived.Add(time.Duration(patience * float64(it.req.Row.MaxQueueTime)))
+}
+
+const (
+	densitySmoothing = 0.02
+	leastPatience    = 0.1
+)
+
 func (q *queue) insert(it *item) {
 	i, _ := slices.BinarySearchFunc(q.items, it, func(a, b *item) int {
 		if a.before(b) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,8 @@
 	// DisplaceRatio is by how much a request must be worth more per cost than a
 	// waiting one that it displaces.
 	DisplaceRatio float64
+	// OrderByWorth lets requests that are worth more per cost go earlier.
+	OrderByWorth bool
 	// PriorHazard is what is assumed of output lengths while none are known; see
 	// package lengths.
 	PriorHazard float64
@@ -207,7 +210,7 @@
 func (s *Scheduler) queue(target string) *queue {
 	q := s.queues[target]
 	if q == nil {
-		q = &queue{}
+		q = &queue{typical: math.NaN()}
 		s.queues[target] = q
 	}
 	return q
@@ -228,6 +231,7 @@
 		return s.refusal(outcome.CodeQueueFull, wait, "%d requests of this kind wait already", r.Row.MaxQueued)
 	}
 	it := s.newItem(r)
+	q.place(it, s.cfg.OrderByWorth)
 	if err := s.admitToQueue(now, q, it); err != nil {
 		s.release(it)
 		return err
@@ -795,6 +799,7 @@
 func (s *Scheduler) Explain(now time.Time, r Request) Explanation {
 	it := s.newItem(r)
 	q := s.queue(r.Row.Target)
+	it.orderBy = it.startBy
 	s.snapshot(now, r.Row.Target)
 	out := Explanation{Projected: it.projection.Mean, Ahead: len(q.items)}
 	out.Wait, _ = q.wait(q.ahead(it))
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -6,7 +6,7 @@
 )
 
 // Current is the name of the version that the entries use.
-const Current = "v6"
+const Current = "v7"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
@@ -31,6 +31,7 @@
 		c.BorrowFill = 0.75
 	}},
 	{"v6", func(c *Config) { c.RateWarmUp = 4 * time.Second }},
+	{"v7", func(c *Config) { c.OrderByWorth = true }},
 }
 
 // Versions lists the names of the versions, the oldest first.
