--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -66,12 +66,15 @@
 	}
 	q.typical += densitySmoothing * (d - q.typical)
 	patience := min(max(math.Exp(q.typical-d)/2, leastPatience), 1)
+	// Whole steps keep requests that are alike in the order of their arrival.
+	patience = math.Round(patience/patienceStep) * patienceStep
 	it.orderBy = it.req.Arrived.Add(time.Duration(patience * float64(it.req.Row.MaxQueueTime)))
 }
 
 const (
 	densitySmoothing = 0.02
 	leastPatience    = 0.1
+	patienceStep     = 0.1
 )
 
 func (q *queue) insert(it *item) {
