Prefix-cache affinity tried, measured and reverted

The scorer that stood in the pipeline was never fed.

Change tried: a memory per endpoint of the prefixes sent there within a minute.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -84,6 +84,8 @@
 	order       int
 	preemptions int
 	cache       prefixCache
+	prompts     int
+	cached      int
 }
 
 // New makes an idle engine.
@@ -104,6 +106,10 @@
 	return Load{e.used, len(e.running), len(e.waiting), e.preemptions}
 }
 
+// CacheHits returns the prompt tokens processed so far, and how many of them were
+// found in the cache.
+func (e *Engine) CacheHits() (prompts, cached int) { return e.prompts, e.cached }
+
 // Idle reports whether there is nothing to do.
 func (e *Engine) Idle() bool { return len(e.running)+len(e.waiting) == 0 }
 
@@ -180,7 +186,10 @@
 		e.waiting = e.waiting[1:]
 		s.held = need - 1
 		e.used += s.held
-		s.prefillLeft = need - 1 - e.cache.use(s)
+		hit := e.cache.use(s)
+		e.prompts += need - 1
+		e.cached += hit
+		s.prefillLeft = need - 1 - hit
 		e.running = append(e.running, s)
 	}
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -24,6 +24,7 @@
 	{"long_stall_p99", func(r *Run) float64 { return r.LongStallP99 }},
 	{"long_gap_p99", func(r *Run) float64 { return r.LongGapP99 }},
 	{"memory_used%", func(r *Run) float64 { return 100 * r.MemoryUsed }},
+	{"cache_hits%", func(r *Run) float64 { return 100 * r.CacheHits }},
 	{"refused", func(r *Run) float64 { return float64(r.Refused) }},
 	{"refused_early", func(r *Run) float64 { return float64(r.RefusedEarly) }},
 	{"preemptions", func(r *Run) float64 { return float64(r.Preemptions) }},
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -67,6 +67,9 @@
 	// RefusedEarly counts requests refused within a second of their arrival.
 	RefusedEarly int
 
+	// CacheHits is the share of prompt tokens found in the engines' caches.
+	CacheHits float64
+
 	memory      float64
 	memoryCount int
 
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -187,6 +187,13 @@
 		s.now = e.at
 		e.do()
 	}
+	prompts, cached := 0, 0
+	for _, g := range s.engines {
+		p, c := g.model.CacheHits()
+		prompts += p
+		cached += c
+	}
+	s.result.CacheHits = float64(cached) / float64(max(prompts, 1))
 	s.result.finish()
 	return s.result
 }
@@ -272,7 +279,6 @@
 		Kind:         r.arrival.Kind.Name,
 		Row:          row,
 		PromptTokens: r.arrival.PromptTokens,
-		Prefix:       r.prefix,
 		Arrived:      r.arrived,
 	})
 	if err != nil {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -37,8 +37,6 @@
 	Fill float64
 	// Slowness is its time between tokens in relation to the others; 1 is usual.
 	Slowness float64
-	// Prefix is the share of the prompt expected in its cache, 0 to 1.
-	Prefix float64
 }
 
 // Filter drops candidates.
@@ -87,12 +85,6 @@
 	return 1 / max(c.Slowness, 1)
 }
 
-// Affinity prefers candidates that have the prompt's prefix cached.
-type Affinity struct{}
-
-// Score implements Scorer.
-func (Affinity) Score(_ *Request, c *Candidate) float64 { return c.Prefix }
-
 // Pipeline is a set of filters and scorers in their order.
 type Pipeline struct {
 	Filters []Filter
@@ -106,7 +98,7 @@
 func Default() Pipeline {
 	return Pipeline{
 		Filters: []Filter{Usable{}, Fitting{}},
-		Scorers: []Weighted{{Headroom{}, 1}, {Speed{}, 1}, {Affinity{}, 0.3}},
+		Scorers: []Weighted{{Headroom{}, 1}, {Speed{}, 1}},
 		Jitter:  0.15,
 	}
 }
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -49,8 +49,6 @@
 	Row       table.Row
 	// PromptTokens is the length of the prompt; zero for plain services.
 	PromptTokens int
-	// Prefix identifies the start of the prompt, for the engines' caches.
-	Prefix uint64
 	// Arrived is when the entry got the request.
 	Arrived time.Time
 	// Avoid is an endpoint that has failed the request, if any.
