One virtual clock, one place for TLS; controllers speak TLS to their entry

Cause: the event loop stood twice (experiment and proofs); with peer TLS set a controller could not reach the entry beside it.

Change: internal/virtualtime and internal/tlsconfig; the TLS test runs two controllers beside its entries.

Ruled out while testing: a controller that isn't the orderer logs nothing, so the test asks both.

--- a/cmd/bridgehoist-controller/main.go
+++ b/cmd/bridgehoist-controller/main.go
@@ -20,6 +20,10 @@
 	settings.Main(set, func() { cfg.Check(set) }, func() error {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
-		return controller.New(cfg, logging.New(os.Stderr, "controller", cfg.VM)).Run(ctx)
+		c, err := controller.New(cfg, logging.New(os.Stderr, "controller", cfg.VM))
+		if err != nil {
+			return err
+		}
+		return c.Run(ctx)
 	})
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -26,6 +26,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/platformapi"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 	"github.com/bridgehoist/bridgehoist/pkg/fencing"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
@@ -46,6 +47,7 @@
 	EntryPeer  string
 	Operator   string
 	PeerToken  string
+	PeerTLS    tlsconfig.Files
 	Every      time.Duration
 	MaxLoading int
 }
@@ -57,6 +59,7 @@
 	s.StringVar(&c.EntryPeer, "entry-peer", "", "IP:port of the peer listener of the entry on this VM")
 	s.StringVar(&c.Operator, "operator", "", "IP:port for operators: health and metrics")
 	s.StringVar(&c.PeerToken, "peer-token", "", "secret that all entries share")
+	c.PeerTLS.RegisterPeer(s)
 	s.DurationVar(&c.Every, "every", 2*time.Second, "interval of the reconciliation")
 	s.IntVar(&c.MaxLoading, "max-loading", 2, "engines of the data centre that load at once")
 }
@@ -67,6 +70,7 @@
 	s.NeedText("data-center", c.DataCenter)
 	s.NeedAddress("entry-peer", c.EntryPeer)
 	s.NeedAddress("operator", c.Operator)
+	c.PeerTLS.CheckPeer(s)
 	s.NeedDuration("every", c.Every, 10*time.Millisecond, time.Hour)
 	s.NeedInt("max-loading", c.MaxLoading, 1, 10_000)
 }
@@ -85,13 +89,18 @@
 }
 
 // New makes a controller from checked settings.
-func New(cfg Config, logger *log.Logger) *Controller {
-	client := &http.Client{Timeout: callTimeout}
+func New(cfg Config, logger *log.Logger) (*Controller, error) {
+	peerTLS, err := cfg.PeerTLS.Load()
+	if err != nil {
+		return nil, err
+	}
+	peers := tlsconfig.Client(peerTLS)
+	peers.Timeout = callTimeout
 	c := &Controller{
 		cfg:   cfg,
 		log:   logger,
-		entry: peerv1connect.NewPeerServiceClient(client, "http://"+cfg.EntryPeer),
-		http:  client,
+		entry: peerv1connect.NewPeerServiceClient(peers, tlsconfig.Scheme(peerTLS)+"://"+cfg.EntryPeer),
+		http:  &http.Client{Timeout: callTimeout},
 		fleet: register.New(func(b []byte) (*fleet.List, error) { return fleet.Parse(platformapi.Fleet, b) }),
 
 		registry: prometheus.NewRegistry(),
@@ -100,7 +109,7 @@
 		}, []string{"result"}),
 	}
 	c.registry.MustRegister(c.orders)
-	return c
+	return c, nil
 }
 
 // Run works until the context ends.
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -57,7 +58,26 @@
 
 type process struct {
 	cmd *exec.Cmd
-	log *bytes.Buffer
+	log *buffer
+}
+
+// buffer collects what a process logs, and can be read meanwhile.
+type buffer struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.data = append(b.data, p...)
+	return len(p), nil
+}
+
+func (p *process) text() string {
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	return string(p.log.data)
 }
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
@@ -143,7 +163,7 @@
 }
 
 func (c *cluster) start(name, binary string, args ...string) {
-	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: &bytes.Buffer{}}
+	p := &process{cmd: exec.Command(filepath.Join(binaries, binary), args...), log: &buffer{}}
 	p.cmd.Stderr = p.log
 	c.g.Expect(p.cmd.Start()).To(Succeed())
 	c.procs[name] = p
@@ -151,8 +171,8 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		_ = p.cmd.Wait()
-		if strings.Contains(p.log.String(), "invariant violated") || c.t.Failed() {
-			c.t.Errorf("%s:\n%s", name, p.log.String())
+		if strings.Contains(p.text(), "invariant violated") || c.t.Failed() {
+			c.t.Errorf("%s:\n%s", name, p.text())
 		}
 	})
 }
--- a/internal/e2e/more_test.go
+++ b/internal/e2e/more_test.go
@@ -71,6 +71,14 @@
 	c.g.Eventually(func() int { return len(c.status(0).Members) }, patience, "50ms").Should(Equal(1))
 	r := call{kind: "lining-check", prompt: prompt("tls ", 5), ticket: c.ticket(0)}
 	c.g.Expect(c.send(1, r).text).To(Equal(standin.Answer(r.prompt)))
+	// One of the two controllers learns, through its entry, that it is the orderer.
+	for i, e := range c.entries {
+		c.start(fmt.Sprint("controller-", i), "bridgehoist-controller", "-vm", e.vm, "-data-center", "hall", "-every", "50ms",
+			"-entry-peer", e.peer, "-operator", freePort(t), "-peer-token", "shared", "-peer-tls-ca", file("ca.crt"),
+			"-peer-tls-cert", file("peer.crt"), "-peer-tls-key", file("peer.key"))
+	}
+	c.g.Eventually(func() string { return c.procs["controller-0"].text() + c.procs["controller-1"].text() },
+		patience, "50ms").Should(ContainSubstring("mine=true"))
 	_, err := http.Get("http://" + c.entries[0].peer)
 	if err == nil {
 		_, err = http.Get("https://" + c.entries[0].peer)
@@ -131,7 +139,7 @@
 		p := c.procs[fmt.Sprint("controller-", i)]
 		p.signal(syscall.SIGTERM)
 		_ = p.cmd.Wait()
-		if strings.Contains(p.log.String(), "order given") {
+		if strings.Contains(p.text(), "order given") {
 			given++
 		}
 	}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 )
 
 // Config holds the settings of an entry.
@@ -20,27 +21,24 @@
 	Platform string
 	Policy   string
 
-	MaxBodyBytes    int
-	BodyTimeout     time.Duration
-	StallTimeout    time.Duration
-	ExchangeEvery   time.Duration
-	PollEvery       time.Duration
-	WatchWait       time.Duration
-	LookIn          time.Duration
-	DrainDelay      time.Duration
-	DrainTimeout    time.Duration
-	HandoverLinger  time.Duration
-	TicketValidity  time.Duration
-	MaxTickets      int
-	MaxAnswerBytes  int
-	SeedPeers       string
-	PeerToken       string
-	PeerNetworks    string
-	PeerTLSCert     string
-	PeerTLSKey      string
-	PeerTLSCA       string
-	OperatorTLSCert string
-	OperatorTLSKey  string
+	MaxBodyBytes   int
+	BodyTimeout    time.Duration
+	StallTimeout   time.Duration
+	ExchangeEvery  time.Duration
+	PollEvery      time.Duration
+	WatchWait      time.Duration
+	LookIn         time.Duration
+	DrainDelay     time.Duration
+	DrainTimeout   time.Duration
+	HandoverLinger time.Duration
+	TicketValidity time.Duration
+	MaxTickets     int
+	MaxAnswerBytes int
+	SeedPeers      string
+	PeerToken      string
+	PeerNetworks   string
+	PeerTLS        tlsconfig.Files
+	OperatorTLS    tlsconfig.Files
 
 	networks []netip.Prefix
 	seeds    []string
@@ -81,11 +79,8 @@
 	s.StringVar(&c.SeedPeers, "seed-peers", "", "IP:port,... of entries to ask at the start if the platform is away")
 	s.StringVar(&c.PeerToken, "peer-token", "", "secret that all entries share; empty trusts the peer network")
 	s.StringVar(&c.PeerNetworks, "peer-networks", privateNetworks, "networks in which owners of tickets are called")
-	s.StringVar(&c.PeerTLSCert, "peer-tls-cert", "", "certificate file for the peer listener and calls")
-	s.StringVar(&c.PeerTLSKey, "peer-tls-key", "", "key file for peer-tls-cert")
-	s.StringVar(&c.PeerTLSCA, "peer-tls-ca", "", "file of the authorities that sign peers' certificates")
-	s.StringVar(&c.OperatorTLSCert, "operator-tls-cert", "", "certificate file for the operator listener")
-	s.StringVar(&c.OperatorTLSKey, "operator-tls-key", "", "key file for operator-tls-cert")
+	c.PeerTLS.RegisterPeer(s)
+	c.OperatorTLS.RegisterOperator(s)
 }
 
 // Check records what is wrong with the settings.
@@ -103,9 +98,8 @@
 	c.checkDurations(s)
 	c.checkNetworks(s)
 	c.checkSeeds(s)
-	together(s, "peer-tls-cert", c.PeerTLSCert, "peer-tls-key", c.PeerTLSKey)
-	together(s, "peer-tls-cert", c.PeerTLSCert, "peer-tls-ca", c.PeerTLSCA)
-	together(s, "operator-tls-cert", c.OperatorTLSCert, "operator-tls-key", c.OperatorTLSKey)
+	c.PeerTLS.CheckPeer(s)
+	c.OperatorTLS.CheckOperator(s)
 }
 
 func (c *Config) checkPolicy(s *settings.Set) {
@@ -153,9 +147,3 @@
 		c.seeds = append(c.seeds, address)
 	}
 }
-
-func together(s *settings.Set, nameA, a, nameB, b string) {
-	if (a == "") != (b == "") {
-		s.Findf(nameA, "must be set together with -%s", nameB)
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/platform"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
@@ -80,7 +81,7 @@
 		traffic: &peering.Traffic{},
 	}
 	var err error
-	if e.peerTLS, err = peerTLS(&cfg); err != nil {
+	if e.peerTLS, err = cfg.PeerTLS.Load(); err != nil {
 		return nil, err
 	}
 	incarnation, secret := identity()
@@ -139,8 +140,8 @@
 	e.peers = peering.NewClient(peering.Config{
 		Beliefs:  e.beliefs,
 		Store:    e.store,
-		HTTP:     peerHTTP(e.peerTLS),
-		Scheme:   scheme(e.peerTLS),
+		HTTP:     tlsconfig.Client(e.peerTLS),
+		Scheme:   tlsconfig.Scheme(e.peerTLS),
 		Token:    e.cfg.PeerToken,
 		Networks: e.cfg.networks,
 		Traffic:  e.traffic,
@@ -312,7 +313,7 @@
 }
 
 func (e *Entry) listen() (*servers, error) {
-	opTLS, err := operatorTLS(&e.cfg)
+	opTLS, err := e.cfg.OperatorTLS.Load()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -107,7 +107,7 @@
 		with(allkiri("allkiri-crush"), func(sc *Scenario) { sc.Rate = 75 }),
 		with(himal("engine-reclaimed"), func(sc *Scenario) {
 			sc.Rate = 24
-			sc.Disturb = func(s *sim) { s.after(middle, func() { s.engines[0].reclaim() }) }
+			sc.Disturb = func(s *sim) { s.After(middle, func() { s.engines[0].reclaim() }) }
 		}),
 		with(himal("slow-engine"), func(sc *Scenario) {
 			sc.Rate = 16
@@ -122,12 +122,12 @@
 			sc.Rate = 18
 			sc.Entries, sc.DataCenters = 4, 2
 			sc.Disturb = func(s *sim) {
-				s.after(burst/3, func() { s.cut = true })
-				s.after(2*burst/3, func() { s.cut = false })
+				s.After(burst/3, func() { s.cut = true })
+				s.After(2*burst/3, func() { s.cut = false })
 			}
 		}),
 		with(allkiri("entry-lost"), func(sc *Scenario) {
-			sc.Disturb = func(s *sim) { s.after(middle, func() { s.entries[0].lose() }) }
+			sc.Disturb = func(s *sim) { s.After(middle, func() { s.entries[0].lose() }) }
 		}),
 	}
 	for i := range all {
@@ -150,7 +150,7 @@
 	g.gone = true
 	s := g.sim
 	for _, r := range g.running {
-		r.entry.policy.Finish(s.now, r.id, scheduler.Result{Failed: true, Generated: generated(r)})
+		r.entry.policy.Finish(s.Now(), r.id, scheduler.Result{Failed: true, Generated: generated(r)})
 		row, _ := s.sc.table().Lookup(r.arrival.Workspace, r.arrival.Kind.Name)
 		if row.Idempotent && r.record.FirstToken == 0 {
 			delete(r.entry.requests, r.id)
@@ -160,7 +160,7 @@
 		s.end(r, load.Incomplete)
 	}
 	clear(g.running)
-	s.after(noticeGone, func() {
+	s.After(noticeGone, func() {
 		for _, e := range s.entries {
 			e.policy.SetLeaving(g.spec.ID, true)
 		}
@@ -176,7 +176,7 @@
 		class := load.NotRun
 		if r.engine != nil {
 			class = load.Incomplete
-			s.after(noticeGone, func() { r.engine.drop(r) })
+			s.After(noticeGone, func() { r.engine.drop(r) })
 		}
 		s.end(r, class)
 	}
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -5,51 +5,24 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/enginemodel"
 	"github.com/bridgehoist/bridgehoist/internal/load"
+	"github.com/bridgehoist/bridgehoist/internal/virtualtime"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
-// event is something to be done at a time.
-type event struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].serial < h[j].serial
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // sim is one run of one policy.
 type sim struct {
+	*virtualtime.Loop
 	sc      Scenario
 	rng     *rand.Rand
 	start   time.Time
-	now     time.Time
-	events  eventHeap
-	serial  int
 	entries []*entry
 	engines []*engine
 	result  *Run
@@ -111,10 +84,10 @@
 func newSim(sc Scenario, p NamedPolicy, seed uint64) *sim {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	s := &sim{
+		Loop:   virtualtime.New(start),
 		sc:     sc,
 		rng:    rand.New(rand.NewPCG(seed, 2)),
 		start:  start,
-		now:    start,
 		result: &Run{Scenario: sc.Name, Policy: p.Name, Seed: seed},
 	}
 	var endpoints []fleet.Endpoint
@@ -156,24 +129,17 @@
 	}
 }
 
-func (s *sim) at(t time.Time, do func()) {
-	s.serial++
-	heap.Push(&s.events, event{t, s.serial, do})
-}
-
-func (s *sim) after(d time.Duration, do func()) { s.at(s.now.Add(d), do) }
-
 // run plays the arrivals and the scenario's disturbances to the end.
 func (s *sim) run(seed uint64) *Run {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	for _, a := range load.Plan(rng, s.sc.Kinds, s.sc.Rate, s.sc.Duration) {
 		s.sc.shift(&a)
 		prefix := rng.Uint64N(prefixGroups) + 1
-		s.at(s.start.Add(a.At), func() { s.arrive(a, prefix) })
+		s.At(s.start.Add(a.At), func() { s.arrive(a, prefix) })
 	}
-	s.every(sharesEvery, s.exchange)
-	s.every(time.Second, s.report)
-	s.every(tickEvery, func() {
+	s.Every(sharesEvery, s.exchange)
+	s.Every(time.Second, s.report)
+	s.Every(tickEvery, func() {
 		for _, e := range s.entries {
 			e.pump()
 		}
@@ -181,12 +147,7 @@
 	if s.sc.Disturb != nil {
 		s.sc.Disturb(s)
 	}
-	end := s.start.Add(s.sc.Duration + s.sc.drain())
-	for len(s.events) > 0 && s.events[0].at.Before(end) {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.do()
-	}
+	s.RunUntil(s.start.Add(s.sc.Duration + s.sc.drain()))
 	prompts, cached := 0, 0
 	for _, g := range s.engines {
 		p, c := g.model.CacheHits()
@@ -198,28 +159,19 @@
 	return s.result
 }
 
-func (s *sim) every(d time.Duration, f func()) {
-	var tick func()
-	tick = func() {
-		f()
-		s.after(d, tick)
-	}
-	s.after(d, tick)
-}
-
 // arrive hands a request to the next entry in turn, as the balancer does.
 func (s *sim) arrive(a load.Arrival, prefix uint64) {
 	e := s.nextEntry()
 	row, _ := s.sc.table().Lookup(a.Workspace, a.Kind.Name)
 	r := &request{
 		arrival:   a,
-		arrived:   s.now,
-		lastToken: s.now,
+		arrived:   s.Now(),
+		lastToken: s.Now(),
 		prefix:    prefix,
 		record:    load.Record{Kind: a.Kind.Name, Weight: a.Kind.Weight, Class: load.MayHaveRun},
 	}
 	s.result.requests = append(s.result.requests, r)
-	s.at(s.now.Add(row.Timeout), func() { s.timeout(r) })
+	s.At(s.Now().Add(row.Timeout), func() { s.timeout(r) })
 	e.submit(r)
 }
 
@@ -239,11 +191,11 @@
 	}
 	if r.engine != nil {
 		r.engine.drop(r)
-		r.entry.policy.Finish(s.now, r.id, scheduler.Result{Generated: generated(r)})
+		r.entry.policy.Finish(s.Now(), r.id, scheduler.Result{Generated: generated(r)})
 		s.end(r, load.Incomplete)
 		return
 	}
-	if r.entry.policy.Cancel(s.now, r.id) {
+	if r.entry.policy.Cancel(s.Now(), r.id) {
 		s.end(r, load.NotRun)
 	}
 }
@@ -257,7 +209,7 @@
 
 func (s *sim) end(r *request, c load.Class) {
 	r.done = true
-	r.ended = s.now
+	r.ended = s.Now()
 	r.record.Class = c
 	if r.entry != nil {
 		delete(r.entry.requests, r.id)
@@ -273,7 +225,7 @@
 	r.engine, r.seq = nil, nil
 	row, _ := e.sim.sc.table().Lookup(r.arrival.Workspace, r.arrival.Kind.Name)
 	e.requests[r.id] = r
-	err := e.policy.Submit(e.sim.now, scheduler.Request{
+	err := e.policy.Submit(e.sim.Now(), scheduler.Request{
 		ID:           r.id,
 		Workspace:    r.arrival.Workspace,
 		Kind:         r.arrival.Kind.Name,
@@ -295,7 +247,7 @@
 	if e.dead {
 		return
 	}
-	actions := e.policy.Next(e.sim.now)
+	actions := e.policy.Next(e.sim.Now())
 	for _, x := range actions.Refusals {
 		if r := e.requests[x.ID]; r != nil {
 			e.refuse(r, x.Err)
@@ -316,7 +268,7 @@
 	if target.spec.DataCenter != e.dc {
 		delay = remoteHop
 	}
-	s.after(delay, func() {
+	s.After(delay, func() {
 		if r.done {
 			return
 		}
@@ -331,10 +283,10 @@
 // notSent puts a request back that could not be sent.
 func (e *entry) notSent(r *request) {
 	s := e.sim
-	e.policy.Finish(s.now, r.id, scheduler.Result{Failed: true})
+	e.policy.Finish(s.Now(), r.id, scheduler.Result{Failed: true})
 	delete(e.requests, r.id)
 	r.engine = nil
-	s.after(refuseHop+50*time.Millisecond, func() {
+	s.After(refuseHop+50*time.Millisecond, func() {
 		if !r.done && !e.dead {
 			e.submit(r)
 		}
@@ -390,7 +342,7 @@
 	}
 	st := g.model.Step()
 	took := time.Duration(float64(st.Duration) * g.slowdown)
-	g.sim.after(took, func() {
+	g.sim.After(took, func() {
 		for _, q := range st.Progressed {
 			g.progress(q)
 		}
@@ -405,22 +357,22 @@
 		return
 	}
 	s := g.sim
-	gap := s.now.Sub(r.lastToken)
-	r.lastToken = s.now
+	gap := s.Now().Sub(r.lastToken)
+	r.lastToken = s.Now()
 	if r.record.FirstToken == 0 {
-		r.record.FirstToken = s.now.Sub(r.arrived)
+		r.record.FirstToken = s.Now().Sub(r.arrived)
 	} else {
 		r.record.Gaps = append(r.record.Gaps, gap)
 	}
 	if gap > stallGap {
 		r.record.Stall += gap
 	}
-	r.entry.policy.Progress(s.now, r.id, q.Generated())
+	r.entry.policy.Progress(s.Now(), r.id, q.Generated())
 	if q.Generated() < q.OutputTokens {
 		return
 	}
 	delete(g.running, q.ID)
-	r.entry.policy.Finish(s.now, r.id, scheduler.Result{Complete: true, Generated: q.Generated()})
+	r.entry.policy.Finish(s.Now(), r.id, scheduler.Result{Complete: true, Generated: q.Generated()})
 	s.end(r, load.Answered)
 	r.entry.pump()
 }
@@ -437,7 +389,7 @@
 				continue
 			}
 			late := time.Duration((0.2 + s.rng.Float64()) * float64(sharesEvery))
-			s.after(late, func() { to.hear(from, shares) })
+			s.After(late, func() { to.hear(from, shares) })
 		}
 	}
 	for _, e := range s.entries {
@@ -446,14 +398,14 @@
 }
 
 func (e *entry) hear(from *entry, shares []scheduler.Share) {
-	e.lastSeen[from.index] = e.sim.now
-	e.policy.SetShares(e.sim.now, fmt.Sprint(from.index), shares)
+	e.lastSeen[from.index] = e.sim.Now()
+	e.policy.SetShares(e.sim.Now(), fmt.Sprint(from.index), shares)
 }
 
 func (e *entry) forget() {
 	for i, at := range e.lastSeen {
-		if e.sim.now.Sub(at) > forgetShares {
-			e.policy.SetShares(e.sim.now, fmt.Sprint(i), nil)
+		if e.sim.Now().Sub(at) > forgetShares {
+			e.policy.SetShares(e.sim.Now(), fmt.Sprint(i), nil)
 			delete(e.lastSeen, i)
 		}
 	}
@@ -466,19 +418,19 @@
 			continue
 		}
 		l := g.model.Load()
-		if s.now.Sub(s.start) < s.sc.Duration {
+		if s.Now().Sub(s.start) < s.sc.Duration {
 			s.result.memory += float64(l.UsedTokens) / float64(g.spec.CapacityTokens)
 			s.result.memoryCount++
 		}
 		rep := scheduler.Report{
-			Endpoint: g.spec.ID, Incarnation: 1, At: s.now,
+			Endpoint: g.spec.ID, Incarnation: 1, At: s.Now(),
 			UsedTokens: l.UsedTokens, CapacityTokens: g.spec.CapacityTokens,
 			Running: l.Running, Waiting: l.Waiting, Preemptions: l.Preemptions,
 		}
-		s.after(s.sc.reportLag(), func() {
+		s.After(s.sc.reportLag(), func() {
 			for _, e := range s.entries {
 				if !s.cut || e.dc == g.spec.DataCenter {
-					e.policy.Report(s.now, rep)
+					e.policy.Report(s.Now(), rep)
 				}
 			}
 		})
--- a/internal/proof/atmostonce_test.go
+++ b/internal/proof/atmostonce_test.go
@@ -36,7 +36,7 @@
 // serve is the entry's side of an attempt, as package owner has it.
 func (n *node) serve(r *request, respond func(reply)) {
 	t, _ := claims.ParseTicket(r.ticket)
-	d := n.ledger.Begin(n.w.now, t, "ws", claims.DigestOf(r.answer()))
+	d := n.ledger.Begin(n.w.Now(), t, "ws", claims.DigestOf(r.answer()))
 	switch d.Action {
 	case claims.Forward:
 		n.forward(t, r, respond)
@@ -65,12 +65,12 @@
 }
 
 func (d directory) Holder(i claims.Incarnation) (string, bool) {
-	m, ok := d.n.view.Inheritor(d.n.w.now, i[:])
+	m, ok := d.n.view.Inheritor(d.n.w.Now(), i[:])
 	return m.Address, ok
 }
 
 func (d directory) Peer(vm string) (claims.Peer, bool) {
-	m, ok := d.n.view.Find(d.n.w.now, vm)
+	m, ok := d.n.view.Find(d.n.w.Now(), vm)
 	if !ok {
 		return claims.Peer{}, false
 	}
@@ -116,12 +116,12 @@
 		n.ledger.Undispatch(key)
 		n.finish(key, nil, outcome.NotRunf(outcome.CodeNoEndpoint, "refused before execution"))
 	case x < 0.3:
-		n.w.after(n.w.between(0, time.Second), func() { r.runs++ })
+		n.w.After(n.w.between(0, time.Second), func() { r.runs++ })
 		n.later(n.w.between(0, 2*time.Second), func() {
 			n.finish(key, nil, outcome.MayHaveRunf(outcome.CodeStalled, "reply lost"))
 		})
 	default:
-		n.w.after(n.w.between(0, time.Second), func() { r.runs++ })
+		n.w.After(n.w.between(0, time.Second), func() { r.runs++ })
 		n.later(n.w.between(time.Second, 3*time.Second), func() {
 			n.finish(key, &claims.Answer{Status: 200, Body: []byte(r.answer())}, nil)
 		})
@@ -129,7 +129,7 @@
 }
 
 func (n *node) finish(key claims.Key, a *claims.Answer, err *outcome.Error) {
-	n.ledger.Finish(n.w.now, key, a, err)
+	n.ledger.Finish(n.w.Now(), key, a, err)
 	rep := reply{err: err}
 	if a != nil {
 		rep.text = string(a.Body)
@@ -153,17 +153,17 @@
 		return
 	}
 	n.ledger.Freeze()
-	to, ok := n.view.Successor(n.w.now, refused)
+	to, ok := n.view.Successor(n.w.Now(), refused)
 	if !ok {
 		n.leave()
 		return
 	}
-	successor, _ := n.view.Find(n.w.now, to.VM)
-	msg := n.ledger.Export(n.w.now, successor.Record.GetIncarnation())
+	successor, _ := n.view.Find(n.w.Now(), to.VM)
+	msg := n.ledger.Export(n.w.Now(), successor.Record.GetIncarnation())
 	refused[to.VM] = true
 	answered := false
 	n.w.send(n.index, n.w.nodeAt(to.Address), func(p *node) {
-		err := p.ledger.Adopt(p.w.now, msg)
+		err := p.ledger.Adopt(p.w.Now(), msg)
 		if errors.Is(err, claims.ErrNotAddressed) {
 			return
 		}
@@ -190,13 +190,13 @@
 		r.State = peerv1.NodeState_NODE_STATE_LEFT
 		r.Inherited = nil
 	})
-	for _, m := range n.view.Members(n.w.now) {
+	for _, m := range n.view.Members(n.w.Now()) {
 		n.exchange(n.w.nodeAt(m.Address))
 	}
 	n.later(200*time.Millisecond, func() {
 		n.up = false
 		n.process++
-		n.w.after(n.w.between(0, 5*time.Second), n.boot)
+		n.w.After(n.w.between(0, 5*time.Second), n.boot)
 	})
 }
 
@@ -205,7 +205,7 @@
 	r := &request{id: id, outcomes: map[outcome.Outcome]int{}}
 	entry := w.nodes[w.rng.IntN(len(w.nodes))]
 	entry.handle(func(n *node) {
-		if t, ok := n.ledger.Mint(w.now, "ws"); ok {
+		if t, ok := n.ledger.Mint(w.Now(), "ws"); ok {
 			r.ticket = t
 		}
 	})
@@ -214,7 +214,7 @@
 	}
 	attempts := 1 + w.rng.IntN(4)
 	for range attempts {
-		w.after(w.between(0, 12*time.Second), func() { w.attempt(r) })
+		w.After(w.between(0, 12*time.Second), func() { w.attempt(r) })
 	}
 	return r
 }
@@ -242,14 +242,14 @@
 	case 0:
 		if n.up {
 			n.kill()
-			w.after(w.between(0, 8*time.Second), n.boot)
+			w.After(w.between(0, 8*time.Second), n.boot)
 		}
 	case 1, 2:
 		if n.up && !n.stopping {
 			n.handle((*node).stop)
 		}
 	case 3:
-		n.frozenUntil = w.now.Add(w.between(time.Second, 10*time.Second))
+		n.frozenUntil = w.Now().Add(w.between(time.Second, 10*time.Second))
 		w.counts["frozen"]++
 	case 4:
 		w.cut[[2]int{n.index, w.rng.IntN(len(w.nodes))}] = true
@@ -262,17 +262,17 @@
 	case 6:
 		clear(w.cut)
 	}
-	w.after(w.between(0, 3*time.Second), w.disturb)
+	w.After(w.between(0, 3*time.Second), w.disturb)
 }
 
 func runAtMostOnce(seed uint64, d time.Duration) (*world, []*request) {
 	w := newWorld(seed, 9)
 	w.loss, w.twice, w.delay = 0.05, 0.1, 20*time.Millisecond
 	w.run(3 * time.Second)
-	w.after(0, w.disturb)
+	w.After(0, w.disturb)
 	var all []*request
 	for at := time.Duration(0); at < d; at += 100 * time.Millisecond {
-		w.after(at, func() { all = append(all, w.call(len(all))) })
+		w.After(at, func() { all = append(all, w.call(len(all))) })
 	}
 	w.run(d + 40*time.Second)
 	for _, r := range all {
--- a/internal/proof/gossip_test.go
+++ b/internal/proof/gossip_test.go
@@ -12,14 +12,14 @@
 
 // allKnow runs until every node that is up holds for known, or the limit ends.
 func (w *world) allKnow(limit time.Duration, known func(*node) bool) (time.Duration, bool) {
-	start := w.now
-	for w.now.Sub(start) <= limit {
+	start := w.Now()
+	for w.Now().Sub(start) <= limit {
 		all := true
 		for _, n := range w.nodes {
 			all = all && (!n.up || known(n))
 		}
 		if all {
-			return w.now.Sub(start), true
+			return w.Now().Sub(start), true
 		}
 		w.run(100 * time.Millisecond)
 	}
@@ -154,7 +154,7 @@
 	w.platformDown = true
 	w.run(30 * time.Second)
 	for i, n := range off {
-		ticket, ok := n.ledger.Mint(w.now, "ws")
+		ticket, ok := n.ledger.Mint(w.Now(), "ws")
 		g.Expect(ok).To(BeTrue())
 		for _, at := range off {
 			got := make([]reply, 0, 1)
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -1,12 +1,12 @@
 package proof
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/virtualtime"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -15,11 +15,9 @@
 
 // world is virtual time, a faulty network, and the entries on it.
 type world struct {
-	rng    *rand.Rand
-	now    time.Time
-	events eventHeap
-	serial int
-	nodes  []*node
+	*virtualtime.Loop
+	rng   *rand.Rand
+	nodes []*node
 	// cut holds the one-way links that are down.
 	cut   map[[2]int]bool
 	loss  float64
@@ -33,34 +31,10 @@
 	counts            map[string]int
 }
 
-type event struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].serial < h[j].serial
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 func newWorld(seed uint64, size int) *world {
 	w := &world{
 		rng:    rand.New(rand.NewPCG(seed, 1)),
-		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		Loop:   virtualtime.New(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)),
 		cut:    map[[2]int]bool{},
 		delay:  5 * time.Millisecond,
 		counts: map[string]int{},
@@ -74,21 +48,8 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.events, event{w.now.Add(d), w.serial, do})
-}
-
-// run advances virtual time to the end of d.
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
+// run advances virtual time by d.
+func (w *world) run(d time.Duration) { w.RunUntil(w.Now().Add(d)) }
 
 func (w *world) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
@@ -112,7 +73,7 @@
 	}
 	for range copies {
 		late := time.Duration(w.rng.ExpFloat64() * float64(w.delay))
-		w.after(late, func() { w.nodes[to].handle(handle) })
+		w.After(late, func() { w.nodes[to].handle(handle) })
 	}
 }
 
@@ -158,7 +119,7 @@
 	n.stopping = false
 	n.frozenUntil = time.Time{}
 	// The VM's wall clock may have been set back.
-	n.epoch = uint64(n.w.now.UnixMilli()) - uint64(n.w.rng.IntN(20_000))
+	n.epoch = uint64(n.w.Now().UnixMilli()) - uint64(n.w.rng.IntN(20_000))
 	for i := range n.incarnation {
 		n.incarnation[i] = byte(n.w.rng.Uint32())
 	}
@@ -173,14 +134,14 @@
 	n.view.Seed(seeds)
 	n.table = register.New(checkTable)
 	n.drains = drain.New()
-	n.ledger = claims.New(n.w.now, claims.Config{
+	n.ledger = claims.New(n.w.Now(), claims.Config{
 		VM: n.vm, PeerAddress: n.address(), Incarnation: n.incarnation,
 		Secret: append([]byte("secret"), n.incarnation[:]...), Validity: 20 * time.Second, KeepFinished: 5 * time.Second,
 	})
 	n.followers = map[claims.Key][]func(reply){}
 	n.every(time.Second, n.gossip)
 	n.every(time.Second, n.readPlatform)
-	n.every(2*time.Second, func() { n.ledger.Expire(n.w.now) })
+	n.every(2*time.Second, func() { n.ledger.Expire(n.w.Now()) })
 }
 
 // every calls f for the life of this process; a frozen process calls it late.
@@ -191,14 +152,14 @@
 		if n.process != process || !n.up {
 			return
 		}
-		if n.w.now.Before(n.frozenUntil) {
-			n.w.after(n.frozenUntil.Sub(n.w.now), tick)
+		if n.w.Now().Before(n.frozenUntil) {
+			n.w.After(n.frozenUntil.Sub(n.w.Now()), tick)
 			return
 		}
 		f()
-		n.w.after(d, tick)
+		n.w.After(d, tick)
 	}
-	n.w.after(n.w.between(0, d), tick)
+	n.w.After(n.w.between(0, d), tick)
 }
 
 // handle runs a message in this process, or drops it if it is down.
@@ -206,9 +167,9 @@
 	if !n.up {
 		return
 	}
-	if n.w.now.Before(n.frozenUntil) {
+	if n.w.Now().Before(n.frozenUntil) {
 		process := n.process
-		n.w.after(n.frozenUntil.Sub(n.w.now), func() {
+		n.w.After(n.frozenUntil.Sub(n.w.Now()), func() {
 			if n.process == process {
 				n.handle(do)
 			}
@@ -221,7 +182,7 @@
 // later runs in this process after a while, unless it has died by then.
 func (n *node) later(d time.Duration, do func()) {
 	process := n.process
-	n.w.after(d, func() {
+	n.w.After(d, func() {
 		if n.process == process {
 			n.handle(func(*node) { do() })
 		}
@@ -242,7 +203,7 @@
 			r.Leaves = append(r.Leaves, &peerv1.Leave{Endpoint: l.Endpoint, Incarnation: l.Incarnation})
 		}
 	})
-	for _, c := range n.view.Round(n.w.now) {
+	for _, c := range n.view.Round(n.w.Now()) {
 		n.exchange(n.w.nodeAt(c.Address))
 	}
 }
@@ -250,14 +211,14 @@
 // exchange is what the daemons do over connect: digests, answer, push.
 func (n *node) exchange(to int) {
 	scope := n.view.ScopeWith(membership.Contact{DataCenter: n.w.nodes[to].dc})
-	digests, held := n.view.Digests(n.w.now, scope), n.held()
+	digests, held := n.view.Digests(n.w.Now(), scope), n.held()
 	n.w.send(n.index, to, func(p *node) {
-		p.view.Heard(p.w.now, digests)
-		a := p.view.Answer(p.w.now, digests, scope)
+		p.view.Heard(p.w.Now(), digests)
+		a := p.view.Answer(p.w.Now(), digests, scope)
 		theirs := p.held()
 		p.w.send(p.index, n.index, func(n *node) {
 			n.merge(a.Records)
-			n.view.Heard(n.w.now, a.Digests)
+			n.view.Heard(n.w.Now(), a.Digests)
 			n.offer(theirs)
 			push := n.view.Records(a.Wanted)
 			n.w.send(n.index, p.index, func(p *node) {
@@ -270,7 +231,7 @@
 
 func (n *node) merge(records []*peerv1.NodeRecord) {
 	news := false
-	for _, r := range n.view.Merge(n.w.now, records) {
+	for _, r := range n.view.Merge(n.w.Now(), records) {
 		for _, l := range r.GetLeaves() {
 			added := n.drains.Add(drain.Leave{Endpoint: l.GetEndpoint(), Incarnation: l.GetIncarnation()})
 			news = news || added
@@ -296,7 +257,7 @@
 		return
 	}
 	before := n.held()
-	_, _ = n.table.Offer(n.w.now, revision, fmt.Appendf(nil, "table %d", revision))
+	_, _ = n.table.Offer(n.w.Now(), revision, fmt.Appendf(nil, "table %d", revision))
 	if n.held() > before {
 		n.kick()
 	}
@@ -307,7 +268,7 @@
 
 func (n *node) readPlatform() {
 	w := n.w
-	if w.platformDown || !n.view.Assigned(w.now, "watch", 2) {
+	if w.platformDown || !n.view.Assigned(w.Now(), "watch", 2) {
 		return
 	}
 	if w.platformStale {
