--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -11,6 +11,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/filters/account"
 	"github.com/bridgehoist/bridgehoist/internal/filters/body"
+	"github.com/bridgehoist/bridgehoist/internal/filters/bound"
 	"github.com/bridgehoist/bridgehoist/internal/filters/claim"
 	"github.com/bridgehoist/bridgehoist/internal/filters/classify"
 	"github.com/bridgehoist/bridgehoist/internal/filters/identify"
@@ -28,6 +29,7 @@
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
 	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout)
+	run = bound.New(run, e.cfg.MaxOpen)
 	run = account.New(run, e.metrics.Observe)
 
 	var tickets http.Handler = http.HandlerFunc(e.tickets)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -22,6 +22,7 @@
 	Policy   string
 
 	MaxBodyBytes   int
+	MaxOpen        int
 	BodyTimeout    time.Duration
 	StallTimeout   time.Duration
 	ExchangeEvery  time.Duration
@@ -64,6 +65,7 @@
 	s.StringVar(&c.Platform, "platform", "", "http://IP:port of the configuration service")
 	s.StringVar(&c.Policy, "policy", PolicyScheduler, "scheduler, round-robin or least-in-flight")
 	s.IntVar(&c.MaxBodyBytes, "max-body-bytes", 1<<20, "largest body of a request")
+	s.IntVar(&c.MaxOpen, "max-open", 8192, "requests that are open at once")
 	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
 	s.DurationVar(&c.StallTimeout, "stall-timeout", 5*time.Second, "time without progress after which a stream's link is taken as lost")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", time.Second, "interval of the exchange with other entries")
@@ -93,6 +95,7 @@
 	s.NeedURL("platform", c.Platform)
 	c.checkPolicy(s)
 	s.NeedInt("max-body-bytes", c.MaxBodyBytes, 1, 64<<20)
+	s.NeedInt("max-open", c.MaxOpen, 1, 1_000_000)
 	s.NeedInt("max-tickets", c.MaxTickets, 1, 10_000_000)
 	s.NeedInt("max-answer-bytes", c.MaxAnswerBytes, 0, 1<<30)
 	c.checkDurations(s)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -244,7 +243,7 @@
 	var text strings.Builder
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEvent}) {
 		if err != nil {
-			return err
+			return cut(rec, err, text.String(), req.want)
 		}
 		if ev.Type == httpapi.EventError {
 			return streamError(rec, ev.Data, text.String(), req.want)
@@ -263,7 +262,18 @@
 		p.token()
 		text.WriteString(c.Choices[0].Text)
 	}
-	return io.ErrUnexpectedEOF
+	return errors.New("a clean end without the last event")
+}
+
+// cut is a connection that broke, as when the entry was killed. The caller can
+// tell that the answer isn't whole; what came must be a part of the right one.
+func cut(rec *Record, err error, got, want string) error {
+	if !strings.HasPrefix(want, got) {
+		return errors.New("a part of another answer")
+	}
+	rec.Class = Incomplete
+	rec.Code = err.Error()
+	return nil
 }
 
 func checkText(rec *Record, got, want string) error {
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -80,6 +80,7 @@
 	// Load.
 	CodeLimit     Code = "limit_reached"
 	CodeQueueFull Code = "queue_full"
+	CodeBusy      Code = "entry_busy"
 	CodeDeadline  Code = "deadline_unreachable"
 	CodeQueueTime Code = "queue_time_exceeded"
 	// Fleet.
