The scheduler in small files; a caller's max_tokens bounds the projection

Cause: reading as a newcomer: one file of 817 lines held the scheduler, another of 531 the membership; max_tokens was passed to the engine and not used to decide; a request that its policy had let go of without saying so would have blocked the dispatcher for ever when its caller left (no way to it was found; the wait is now without blocking).

Measured: the new test of the bound is red without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,7 +86,10 @@
 }
 
 func (d *Dispatcher) settle(id scheduler.ID, v verdict) {
-	ch := d.waiting[id]
+	ch, ok := d.waiting[id]
+	if !ok {
+		return
+	}
 	delete(d.waiting, id)
 	ch <- v
 }
@@ -128,10 +131,22 @@
 	now := time.Now()
 	if d.policy.Cancel(now, id) {
 		delete(d.waiting, id)
-	} else if v := <-ch; v.err == nil {
-		d.policy.Finish(now, id, scheduler.Result{})
-		d.pump(now)
+		return callerGone()
 	}
+	select {
+	case v := <-ch:
+		if v.err == nil {
+			d.policy.Finish(now, id, scheduler.Result{})
+			d.pump(now)
+		}
+	default:
+		// The policy has let go of the request, but not said so yet.
+		delete(d.waiting, id)
+	}
+	return callerGone()
+}
+
+func callerGone() *outcome.Error {
 	return outcome.NotRunf(outcome.CodeCallerGone, "the caller has gone or the time is up")
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,6 +108,7 @@
 		Workspace: j.Workspace,
 		Kind:      j.Kind,
 		Row:       j.Row,
+		MaxTokens: j.MaxTokens,
 		Arrived:   j.Arrived,
 		Avoid:     avoid,
 	}
--- a/pkg/lengths/lengths.go
+++ b/pkg/lengths/lengths.go
@@ -65,6 +65,20 @@
 	Variance Profile
 }
 
+// Bound returns the projection of a request whose output is bounded: beyond the
+// bound it holds nothing. A bound of zero is none.
+func (p Projection) Bound(generated, most int) Projection {
+	if most <= 0 {
+		return p
+	}
+	for i, h := range Horizons {
+		if i > 0 && float64(generated)+h > float64(most) {
+			p.Mean[i], p.Variance[i] = 0, 0
+		}
+	}
+	return p
+}
+
 const (
 	// bucketRatio is the ratio of neighbouring bucket bounds.
 	bucketRatio = 1.3
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -95,9 +95,6 @@
 	DefaultFanout       = 2
 )
 
-// allShare is the share of exchanges within a data centre that are of all nodes.
-const allShare = 0.05
-
 // WithDefaults fills what is not set.
 func (c Config) WithDefaults() Config {
 	c.SuspectAfter = cmp.Or(c.SuspectAfter, DefaultSuspectAfter)
@@ -182,31 +179,6 @@
 // Self returns the owner's record; the caller must not change it.
 func (v *View) Self() *peerv1.NodeRecord { return v.self }
 
-// Seed replaces the published entries.
-func (v *View) Seed(contacts []Contact) {
-	clear(v.seeds)
-	for _, c := range contacts {
-		if c.VM != v.cfg.VM {
-			v.seeds[c.VM] = c
-		}
-	}
-}
-
-// Seeds returns the published entries in the order of their names.
-func (v *View) Seeds() []Contact {
-	out := make([]Contact, 0, len(v.seeds))
-	for _, c := range v.seeds {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.VM, b.VM) })
-	return out
-}
-
-// payloadSteps is how many changes of mere payload go by before the record is
-// also passed to other data centres. A version is a multiple of it plus the
-// payload changes since.
-const payloadSteps = 16
-
 // Beat raises the owner's heartbeat, and its version if update has changed its
 // record.
 func (v *View) Beat(update func(*peerv1.NodeRecord)) {
@@ -226,24 +198,6 @@
 	v.self = next
 }
 
-// sameCore reports whether two records differ only in what matters within the
-// data centre: fills and usage.
-func sameCore(a, b *peerv1.NodeRecord) bool {
-	return a.GetState() == b.GetState() &&
-		slices.EqualFunc(a.GetInherited(), b.GetInherited(), bytes.Equal) &&
-		slices.EqualFunc(a.GetLeaves(), b.GetLeaves(), func(x, y *peerv1.Leave) bool { return proto.Equal(x, y) })
-}
-
-// rankVersion gives the version of a record by which an exchange of this scope goes.
-// With nodes of other data centres, changes of mere payload count only now and
-// then.
-func (v *View) rankVersion(r *peerv1.NodeRecord, version uint64, scope Scope) uint64 {
-	if scope != "" || r.GetDataCenter() == v.cfg.DataCenter {
-		return version
-	}
-	return version / payloadSteps
-}
-
 // Merge takes records from a peer and returns those that were news.
 func (v *View) Merge(now time.Time, records []*peerv1.NodeRecord) []*peerv1.NodeRecord {
 	var news []*peerv1.NodeRecord
@@ -319,110 +273,6 @@
 	return r.GetVersion() > than.GetVersion()
 }
 
-// Scope says which nodes an exchange is about: those of one data centre, or
-// all if it is empty.
-type Scope string
-
-func (s Scope) has(r *peerv1.NodeRecord) bool { return s == "" || r.GetDataCenter() == string(s) }
-
-// ScopeWith chooses the scope of an exchange with a peer.
-func (v *View) ScopeWith(c Contact) Scope {
-	if c.DataCenter != v.cfg.DataCenter || v.cfg.Chance() < allShare {
-		return ""
-	}
-	return Scope(v.cfg.DataCenter)
-}
-
-// Digests names all nodes of a scope that aren't dead, the owner first.
-func (v *View) Digests(now time.Time, scope Scope) *peerv1.Digests {
-	d := &peerv1.Digests{}
-	appendDigest(d, IDOf(v.self), v.heartbeat, v.self.GetVersion())
-	for _, n := range v.nodes {
-		if scope.has(n.record) && v.status(now, n) != Dead {
-			appendDigest(d, n.id, n.heartbeat, n.record.GetVersion())
-		}
-	}
-	return d
-}
-
-func appendDigest(d *peerv1.Digests, id ID, heartbeat, version uint64) {
-	d.Nodes = append(d.Nodes, uint64(id))
-	d.Heartbeats = append(d.Heartbeats, heartbeat)
-	d.Versions = append(d.Versions, version)
-}
-
-// Answer is what a peer's digests are answered with.
-type Answer struct {
-	// Digests of the nodes whose heartbeat is newer here.
-	Digests *peerv1.Digests
-	// Records that are newer here.
-	Records []*peerv1.NodeRecord
-	// Wanted are nodes that are newer there.
-	Wanted []uint64
-}
-
-type known struct{ heartbeat, version uint64 }
-
-// Answer compares a peer's digests with what is known within the same scope.
-func (v *View) Answer(now time.Time, theirs *peerv1.Digests, scope Scope) Answer {
-	out := Answer{Digests: &peerv1.Digests{}}
-	if len(theirs.GetHeartbeats()) != len(theirs.GetNodes()) || len(theirs.GetVersions()) != len(theirs.GetNodes()) {
-		return out
-	}
-	byID := make(map[ID]known, len(theirs.GetNodes()))
-	for i, id := range theirs.GetNodes() {
-		k := known{theirs.GetHeartbeats()[i], theirs.GetVersions()[i]}
-		byID[ID(id)] = k
-		if v.wants(ID(id), k.version, scope) {
-			out.Wanted = append(out.Wanted, id)
-		}
-	}
-	v.compare(&out, byID, IDOf(v.self), v.heartbeat, v.self, scope)
-	for _, n := range v.nodes {
-		if scope.has(n.record) && v.status(now, n) != Dead {
-			v.compare(&out, byID, n.id, n.heartbeat, n.record, scope)
-		}
-	}
-	return out
-}
-
-func (v *View) wants(id ID, version uint64, scope Scope) bool {
-	if id == IDOf(v.self) {
-		return false
-	}
-	n := v.byID[id]
-	if n == nil {
-		return true
-	}
-	return v.rankVersion(n.record, version, scope) > v.rankVersion(n.record, n.record.GetVersion(), scope)
-}
-
-func (v *View) compare(out *Answer, theirs map[ID]known, id ID, heartbeat uint64, r *peerv1.NodeRecord, scope Scope) {
-	k, ok := theirs[id]
-	if !ok || heartbeat > k.heartbeat {
-		appendDigest(out.Digests, id, heartbeat, r.GetVersion())
-	}
-	if !ok || v.rankVersion(r, r.GetVersion(), scope) > v.rankVersion(r, k.version, scope) {
-		out.Records = append(out.Records, r)
-	}
-}
-
-// Records returns the records of the named nodes.
-func (v *View) Records(ids []uint64) []*peerv1.NodeRecord {
-	var out []*peerv1.NodeRecord
-	own := IDOf(v.self)
-	for _, id := range ids {
-		if ID(id) == own {
-			out = append(out, v.self)
-			continue
-		}
-		if n := v.byID[ID(id)]; n != nil {
-			out = append(out, n.record)
-		}
-	}
-	return out
-}
-
 func (v *View) status(now time.Time, n *node) Status {
 	if n.record.GetState() == peerv1.NodeState_NODE_STATE_LEFT {
 		return Left
@@ -481,51 +331,3 @@
 		Record:  n.record,
 	}, true
 }
-
-// Round picks the peers to reconcile with now. Each round contacts Fanout
-// peers of the own data centre; one node of a data centre on average contacts
-// another data centre.
-func (v *View) Round(now time.Time) []Contact {
-	local, remote := v.contacts(now)
-	picked := v.pick(local, v.cfg.Fanout)
-	size := float64(len(local) + 1)
-	if len(remote) > 0 && v.cfg.Chance() < 1/size {
-		picked = append(picked, v.pick(remote, 1)...)
-	}
-	return picked
-}
-
-// contacts lists whom a round may reach: the members not known to have left,
-// and the published entries that nothing has been heard of. Dead members stay
-// on it, else the two sides of a healed cut would never meet again.
-func (v *View) contacts(now time.Time) (local, remote []Contact) {
-	add := func(c Contact) {
-		if c.DataCenter == v.cfg.DataCenter {
-			local = append(local, c)
-		} else {
-			remote = append(remote, c)
-		}
-	}
-	for _, m := range v.Members(now) {
-		if m.Status != Left {
-			add(m.Contact)
-		}
-	}
-	for _, s := range v.Seeds() {
-		if v.nodes[s.VM] == nil {
-			add(s)
-		}
-	}
-	return local, remote
-}
-
-func (v *View) pick(from []Contact, count int) []Contact {
-	from = slices.Clone(from)
-	var out []Contact
-	for len(out) < count && len(from) > 0 {
-		i := min(int(v.cfg.Chance()*float64(len(from))), len(from)-1)
-		out = append(out, from[i])
-		from = slices.Delete(from, i, i+1)
-	}
-	return out
-}
--- /dev/null
+++ b/pkg/scheduler/choose.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/routing"
+)
+
+// maxReported bounds the engines of other data centres that a decision looks at.
+const maxReported = 32
+
+// snapshot fills the candidates of a target with all but what depends on the
+// single request: its home endpoints, and a sample of the others, so that the
+// cost of a decision is bounded whatever the size of the fleet.
+func (s *Scheduler) snapshot(now time.Time, name string) {
+	t := s.target(name)
+	s.candidates = s.candidates[:0]
+	typical := s.typicalGap(now)
+	for _, e := range t.homes {
+		s.addCandidate(now, e, typical)
+	}
+	s.sample(now, t.local, sampleLocal, typical)
+	s.sample(now, t.remoteServices, sampleRemote, typical)
+	if !s.cfg.PeersFromReports {
+		s.sample(now, t.remoteEngines, sampleRemote, typical)
+		return
+	}
+	s.reported = slices.DeleteFunc(s.reported, func(e *endpoint) bool { return e.gone || !e.fresh(now) })
+	for _, e := range s.reported {
+		if slices.Contains(e.spec.Targets, name) {
+			s.addCandidate(now, e, typical)
+		}
+	}
+}
+
+func (s *Scheduler) sample(now time.Time, from []*endpoint, most int, typical float64) {
+	if len(from) == 0 {
+		return
+	}
+	count := min(len(from), most)
+	first := s.cfg.Rand.IntN(len(from))
+	stride := len(from) / count
+	for i := range count {
+		s.addCandidate(now, from[(first+i*stride)%len(from)], typical)
+	}
+}
+
+func (s *Scheduler) addCandidate(now time.Time, e *endpoint, typical float64) {
+	slowness := 1.0
+	if e.gap > 0 {
+		slowness = e.gap / typical
+	}
+	s.candidates = append(s.candidates, routing.Candidate{
+		Index:    e.index,
+		Serves:   true,
+		Leaving:  e.leaving,
+		Broken:   !e.breaker.Allow(now),
+		Local:    e.spec.DataCenter == s.cfg.DataCenter,
+		Slowness: slowness,
+	})
+}
+
+// fits says whether a candidate has room. One of another data centre must have
+// more of it, because what is known of its load is older. An idle local endpoint
+// takes any request, else one larger than the endpoint would wait for ever.
+func (s *Scheduler) fits(now time.Time, c *routing.Candidate, e *endpoint, it *item) bool {
+	if !c.Local && !s.cfg.PeersFromReports {
+		return c.Fill <= spillFill
+	}
+	if !c.Local {
+		return e.fresh(now) && c.Fill <= e.shared(spillFill)
+	}
+	if e.ownRunning+e.peersRunning == 0 {
+		return true
+	}
+	if !s.cfg.Parts || e.spec.CapacityTokens == 0 {
+		return c.Fill <= 1
+	}
+	if e.parts == 0 && s.cfg.PeersFromReports {
+		return c.Fill <= e.shared(s.cfg.BorrowFill)
+	}
+	if c.Fill <= s.cfg.BorrowFill {
+		return true
+	}
+	return c.Fill <= partFill && e.ownFill(&it.projection, it.req.Urgent(), s.room(0)) <= 1
+}
+
+func (s *Scheduler) room(extra float64) room {
+	return room{s.cfg.Margin, s.cfg.UrgentShare, extra}
+}
+
+func (s *Scheduler) choose(now time.Time, it *item) *endpoint {
+	// The request is a field, since it would escape to the heap with each call.
+	r := &s.request
+	*r = routing.Request{Urgent: it.req.Urgent(), Avoid: routing.None}
+	if e := s.byID[it.req.Avoid]; e != nil && len(s.candidates) > 1 {
+		r.Avoid = e.index
+	}
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		e := s.endpoints[c.Index]
+		c.Fill = e.fill(&it.projection, r.Urgent, s.room(e.extra(now)))
+		c.Fits = s.fits(now, c, e, it)
+	}
+	i := s.cfg.Pipeline.Choose(s.cfg.Rand, r, s.candidates)
+	if i != routing.None {
+		return s.endpoints[i]
+	}
+	if r.Urgent && s.cfg.UrgentOvercommit {
+		return s.leastFilled(r)
+	}
+	return nil
+}
+
+// leastFilled finds the least filled endpoint that has a place, local ones
+// first.
+func (s *Scheduler) leastFilled(r *routing.Request) *endpoint {
+	var best *routing.Candidate
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		e := s.endpoints[c.Index]
+		if !(routing.Usable{}).Keep(r, c) || c.Index == r.Avoid || e.places() > 1 {
+			continue
+		}
+		if best == nil || c.Local && !best.Local || c.Local == best.Local && c.Fill < best.Fill {
+			best = c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return s.endpoints[best.Index]
+}
--- /dev/null
+++ b/pkg/scheduler/config.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/lengths"
+	"github.com/bridgehoist/bridgehoist/pkg/routing"
+)
+
+// Config holds the settings of a Scheduler.
+type Config struct {
+	// DataCenter of the entry; its endpoints go first.
+	DataCenter string
+	// Margin is the headroom in standard deviations of the projected memory.
+	Margin float64
+	// UrgentShare is the part of each engine's memory held for urgent requests.
+	UrgentShare float64
+	// UrgentOvercommit sends an urgent request that fits nowhere to the least
+	// filled endpoint: the engine then pushes a long one aside for it.
+	UrgentOvercommit bool
+	// RateSmoothing is the weight of one new measurement of the drain rate.
+	RateSmoothing float64
+	// RateWarmUp is for how long requests must have waited before the drain rate
+	// is believed.
+	RateWarmUp time.Duration
+	// Recost makes the costs of waiting requests anew as lengths are learnt.
+	Recost bool
+	// DisplaceRatio is by how much a request must be worth more per cost than a
+	// waiting one that it displaces.
+	DisplaceRatio float64
+	// OrderByWorth lets requests that are worth more per cost go earlier.
+	OrderByWorth bool
+	// PriorHazard is what is assumed of output lengths while none are known; see
+	// package lengths.
+	PriorHazard float64
+	// Parts makes the entries split each endpoint's memory among its home
+	// entries; see SetHome.
+	Parts bool
+	// BorrowFill is the highest believed fill up to which an entry uses more of
+	// an endpoint than its own part.
+	BorrowFill float64
+	// PeersFromReports takes the others' work from the endpoints' load reports,
+	// so that entries need not tell each other.
+	PeersFromReports bool
+	// Pipeline chooses endpoints.
+	Pipeline routing.Pipeline
+	// Rand is the source of all randomness.
+	Rand *rand.Rand
+}
+
+// Defaults of Config.
+const (
+	DefaultMargin      = 1.0
+	DefaultUrgentShare = 0.1
+	// reprojectEvery is after how many tokens a projection is made anew.
+	reprojectEvery = 16
+	// defaultGap is the time between tokens assumed while nothing is known.
+	defaultGap = 25 * time.Millisecond
+	// Bounds and jitter of the time after which a refused caller may come back.
+	minRetryAfter    = 200 * time.Millisecond
+	maxRetryAfter    = time.Minute
+	retryAfterJitter = 0.25
+	// spillFill is the highest fill up to which an endpoint of another data
+	// centre gets work that no local one has room for.
+	spillFill = 0.6
+	// DefaultBorrowFill is that of version v4.
+	DefaultBorrowFill = 0.85
+	// partFill is the highest believed fill up to which it uses its own part.
+	partFill = 1.2
+	// DefaultRateSmoothing and DefaultDisplaceRatio are those of version v1.
+	DefaultRateSmoothing = 0.2
+	DefaultDisplaceRatio = 1.25
+)
+
+func (c Config) withDefaults() Config {
+	c.Margin = cmp.Or(c.Margin, DefaultMargin)
+	c.UrgentShare = cmp.Or(c.UrgentShare, DefaultUrgentShare)
+	c.BorrowFill = cmp.Or(c.BorrowFill, DefaultBorrowFill)
+	c.PriorHazard = cmp.Or(c.PriorHazard, lengths.PriorHazard)
+	c.RateSmoothing = cmp.Or(c.RateSmoothing, DefaultRateSmoothing)
+	c.DisplaceRatio = cmp.Or(c.DisplaceRatio, DefaultDisplaceRatio)
+	if c.Pipeline.Filters == nil {
+		c.Pipeline = routing.Default()
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return c
+}
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -49,6 +49,8 @@
 	Row       table.Row
 	// PromptTokens is the length of the prompt; zero for plain services.
 	PromptTokens int
+	// MaxTokens bounds the output, if the caller set it; zero is no bound.
+	MaxTokens int
 	// Arrived is when the entry got the request.
 	Arrived time.Time
 	// Avoid is an endpoint that has failed the request, if any.
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -19,11 +19,10 @@
 	// orderBy places it in the queue; it is never after startBy.
 	orderBy time.Time
 
-	endpoint   *endpoint
-	run        lengths.Run
-	generated  int
-	lastToken  time.Time
-	dispatched time.Time
+	endpoint  *endpoint
+	run       lengths.Run
+	generated int
+	lastToken time.Time
 }
 
 // density is the worth of the request per cost.
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -207,6 +207,17 @@
 		Expect(err.Code).To(Equal(outcome.CodeQueueFull))
 	})
 
+	It("counts on the bound that a caller sets", func() {
+		b := newBed(engineAt("e", "hall", 3_000))
+		b.submit(100, nil)
+		b.dispatched()
+		unbounded, _ := b.submit(1700, nil)
+		Expect(b.dispatched()).To(BeEmpty())
+		Expect(b.Cancel(b.now, unbounded)).To(BeTrue())
+		bounded, _ := b.submit(1700, func(r *scheduler.Request) { r.MaxTokens = 32 })
+		Expect(b.dispatched()).To(ConsistOf(bounded))
+	})
+
 	It("forgets a request whose caller has gone", func() {
 		b := newBed(engineAt("e", "hall", 2_000))
 		b.submit(1500, nil)
--- /dev/null
+++ b/pkg/scheduler/serve.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+// Next implements Policy.
+func (s *Scheduler) Next(now time.Time) Actions {
+	s.actions.Dispatches = s.actions.Dispatches[:0]
+	s.actions.Refusals = append(s.actions.Refusals[:0], s.displaced...)
+	s.displaced = s.displaced[:0]
+	for target, q := range s.queues {
+		if q.rate.measure(now, len(q.items) > 0, s.cfg.RateSmoothing, s.cfg.RateWarmUp) && s.cfg.Recost {
+			s.recost(q)
+		}
+		if len(q.items) > 0 {
+			s.serve(now, target, q)
+		}
+	}
+	return s.actions
+}
+
+// recost makes the costs and projections of waiting requests anew.
+func (s *Scheduler) recost(q *queue) {
+	q.cost = 0
+	for _, it := range q.items {
+		if it.req.PromptTokens > 0 {
+			it.projection = s.estimator.Project(lengthKey(&it.req), it.req.PromptTokens, 0).Bound(0, it.req.MaxTokens)
+			it.cost = s.cost(&it.req)
+		}
+		q.cost += it.cost
+	}
+}
+
+// serve goes through one queue in order. A request that doesn't fit holds back
+// those behind it that are not urgent; one over its own limit holds back none.
+func (s *Scheduler) serve(now time.Time, target string, q *queue) {
+	s.snapshot(now, target)
+	held := false
+	for i := 0; i < len(q.items); {
+		it := q.items[i]
+		if now.After(it.startBy) {
+			s.expire(q, i)
+			continue
+		}
+		if held && !it.req.Urgent() {
+			i++
+			continue
+		}
+		if !s.inFlight.Allows(limitKey(&it.req), it.req.Row.MaxInFlight) {
+			i++
+			continue
+		}
+		if err := s.hopeless(now, it); err != nil {
+			s.drop(q, i, err)
+			continue
+		}
+		e := s.choose(now, it)
+		if e == nil {
+			held = held || !it.req.Urgent()
+			i++
+			continue
+		}
+		q.removeAt(i)
+		q.drain(it.cost)
+		s.dispatch(now, it, e)
+	}
+}
+
+func (s *Scheduler) expire(q *queue, i int) {
+	wait, _ := q.wait(q.cost)
+	s.drop(q, i, s.refusal(outcome.CodeQueueTime, wait, "waited for %v", q.items[i].req.Row.MaxQueueTime))
+}
+
+func (s *Scheduler) drop(q *queue, i int, err *outcome.Error) {
+	it := q.items[i]
+	q.removeAt(i)
+	s.queued.Release(limitKey(&it.req))
+	s.actions.Refusals = append(s.actions.Refusals, Refusal{it.req.ID, err})
+	s.release(it)
+}
+
+// hopeless refuses a request that can't be expected to finish before its
+// timeout, so that its room serves one that can.
+func (s *Scheduler) hopeless(now time.Time, it *item) *outcome.Error {
+	if it.req.PromptTokens == 0 {
+		return nil
+	}
+	left := it.req.Arrived.Add(it.req.Row.Timeout).Sub(now)
+	need := time.Duration(s.steps(&it.req) * s.typicalGap(now) * float64(time.Second))
+	if need <= left {
+		return nil
+	}
+	return s.refusal(outcome.CodeDeadline, minRetryAfter, "about %v are needed, %v are left",
+		need.Round(time.Second), left.Round(time.Second))
+}
+
+// gapEvery is how often the typical gap is computed anew.
+const gapEvery = 200 * time.Millisecond
+
+// typicalGap is the mean time between tokens over the endpoints, in seconds.
+func (s *Scheduler) typicalGap(now time.Time) float64 {
+	if s.gap == 0 || now.Sub(s.gapAt) >= gapEvery {
+		s.gap = s.meanGap()
+		s.gapAt = now
+	}
+	return s.gap
+}
+
+func (s *Scheduler) meanGap() float64 {
+	sum, n := 0.0, 0
+	for _, e := range s.endpoints {
+		if e.gap > 0 {
+			sum += e.gap
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultGap.Seconds()
+	}
+	return sum / float64(n)
+}
+
+func (s *Scheduler) dispatch(now time.Time, it *item, e *endpoint) {
+	if e.leaving {
+		invariant.Check(false, invariant.NoNewWorkOnLeaving, "dispatch to %s", e.spec.ID)
+	}
+	s.queued.Release(limitKey(&it.req))
+	s.inFlight.Take(limitKey(&it.req), it.req.Row.MaxInFlight)
+	it.endpoint = e
+	it.generated = 0
+	it.lastToken = time.Time{}
+	it.run = s.estimator.Start(lengthKey(&it.req))
+	e.take(it, 1)
+	e.ownRunning++
+	e.breaker.Sent(now)
+	s.running[it.req.ID] = it
+	s.refreshCandidate(now, e)
+	s.actions.Dispatches = append(s.actions.Dispatches, Dispatch{it.req.ID, e.spec})
+}
+
+// refreshCandidate keeps a half-open breaker from letting a second probe
+// through in the same round.
+func (s *Scheduler) refreshCandidate(now time.Time, e *endpoint) {
+	for i := range s.candidates {
+		if s.candidates[i].Index == e.index {
+			s.candidates[i].Broken = !e.breaker.Allow(now)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/status.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/lengths"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/routing"
+)
+
+// EndpointStatus is what the scheduler believes of an endpoint, for operators.
+type EndpointStatus struct {
+	ID           string
+	Leaving      bool
+	Breaker      retry.BreakerState
+	Running      int
+	PeersRunning int
+	Projected    lengths.Profile
+	Capacity     int
+	Gap          time.Duration
+	ReportAge    time.Duration
+	Preemptions  int
+}
+
+// Status lists the endpoints as they are believed to be.
+func (s *Scheduler) Status(now time.Time) []EndpointStatus {
+	out := make([]EndpointStatus, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		st := EndpointStatus{
+			ID:           e.spec.ID,
+			Leaving:      e.leaving,
+			Breaker:      e.breaker.State(now),
+			Running:      e.ownRunning,
+			PeersRunning: e.peersRunning,
+			Projected:    e.own.Mean.Add(e.peers),
+			Capacity:     e.spec.CapacityTokens,
+			Gap:          time.Duration(e.gap * float64(time.Second)),
+			Preemptions:  e.report.Preemptions,
+		}
+		if !e.report.At.IsZero() {
+			st.ReportAge = now.Sub(e.report.At)
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// WaitingTargets lists the targets that requests wait for.
+func (s *Scheduler) WaitingTargets() []string {
+	var out []string
+	for name, q := range s.queues {
+		if len(q.items) > 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Waiting counts the requests that wait.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for _, q := range s.queues {
+		n += len(q.items)
+	}
+	return n
+}
+
+// Explanation says what the scheduler would do with a request now.
+type Explanation struct {
+	Projected  lengths.Profile
+	Ahead      int
+	Wait       time.Duration
+	Candidates []routing.Candidate
+	Reasons    []routing.Reason
+	IDs        []string
+}
+
+// Explain answers an operator's question; it changes nothing.
+func (s *Scheduler) Explain(now time.Time, r Request) Explanation {
+	it := s.newItem(r)
+	q := s.queue(r.Row.Target)
+	it.orderBy = it.startBy
+	s.snapshot(now, r.Row.Target)
+	out := Explanation{Projected: it.projection.Mean, Ahead: len(q.items)}
+	out.Wait, _ = q.wait(q.ahead(it))
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		e := s.endpoints[c.Index]
+		c.Fill = e.fill(&it.projection, r.Urgent(), s.room(e.extra(now)))
+		c.Fits = s.fits(now, c, e, it)
+		out.IDs = append(out.IDs, e.spec.ID)
+	}
+	out.Candidates = slices.Clone(s.candidates)
+	req := routing.Request{Urgent: r.Urgent(), Avoid: routing.None}
+	out.Reasons = s.cfg.Pipeline.Explain(&req, s.candidates)
+	return out
+}
