A new kind is not taken for short

The test showed more than a wrong number: the finite prior ends a quarter of outputs in each bucket from the first token on, so a kind that nothing is known of was expected to make about 4 tokens, and memory was not kept for it.

Change: below 64 tokens the prior ends 3% in a bucket.

--- a/pkg/lengths/lengths.go
+++ b/pkg/lengths/lengths.go
@@ -91,9 +91,12 @@
 	// workspace, and leanPrior how many the prior counts for in that of a kind.
 	lean      = 4
 	leanPrior = 1
-	// PriorHazard is the share of outputs that end in each bucket, as assumed
-	// while nothing is known. From 0.231 on the expected length is finite.
-	PriorHazard = 0.25
+	// PriorHazard is the share of outputs that end in each bucket from priorFrom
+	// tokens on, as assumed while nothing is known. From 0.231 on the expected
+	// length is finite. Before priorFrom few are assumed to end.
+	PriorHazard      = 0.25
+	priorFrom        = 64
+	priorHazardBelow = 0.03
 	// maxChanges to a settled group, one with so many requests, go by before its
 	// survival is computed anew.
 	maxChanges = 16
@@ -170,11 +173,18 @@
 	reached := g.reached[b] / g.weight
 	ended := g.ended[b] / g.weight
 	if g.parent == nil {
-		return min((ended+leanPrior*g.prior)/(reached+leanPrior), 1)
+		return min((ended+leanPrior*g.priorAt(b))/(reached+leanPrior), 1)
 	}
 	return min((ended+lean*g.parent.hazard(b))/(reached+lean), 1)
 }
 
+func (g *group) priorAt(b int) float64 {
+	if bounds[b] < priorFrom {
+		return priorHazardBelow
+	}
+	return g.prior
+}
+
 // survival returns the chance, by bucket bound, that an output is longer.
 func (g *group) survival() *[buckets + 1]float64 {
 	if g.changes == 0 || g.changes < maxChanges && g.reached[0] > settled*g.weight {
--- a/pkg/lengths/lengths_test.go
+++ b/pkg/lengths/lengths_test.go
@@ -72,3 +72,12 @@
 		g.Expect(p.Variance[i]).To(BeNumerically(">=", 0))
 	}
 }
+
+// TestANewKindIsNotTakenForShort: memory must be kept for what nothing is known
+// of.
+func TestANewKindIsNotTakenForShort(t *testing.T) {
+	g := NewWithT(t)
+	e := lengths.New(lengths.PriorHazard)
+	expected := e.Remaining(lengths.Key{Workspace: "w", Kind: "new"}, 0)
+	g.Expect(expected).To(And(BeNumerically(">", 60), BeNumerically("<", 1000)))
+}
