The race detector over processes, and ports that nobody else takes

Cause: make race ended red once: the platform stand-in of a test could not bind its port, since an outgoing connection had got it between its choice and its use.

Change: the tests take ports below the range of outgoing connections; make race builds the processes of e2e with the race detector and fails on its reports.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test demo lint generate soak mutants fuzz bench experiment capacity
+.PHONY: all build test demo lint generate soak mutants race fuzz bench experiment capacity
 
 all: build
 
@@ -36,6 +36,10 @@
 mutants:
 	bash scripts/mutants.sh
 
+# The tests with the race detector, also in the processes that e2e starts.
+race:
+	E2E_RACE=1 $(GO) test -race -count=1 ./...
+
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParse$$ -fuzztime $${FUZZTIME:-20s} ./pkg/table
 	$(GO) test -run '^$$' -fuzz FuzzParseChunk -fuzztime $${FUZZTIME:-20s} ./internal/engineclient
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -37,7 +37,11 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "github.com/bridgehoist/bridgehoist/cmd/...")
+	args := []string{"build", "-o", dir + "/"}
+	if os.Getenv("E2E_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "github.com/bridgehoist/bridgehoist/cmd/...")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -98,13 +102,30 @@
 
 type entryProcess struct{ vm, callers, peer, operator string }
 
+// Ports are taken below the range from which the kernel takes those of outgoing
+// connections (32768 and up on Linux): one of these could otherwise get a port
+// between its choice and its use.
+const (
+	firstPort = 23_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort + os.Getpid()%80*100
+
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func newCluster(t *testing.T, engines, entries int, extra ...string) *cluster {
@@ -171,7 +192,8 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		_ = p.cmd.Wait()
-		if strings.Contains(p.text(), "invariant violated") || c.t.Failed() {
+		broken := strings.Contains(p.text(), "invariant violated") || strings.Contains(p.text(), "DATA RACE")
+		if broken || c.t.Failed() {
 			c.t.Errorf("%s:\n%s", name, p.text())
 		}
 	})
