An entry that starts without the platform catches up before it is ready

Cause: reading as a newcomer: an entry that found neither platform nor peers at its start counted as caught up; when a replica of the platform came later, behind, it could become ready with an old table until its next exchange.

Ruled out: the test isn't red without the change, also with the peer's own calls stopped: the adoption of the list starts a round at once, which closes the window to some milliseconds. So this is proved as a property, not as a mended failure.

Change: start reads and catches up again until a fleet list is there. The retry budget of an endpoint also counts first attempts at plain services.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -44,7 +44,7 @@
 		now := time.Now()
 		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
 		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
-			pause(ctx, failurePause)
+			Pause(ctx, failurePause)
 			continue
 		}
 		lookedIn = now
@@ -53,7 +53,7 @@
 			wait = c.Wait
 		}
 		if !c.Read(ctx, wait) {
-			pause(ctx, failurePause)
+			Pause(ctx, failurePause)
 		}
 	}
 }
@@ -94,9 +94,12 @@
 	return out
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits, and returns false if the context ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- a/internal/controllers/controllers.go
+++ b/internal/controllers/controllers.go
@@ -68,7 +68,7 @@
 		select {
 		case <-c.Kicked:
 			c.round(ctx)
-			pause(ctx, minKick)
+			Pause(ctx, minKick)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/e2e/more_test.go
+++ b/internal/e2e/more_test.go
@@ -60,6 +60,40 @@
 	c.g.Expect(c.send(1, call{kind: "added", prompt: p}).text).To(Equal(standin.Answer(p)))
 }
 
+// TestStartFromAStaleReplica: an entry that starts while the platform is away, and
+// then reads a replica that is behind, isn't ready before it knows what its peer
+// knows.
+func TestStartFromAStaleReplica(t *testing.T) {
+	// The peer doesn't call by itself meanwhile.
+	c := newCluster(t, 1, 2, "-exchange-every", "1m")
+	c.procs["entry-1"].signal(syscall.SIGKILL)
+	c.waitExit("entry-1")
+	c.publishTable(tableText + "*,added,kiln-scribe,10,9,256,400,20s,30s,yes\n")
+	revision := func(i int) uint64 { return c.status(i).Values[0].Revision }
+	c.g.Eventually(func() uint64 { return revision(0) }, patience, "50ms").Should(BeNumerically(">", 2))
+
+	replica := freePort(t)
+	c.platform = replica
+	c.startEntry(1)
+	c.g.Eventually(func() string { return c.procs["entry-1"].text() }, patience, "20ms").Should(ContainSubstring("started"))
+	sleepMS(500)
+	dir := t.TempDir()
+	list, err := json.Marshal(c.list)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.write(filepath.Join(dir, "fleet"), list)
+	c.write(filepath.Join(dir, "table"), []byte(tableText))
+	c.start("replica", "bridgehoist-standin", "platform", "-listen", replica,
+		"-fleet", filepath.Join(dir, "fleet"), "-table", filepath.Join(dir, "table"))
+	ready := func() bool {
+		st := c.status(1)
+		if st.Ready {
+			c.g.Expect(st.Values[0].Revision).To(Equal(revision(0)), "ready with a stale table")
+		}
+		return st.Ready
+	}
+	c.g.Eventually(ready, patience, "5ms").Should(BeTrue())
+}
+
 // TestPeersUnderTLS runs entries with mutual TLS and a shared token between them.
 func TestPeersUnderTLS(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	idleTimeout        = 2 * time.Minute
 	housekeepingEvery  = 5 * time.Second
 	catchupTimeout     = 3 * time.Second
+	catchupPause       = 500 * time.Millisecond
 	secretBytes        = 32
 	maxHeaderBytes     = 32 << 10
 	farewellTimeout    = 2 * time.Second
@@ -284,12 +285,13 @@
 }
 
 // start reads the platform, catches up with the peers, and only then lets the
-// entry become ready.
+// entry become ready. As long as no fleet list is there, nobody can be asked, so
+// it begins again: a replica of the platform that comes late may be behind.
 func (e *Entry) start(ctx context.Context) {
-	e.config.Read(ctx, 0)
-	catchup, cancel := context.WithTimeout(ctx, catchupTimeout)
-	e.exchange.Catchup(catchup, e.cfg.DataCenter)
-	cancel()
+	e.catchUp(ctx)
+	for e.store.Fleet() == nil && controllers.Pause(ctx, catchupPause) {
+		e.catchUp(ctx)
+	}
 	e.caughtUp.Store(true)
 	var loops sync.WaitGroup
 	for _, c := range e.controllers() {
@@ -298,6 +300,13 @@
 	loops.Wait()
 }
 
+func (e *Entry) catchUp(ctx context.Context) {
+	e.config.Read(ctx, 0)
+	ctx, cancel := context.WithTimeout(ctx, catchupTimeout)
+	defer cancel()
+	e.exchange.Catchup(ctx, e.cfg.DataCenter)
+}
+
 func (e *Entry) controllers() []controllers.Controller {
 	return []controllers.Controller{
 		e.exchange,
--- a/internal/runner/generate.go
+++ b/internal/runner/generate.go
@@ -36,7 +36,6 @@
 // generate runs a request at an engine, resuming the same generation whenever
 // the link is lost.
 func (r *Runner) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) ending {
-	r.budgets.firstAt(grant.Endpoint.ID)
 	g := &generation{r: r, j: j, sink: sink, grant: grant, last: time.Now()}
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -125,6 +125,9 @@
 		return outcome.MayHaveRunf(outcome.CodeStopping, "a second run was prevented"), false
 	}
 	st.runs++
+	if st.runs == 1 {
+		r.budgets.firstAt(grant.Endpoint.ID)
+	}
 	var end ending
 	if grant.Endpoint.Type == fleet.Engine {
 		end = r.generate(ctx, j, sink, grant)
