--- /dev/null
+++ b/pkg/register/example_test.go
@@ -0,0 +1,20 @@
+package register_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+)
+
+func ExampleRegister() {
+	r := register.New(func(b []byte) (string, error) { return string(b), nil })
+	now := time.Now()
+	fmt.Println(r.Offer(now, 7, []byte("new")))
+	fmt.Println(r.Offer(now, 6, []byte("late")))
+	fmt.Println(r.Current().Value)
+	// Output:
+	// adopted <nil>
+	// stale <nil>
+	// new
+}
--- /dev/null
+++ b/pkg/routing/example_test.go
@@ -0,0 +1,21 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/bridgehoist/bridgehoist/pkg/routing"
+)
+
+func ExamplePipeline() {
+	p := routing.Default()
+	p.Jitter = 0
+	candidates := []routing.Candidate{
+		{Index: 0, Serves: true, Local: true, Fits: true, Fill: 0.9, Slowness: 1},
+		{Index: 1, Serves: true, Local: true, Fits: true, Fill: 0.4, Slowness: 1},
+		{Index: 2, Serves: true, Local: true, Fits: true, Leaving: true},
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	fmt.Println(p.Choose(rng, &routing.Request{Avoid: routing.None}, candidates))
+	// Output: 1
+}
