--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -178,8 +178,10 @@
 
 // Event is one chunk of a stream; Usage comes with the last.
 type Event struct {
-	Chunk stream.Chunk
-	Usage *engineapi.Usage
+	// RequestID is the attempt that the engine says it answers.
+	RequestID string
+	Chunk     stream.Chunk
+	Usage     *engineapi.Usage
 }
 
 // Each calls handle for each event until it returns false or the stream ends.
@@ -212,7 +214,7 @@
 	if c.RequestID != s.requestID {
 		return Event{}, errors.New("chunk of another request")
 	}
-	out := Event{Usage: c.Usage, Chunk: stream.Chunk{
+	out := Event{RequestID: c.RequestID, Usage: c.Usage, Chunk: stream.Chunk{
 		Generation: stream.Generation{Endpoint: s.Generation.Endpoint, Incarnation: c.Incarnation, ID: c.ID},
 		Index:      c.Index,
 		Text:       c.Choices[0].Text,
--- /dev/null
+++ b/internal/filters/body/body_test.go
@@ -0,0 +1,57 @@
+package body
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+)
+
+// serve runs the filter before a handler that counts what reaches it.
+func serve(t *testing.T, reached *int) *httptest.Server {
+	next := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { *reached += len(job.From(r).Body) })
+	filter := New(next, 100, 200*time.Millisecond)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		filter.ServeHTTP(w, job.With(r, &job.Job{}))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestSlowSenderIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	reached := 0
+	s := serve(t, &reached)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nonly a part")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+	g.Expect(resp.Header.Get(httpapi.HeaderOutcome)).To(Equal("not_run"))
+	g.Expect(reached).To(BeZero())
+}
+
+func TestBounds(t *testing.T) {
+	g := NewWithT(t)
+	reached := 0
+	s := serve(t, &reached)
+	for size, status := range map[int]int{100: http.StatusOK, 101: http.StatusRequestEntityTooLarge} {
+		resp, err := http.Post(s.URL, "", strings.NewReader(strings.Repeat("x", size)))
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		g.Expect(resp.StatusCode).To(Equal(status))
+	}
+	g.Expect(reached).To(Equal(100))
+}
--- a/internal/runner/generate.go
+++ b/internal/runner/generate.go
@@ -13,6 +13,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
 )
@@ -121,6 +122,10 @@
 
 // take handles one event; false ends the link.
 func (g *generation) take(e engineclient.Event) bool {
+	if e.RequestID != g.j.RequestID {
+		invariant.Check(false, invariant.OwnAnswer, "chunk for %s reached %s", e.RequestID, g.j.RequestID)
+		return false
+	}
 	switch g.asm.Accept(e.Chunk) {
 	case stream.Deliver:
 	case stream.Duplicate:
--- a/pkg/limits/limits_test.go
+++ b/pkg/limits/limits_test.go
@@ -87,3 +87,23 @@
 	c.SetPeer("gone", nil)
 	g.Expect(c.Allows(key, 20)).To(BeTrue())
 }
+
+// TestManySmallUsesAreSeen: many entries with one each must not add up unseen.
+func TestManySmallUsesAreSeen(t *testing.T) {
+	g := NewWithT(t)
+	const entries, limit = 100, 64
+	all := make([]*limits.Counter, entries)
+	for i := range all {
+		all[i] = limits.New()
+		all[i].SetEntries(entries)
+	}
+	taken := 0
+	for _, c := range all {
+		if c.Allows(key, limit) {
+			c.Take(key, limit)
+			taken++
+		}
+		tell(all, 1)
+	}
+	g.Expect(taken).To(Equal(limit))
+}
--- a/pkg/membership/assign.go
+++ b/pkg/membership/assign.go
@@ -44,6 +44,7 @@
 	return n
 }
 
+// Rank gives the rank of a VM for a job in rendezvous hashing; the highest does it.
 func Rank(job, vm string) uint64 { return xxhash.Sum64String(job + "\x00" + vm) }
 
 // Successor picks the entry that takes over the owner's tickets: the live one
