--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -182,45 +182,6 @@
 	}
 }
 
-func (e *Entry) registerGauges() {
-	e.metrics.Gauge("table_age_seconds", "Time since the table in force was adopted.", func() float64 {
-		if h := e.store.Table(); h != nil {
-			return metrics.Age(h.Since)
-		}
-		return metrics.Age(time.Time{})
-	})
-	e.metrics.Gauge("table_revision", "Revision of the table in force.", func() float64 {
-		if h := e.store.Table(); h != nil {
-			return float64(h.Revision)
-		}
-		return 0
-	})
-	e.metrics.Gauge("fleet_age_seconds", "Time since the fleet list in force was adopted.", func() float64 {
-		if h := e.store.Fleet(); h != nil {
-			return metrics.Age(h.Since)
-		}
-		return metrics.Age(time.Time{})
-	})
-	e.metrics.Gauge("ready", "1 if the entry is ready.", func() float64 {
-		if e.ready() {
-			return 1
-		}
-		return 0
-	})
-	e.metrics.Gauge("ticket_records", "Records of used tickets.", func() float64 {
-		_, records := e.owner.Stats()
-		return float64(records)
-	})
-	e.metrics.Total("exchange_bytes_total", "Bytes exchanged with other entries, both ways.", func() float64 {
-		_, bytes := e.traffic.Totals()
-		return float64(bytes)
-	})
-	e.metrics.Total("exchange_messages_total", "Messages exchanged with other entries, both ways.", func() float64 {
-		messages, _ := e.traffic.Totals()
-		return float64(messages)
-	})
-}
-
 func (e *Entry) newRequestID() string { return uuid.NewString() }
 
 // onLeave, onValue and onViolation log changes of state.
