Read once more: dead state, twins and a repeated hash mended

Cause, found by reading the whole change: the scheduler kept a profile of urgent work that nothing read, on the path of every token group; the projection loop stood twice, and so did the rating of candidates (to choose, to explain); an entry hashed its own identity once per digest it received; the proofs imitated the peers' directory instead of using it; the refusal without a ticket and the choice of free ports each stood twice, the second one in its old, racy form in the benchmarks.

Change: one piece of code for each; Scheduler.Lengths, unused, is gone. Behaviour stays, no test's assertion is changed.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -20,6 +20,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/load"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
@@ -102,36 +103,10 @@
 
 type entryProcess struct{ vm, callers, peer, operator string }
 
-// Ports are taken below the range from which the kernel takes those of outgoing
-// connections (32768 and up on Linux): one of these could otherwise get a port
-// between its choice and its use.
-const (
-	firstPort = 23_000
-	lastPort  = 32_000
-)
-
-var nextPort = firstPort + os.Getpid()%80*100
-
-func freePort(t *testing.T) string {
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
 func newCluster(t *testing.T, engines, entries int, extra ...string) *cluster {
-	c := &cluster{t: t, g: NewWithT(t), procs: map[string]*process{}, platform: freePort(t), service: freePort(t), extra: extra}
+	c := &cluster{t: t, g: NewWithT(t), procs: map[string]*process{}, platform: freeport.Address(t), service: freeport.Address(t), extra: extra}
 	for i := range engines {
-		address := freePort(t)
+		address := freeport.Address(t)
 		c.engines = append(c.engines, address)
 		c.list.Endpoints = append(c.list.Endpoints, fleet.Endpoint{
 			ID: fmt.Sprintf("engine-%d", i), Type: fleet.Engine, DataCenter: "hall", Address: address,
@@ -147,7 +122,7 @@
 	sum := sha256.Sum256([]byte(load.APIKey("ws")))
 	c.list.Workspaces = []fleet.Workspace{{Name: "ws", KeysSHA256: []string{hex.EncodeToString(sum[:])}}}
 	for i := range entries {
-		e := entryProcess{fmt.Sprintf("entry-%d", i), freePort(t), freePort(t), freePort(t)}
+		e := entryProcess{fmt.Sprintf("entry-%d", i), freeport.Address(t), freeport.Address(t), freeport.Address(t)}
 		c.entries = append(c.entries, e)
 		c.list.VMs = append(c.list.VMs, fleet.VM{ID: e.vm, Role: fleet.RoleEntry, DataCenter: "hall", Peer: e.peer, State: fleet.Live})
 	}
--- a/internal/e2e/more_test.go
+++ b/internal/e2e/more_test.go
@@ -21,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/standin"
 )
 
@@ -72,7 +73,7 @@
 	revision := func(i int) uint64 { return c.status(i).Values[0].Revision }
 	c.g.Eventually(func() uint64 { return revision(0) }, patience, "50ms").Should(BeNumerically(">", 2))
 
-	replica := freePort(t)
+	replica := freeport.Address(t)
 	c.platform = replica
 	c.startEntry(1)
 	c.g.Eventually(func() string { return c.procs["entry-1"].text() }, patience, "20ms").Should(ContainSubstring("started"))
@@ -108,7 +109,7 @@
 	// One of the two controllers learns, through its entry, that it is the orderer.
 	for i, e := range c.entries {
 		c.start(fmt.Sprint("controller-", i), "bridgehoist-controller", "-vm", e.vm, "-data-center", "hall", "-every", "50ms",
-			"-entry-peer", e.peer, "-operator", freePort(t), "-peer-token", "shared", "-peer-tls-ca", file("ca.crt"),
+			"-entry-peer", e.peer, "-operator", freeport.Address(t), "-peer-token", "shared", "-peer-tls-ca", file("ca.crt"),
 			"-peer-tls-cert", file("peer.crt"), "-peer-tls-key", file("peer.key"))
 	}
 	c.g.Eventually(func() string { return c.procs["controller-0"].text() + c.procs["controller-1"].text() },
@@ -156,7 +157,7 @@
 	c := newCluster(t, 2, 2)
 	for i := range c.entries {
 		c.start(fmt.Sprint("controller-", i), "bridgehoist-controller", "-vm", c.entries[i].vm, "-data-center", "hall",
-			"-entry-peer", c.entries[i].peer, "-operator", freePort(t), "-every", "100ms")
+			"-entry-peer", c.entries[i].peer, "-operator", freeport.Address(t), "-every", "100ms")
 	}
 	for i := range c.engines {
 		c.list.Endpoints[i].Desired = []string{"kiln-scribe", "lexmodel"}
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/logging"
 	"github.com/bridgehoist/bridgehoist/internal/platformapi"
@@ -48,19 +48,10 @@
 	}))
 }
 
-func freeAddress(tb testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // startEntry runs an entry before one engine and returns its callers' address.
 func startEntry(tb testing.TB, engine string) string {
 	sum := sha256.Sum256([]byte("key"))
-	peer := freeAddress(tb)
+	peer := freeport.Address(tb)
 	list, _ := json.Marshal(fleet.List{
 		VMs: []fleet.VM{{ID: "e", Role: fleet.RoleEntry, DataCenter: "hall", Peer: peer, State: fleet.Live}},
 		Endpoints: []fleet.Endpoint{{ID: "engine", Type: fleet.Engine, DataCenter: "hall", Address: engine, Targets: []string{"m"},
@@ -77,7 +68,7 @@
 	cfg := Config{}
 	set := settings.New("test")
 	cfg.Register(set)
-	args := []string{"-vm", "e", "-data-center", "hall", "-listen", freeAddress(tb), "-peer", peer, "-operator", freeAddress(tb),
+	args := []string{"-vm", "e", "-data-center", "hall", "-listen", freeport.Address(tb), "-peer", peer, "-operator", freeport.Address(tb),
 		"-platform", platform.URL, "-drain-delay", "0s", "-handover-linger", "0s"}
 	if err := set.Read(args); err != nil {
 		tb.Fatal(err)
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -87,7 +87,7 @@
 		out.Tickets = append(out.Tickets, t)
 	}
 	if len(out.Tickets) == 0 {
-		respond.Refuse(w, r, outcome.NotRunf(outcome.CodeStopping, "no ticket can be given now").After(2*time.Second))
+		respond.Refuse(w, r, claim.NoTicket())
 		return
 	}
 	w.Header().Set("Content-Type", httpapi.ContentJSON)
--- a/internal/filters/claim/claim.go
+++ b/internal/filters/claim/claim.go
@@ -41,14 +41,18 @@
 // with. A key that the caller made up can't tell a first attempt from a repeat.
 func askForTicket(w http.ResponseWriter, r *http.Request, o *owner.Owner, j *job.Job) {
 	if !giveTicket(w, o, j) {
-		err := outcome.NotRunf(outcome.CodeStopping, "no ticket can be given now").After(retryAfterFull)
-		respond.Refuse(w, r, err)
+		respond.Refuse(w, r, NoTicket())
 		return
 	}
 	respond.Refuse(w, r, outcome.NotRunf(outcome.CodeTicketRequired,
 		"kind %q may not be repeated: send the request with the %s given here", j.Kind, httpapi.HeaderTicket))
 }
 
+// NoTicket refuses a caller that needs a ticket while none can be given.
+func NoTicket() *outcome.Error {
+	return outcome.NotRunf(outcome.CodeStopping, "no ticket can be given now").After(retryAfterFull)
+}
+
 func giveTicket(w http.ResponseWriter, o *owner.Owner, j *job.Job) bool {
 	ticket, ok := o.Mint(j.Workspace)
 	if ok {
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -237,26 +237,26 @@
 		return s, nil
 	}
 	c.cfg.Beliefs.View(func(v *membership.View) {
-		address, err = claims.Route(t, directory{v, time.Now()}, c.allowed)
+		address, err = claims.Route(t, Directory{v, time.Now()}, c.allowed)
 	})
 	return address, err
 }
 
-// directory is the membership view as package claims asks it.
-type directory struct {
-	view *membership.View
-	now  time.Time
+// Directory is a membership view as package claims asks it.
+type Directory struct {
+	View *membership.View
+	Now  time.Time
 }
 
 // Holder implements claims.Directory.
-func (d directory) Holder(i claims.Incarnation) (string, bool) {
-	m, ok := d.view.Inheritor(d.now, i[:])
+func (d Directory) Holder(i claims.Incarnation) (string, bool) {
+	m, ok := d.View.Inheritor(d.Now, i[:])
 	return m.Address, ok
 }
 
 // Peer implements claims.Directory.
-func (d directory) Peer(vm string) (claims.Peer, bool) {
-	m, ok := d.view.Find(d.now, vm)
+func (d Directory) Peer(vm string) (claims.Peer, bool) {
+	m, ok := d.View.Find(d.Now, vm)
 	if !ok {
 		return claims.Peer{}, false
 	}
--- a/internal/proof/atmostonce_test.go
+++ b/internal/proof/atmostonce_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
-	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
@@ -60,25 +60,8 @@
 	return reply{err: d.Err}
 }
 
-type directory struct {
-	n *node
-}
-
-func (d directory) Holder(i claims.Incarnation) (string, bool) {
-	m, ok := d.n.view.Inheritor(d.n.w.Now(), i[:])
-	return m.Address, ok
-}
-
-func (d directory) Peer(vm string) (claims.Peer, bool) {
-	m, ok := d.n.view.Find(d.n.w.Now(), vm)
-	if !ok {
-		return claims.Peer{}, false
-	}
-	return claims.Peer{Address: m.Address, Incarnation: m.Record.GetIncarnation(), Alive: m.Status == membership.Alive}, true
-}
-
 func (n *node) forward(t claims.Ticket, r *request, respond func(reply)) {
-	address, err := claims.Route(t, directory{n}, func(string) bool { return true })
+	address, err := claims.Route(t, peering.Directory{View: n.view, Now: n.w.Now()}, func(string) bool { return true })
 	if err != nil {
 		respond(reply{err: err})
 		return
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -147,8 +147,10 @@
 
 // View holds what one entry knows.
 type View struct {
-	cfg       Config
-	self      *peerv1.NodeRecord
+	cfg  Config
+	self *peerv1.NodeRecord
+	// selfID is the ID of self; it changes with the epoch only.
+	selfID    ID
 	heartbeat uint64
 	nodes     map[string]*node
 	byID      map[ID]*node
@@ -159,7 +161,7 @@
 // New makes a view that knows only its owner.
 func New(cfg Config) *View {
 	cfg = cfg.WithDefaults()
-	return &View{
+	v := &View{
 		cfg:   cfg,
 		nodes: map[string]*node{},
 		byID:  map[ID]*node{},
@@ -174,6 +176,8 @@
 			State:       peerv1.NodeState_NODE_STATE_LIVE,
 		},
 	}
+	v.selfID = IDOf(v.self)
+	return v
 }
 
 // Self returns the owner's record; the caller must not change it.
@@ -241,6 +245,7 @@
 	next.Epoch = r.GetEpoch() + 1
 	next.Version++
 	v.self = next
+	v.selfID = IDOf(next)
 }
 
 func (v *View) take(now time.Time, r *peerv1.NodeRecord) bool {
--- a/pkg/membership/reconcile.go
+++ b/pkg/membership/reconcile.go
@@ -53,7 +53,7 @@
 // Digests names all nodes of a scope that aren't dead, the owner first.
 func (v *View) Digests(now time.Time, scope Scope) *peerv1.Digests {
 	d := &peerv1.Digests{}
-	appendDigest(d, IDOf(v.self), v.heartbeat, v.self.GetVersion())
+	appendDigest(d, v.selfID, v.heartbeat, v.self.GetVersion())
 	for _, n := range v.nodes {
 		if scope.has(n.record) && v.status(now, n) != Dead {
 			appendDigest(d, n.id, n.heartbeat, n.record.GetVersion())
@@ -94,7 +94,7 @@
 			out.Wanted = append(out.Wanted, id)
 		}
 	}
-	v.compare(&out, byID, IDOf(v.self), v.heartbeat, v.self, scope)
+	v.compare(&out, byID, v.selfID, v.heartbeat, v.self, scope)
 	for _, n := range v.nodes {
 		if scope.has(n.record) && v.status(now, n) != Dead {
 			v.compare(&out, byID, n.id, n.heartbeat, n.record, scope)
@@ -104,7 +104,7 @@
 }
 
 func (v *View) wants(id ID, version uint64, scope Scope) bool {
-	if id == IDOf(v.self) {
+	if id == v.selfID {
 		return false
 	}
 	n := v.byID[id]
@@ -127,9 +127,8 @@
 // Records returns the records of the named nodes.
 func (v *View) Records(ids []uint64) []*peerv1.NodeRecord {
 	var out []*peerv1.NodeRecord
-	own := IDOf(v.self)
 	for _, id := range ids {
-		if ID(id) == own {
+		if ID(id) == v.selfID {
 			out = append(out, v.self)
 			continue
 		}
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -90,6 +90,16 @@
 	return room{s.cfg.Margin, s.cfg.UrgentShare, extra}
 }
 
+// measure completes the candidates with what depends on the request.
+func (s *Scheduler) measure(now time.Time, it *item) {
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		e := s.endpoints[c.Index]
+		c.Fill = e.fill(&it.projection, it.req.Urgent(), s.room(e.extra(now)))
+		c.Fits = s.fits(now, c, e, it)
+	}
+}
+
 func (s *Scheduler) choose(now time.Time, it *item) *endpoint {
 	// The request is a field, since it would escape to the heap with each call.
 	r := &s.request
@@ -97,12 +107,7 @@
 	if e := s.byID[it.req.Avoid]; e != nil && len(s.candidates) > 1 {
 		r.Avoid = e.index
 	}
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		e := s.endpoints[c.Index]
-		c.Fill = e.fill(&it.projection, r.Urgent, s.room(e.extra(now)))
-		c.Fits = s.fits(now, c, e, it)
-	}
+	s.measure(now, it)
 	i := s.cfg.Pipeline.Choose(s.cfg.Rand, r, s.candidates)
 	if i != routing.None {
 		return s.endpoints[i]
--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -27,10 +27,8 @@
 	gone    bool
 	breaker retry.Breaker
 
-	own        lengths.Projection
-	ownRunning int
-	// urgent is the part of own that urgent requests hold.
-	urgent       lengths.Profile
+	own          lengths.Projection
+	ownRunning   int
 	peers        lengths.Profile
 	peersRunning int
 
@@ -45,9 +43,6 @@
 	for i := range it.projection.Mean {
 		e.own.Mean[i] += sign * it.projection.Mean[i]
 		e.own.Variance[i] += sign * it.projection.Variance[i]
-		if it.req.Urgent() {
-			e.urgent[i] += sign * it.projection.Mean[i]
-		}
 	}
 }
 
@@ -81,13 +76,19 @@
 	if !urgent {
 		capacity *= 1 - r.held
 	}
+	return max(e.top(p, &e.peers, r.extra, r.margin)/capacity, places)
+}
+
+// top gives the most that own work, the others' and one more request are
+// projected to hold at any horizon, with a margin.
+func (e *endpoint) top(p *lengths.Projection, others *lengths.Profile, extra, margin float64) float64 {
 	top := 0.0
 	for i := range p.Mean {
-		mean := e.own.Mean[i] + e.peers[i] + p.Mean[i] + r.extra
+		mean := e.own.Mean[i] + others[i] + p.Mean[i] + extra
 		variance := max(e.own.Variance[i]+p.Variance[i], 0)
-		top = max(top, mean+r.margin*math.Sqrt(variance))
+		top = max(top, mean+margin*math.Sqrt(variance))
 	}
-	return max(top/capacity, places)
+	return top
 }
 
 // ownFill gives the projected use by this entry's own work with one more
@@ -103,12 +104,7 @@
 		part *= 1 - r.held
 	}
 	margin := r.margin / math.Sqrt(float64(e.parts))
-	top := 0.0
-	for i := range p.Mean {
-		variance := max(e.own.Variance[i]+p.Variance[i], 0)
-		top = max(top, e.own.Mean[i]+p.Mean[i]+margin*math.Sqrt(variance))
-	}
-	return top / part
+	return e.top(p, &lengths.Profile{}, 0, margin) / part
 }
 
 // observe takes a report. What it shows above all known work is believed for
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -63,9 +63,6 @@
 // Queued is the counter of the table's max_queued, for the exchange.
 func (s *Scheduler) Queued() *limits.Counter { return s.queued }
 
-// Lengths is what has been learnt of output lengths.
-func (s *Scheduler) Lengths() *lengths.Estimator { return s.estimator }
-
 // SetEndpoints implements Policy.
 func (s *Scheduler) SetEndpoints(_ time.Time, endpoints []fleet.Endpoint) {
 	old := s.byID
@@ -166,7 +163,6 @@
 	e.ownRunning--
 	if e.ownRunning == 0 {
 		e.own = lengths.Projection{}
-		e.urgent = lengths.Profile{}
 	}
 	if res.Complete && it.req.PromptTokens > 0 {
 		it.run.End(res.Generated)
--- a/pkg/scheduler/status.go
+++ b/pkg/scheduler/status.go
@@ -84,12 +84,9 @@
 	s.snapshot(now, r.Row.Target)
 	out := Explanation{Projected: it.projection.Mean, Ahead: len(q.items)}
 	out.Wait, _ = q.wait(q.ahead(it))
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		e := s.endpoints[c.Index]
-		c.Fill = e.fill(&it.projection, r.Urgent(), s.room(e.extra(now)))
-		c.Fits = s.fits(now, c, e, it)
-		out.IDs = append(out.IDs, e.spec.ID)
+	s.measure(now, it)
+	for _, c := range s.candidates {
+		out.IDs = append(out.IDs, s.endpoints[c.Index].spec.ID)
 	}
 	out.Candidates = slices.Clone(s.candidates)
 	req := routing.Request{Urgent: r.Urgent(), Avoid: routing.None}
