--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,7 +24,7 @@
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
-	"github.com/bridgehoist/bridgehoist/internal/platformapi"
+	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 	"github.com/bridgehoist/bridgehoist/pkg/fencing"
@@ -101,7 +101,7 @@
 		log:   logger,
 		entry: peerv1connect.NewPeerServiceClient(peers, tlsconfig.Scheme(peerTLS)+"://"+cfg.EntryPeer),
 		http:  &http.Client{Timeout: callTimeout},
-		fleet: register.New(func(b []byte) (*fleet.List, error) { return fleet.Parse(platformapi.Fleet, b) }),
+		fleet: register.New(func(b []byte) (*fleet.List, error) { return fleet.Parse(published.Fleet, b) }),
 
 		registry: prometheus.NewRegistry(),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -165,7 +165,7 @@
 func (c *Controller) refresh(ctx context.Context) (fencing.Belief, bool) {
 	req := connect.NewRequest(&peerv1.ExchangeRequest{})
 	if held := c.fleet.Current(); held != nil {
-		req.Msg.DocumentDigests = []*peerv1.DocumentDigest{{Name: platformapi.Fleet, Revision: held.Revision}}
+		req.Msg.DocumentDigests = []*peerv1.DocumentDigest{{Name: published.Fleet, Revision: held.Revision}}
 	}
 	if c.cfg.PeerToken != "" {
 		req.Header().Set("Authorization", "Bearer "+c.cfg.PeerToken)
@@ -175,7 +175,7 @@
 		return fencing.Belief{}, false
 	}
 	for _, d := range resp.Msg.GetDocuments() {
-		if d.GetName() == platformapi.Fleet {
+		if d.GetName() == published.Fleet {
 			_, _ = c.fleet.Offer(time.Now(), d.GetRevision(), d.GetContent())
 		}
 	}
--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
-	"github.com/bridgehoist/bridgehoist/internal/platform"
-	"github.com/bridgehoist/bridgehoist/internal/platformapi"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 )
 
@@ -17,11 +16,18 @@
 
 const watchJob = "watch"
 
+// Reader reads the published values.
+type Reader interface {
+	// Read returns the values that changed since the last call, waiting for one
+	// at most so long. With no wait, and at first, it returns all.
+	Read(ctx context.Context, wait time.Duration) ([]published.Value, error)
+}
+
 // Config follows the published values.
 type Config struct {
-	Platform *platform.Client
-	Store    *published.Store
-	Beliefs  *peering.Beliefs
+	Reader  Reader
+	Store   *published.Store
+	Beliefs *peering.Beliefs
 	// Wait is how long one watch waits.
 	Wait time.Duration
 	// LookIn is how often one of the entries of a data centre that aren't watchers
@@ -29,6 +35,11 @@
 	LookIn time.Duration
 	// OnError is told of each failed read.
 	OnError func(error)
+	// OnState, if set, is told when the platform is lost and regained; away is for
+	// how long it was.
+	OnState func(up bool, away time.Duration, err error)
+
+	lostAt time.Time
 }
 
 // Source names the platform where values come from.
@@ -44,7 +55,7 @@
 		now := time.Now()
 		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
 		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
-			Pause(ctx, failurePause)
+			pause.For(ctx, failurePause)
 			continue
 		}
 		lookedIn = now
@@ -53,7 +64,7 @@
 			wait = c.Wait
 		}
 		if !c.Read(ctx, wait) {
-			Pause(ctx, failurePause)
+			pause.For(ctx, failurePause)
 		}
 	}
 }
@@ -67,13 +78,15 @@
 
 // Read asks the platform once; it returns false if that failed.
 func (c *Config) Read(ctx context.Context, wait time.Duration) bool {
-	values, err := c.Platform.Watch(ctx, c.Store.Seen(), wait)
+	values, err := c.Reader.Read(ctx, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.OnError(err)
+			c.lost(err)
 		}
 		return false
 	}
+	c.regained()
 	now := time.Now()
 	for _, v := range inOrder(values) {
 		c.Store.Offer(now, v, Source)
@@ -81,25 +94,36 @@
 	return true
 }
 
+func (c *Config) lost(err error) {
+	if !c.lostAt.IsZero() {
+		return
+	}
+	c.lostAt = time.Now()
+	if c.OnState != nil {
+		c.OnState(false, 0, err)
+	}
+}
+
+func (c *Config) regained() {
+	if c.lostAt.IsZero() {
+		return
+	}
+	away := time.Since(c.lostAt)
+	c.lostAt = time.Time{}
+	if c.OnState != nil {
+		c.OnState(true, away, nil)
+	}
+}
+
 // inOrder puts the fleet list first: what it says of peers matters to the rest.
-func inOrder(values []platformapi.Value) []platformapi.Value {
-	out := make([]platformapi.Value, 0, len(values))
+func inOrder(values []published.Value) []published.Value {
+	out := make([]published.Value, 0, len(values))
 	for _, v := range values {
-		if v.Name == platformapi.Fleet {
-			out = append([]platformapi.Value{v}, out...)
+		if v.Name == published.Fleet {
+			out = append([]published.Value{v}, out...)
 		} else {
 			out = append(out, v)
 		}
 	}
 	return out
 }
-
-// Pause waits, and returns false if the context ended first.
-func Pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/controllers/controllers.go
+++ b/internal/controllers/controllers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 )
@@ -36,11 +37,14 @@
 
 // Exchange renews the entry's record and reconciles with its peers.
 type Exchange struct {
-	Beliefs   *peering.Beliefs
-	Client    *peering.Client
+	Beliefs *peering.Beliefs
+	Client  *peering.Client
+	// Inherited lists the incarnations whose tickets the entry took over; nil if
+	// it gives none.
 	Inherited func() [][]byte
 	Interval  time.Duration
-	// SeedPeers are asked at the start, besides those of the fleet list.
+	// SeedPeers are asked at the start, besides those of the fleet list, and
+	// whenever no peer answers.
 	SeedPeers []string
 	// OnRound is told how many peers answered of how many.
 	OnRound func(answered, asked int)
@@ -68,7 +72,7 @@
 		select {
 		case <-c.Kicked:
 			c.round(ctx)
-			Pause(ctx, minKick)
+			pause.For(ctx, minKick)
 		case <-ctx.Done():
 			return
 		}
@@ -76,9 +80,27 @@
 }
 
 func (c *Exchange) round(ctx context.Context) {
-	c.Beliefs.Beat(time.Now(), c.Inherited())
+	c.Beliefs.Beat(time.Now(), c.inherited())
 	answered, asked := c.Client.Round(ctx)
 	c.OnRound(answered, asked)
+	if answered == 0 && len(c.SeedPeers) > 0 {
+		c.Client.Reconcile(ctx, c.seeds())
+	}
+}
+
+func (c *Exchange) inherited() [][]byte {
+	if c.Inherited == nil {
+		return nil
+	}
+	return c.Inherited()
+}
+
+func (c *Exchange) seeds() []membership.Contact {
+	var out []membership.Contact
+	for _, address := range c.SeedPeers {
+		out = append(out, membership.Contact{Address: address})
+	}
+	return out
 }
 
 // Catchup reconciles once with every peer of the list that is near enough to
@@ -86,12 +108,8 @@
 // before: its peers may know newer values than the platform replica that it
 // reads.
 func (c *Exchange) Catchup(ctx context.Context, dataCenter string) {
-	c.Beliefs.Beat(time.Now(), c.Inherited())
-	var seeds []membership.Contact
-	for _, address := range c.SeedPeers {
-		seeds = append(seeds, membership.Contact{Address: address})
-	}
-	c.Client.Reconcile(ctx, seeds)
+	c.Beliefs.Beat(time.Now(), c.inherited())
+	c.Client.Reconcile(ctx, c.seeds())
 	var near, far []membership.Contact
 	c.Beliefs.View(func(v *membership.View) {
 		for _, s := range v.Seeds() {
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -55,31 +56,18 @@
 	}}
 }
 
-// Failure says why a call ended early.
-type Failure struct {
-	Kind retry.Failure
-	// Draining says that the endpoint takes no new work.
-	Draining bool
-	// Incarnation of the endpoint, if it told.
-	Incarnation uint64
-	Err         error
-}
-
-// Error implements the error interface.
-func (f *Failure) Error() string { return f.Kind.String() + ": " + f.Err.Error() }
-
 // onceBody can be read once; the HTTP client has no way to rewind it.
 type onceBody struct{ io.Reader }
 
 func (onceBody) Close() error { return nil }
 
 // send makes one call. The failure is NotSent only if no connection was had.
-func (c *Client) send(ctx context.Context, method, url string, body []byte, header http.Header) (*http.Response, *Failure) {
+func (c *Client) send(ctx context.Context, method, url string, body []byte, header http.Header) (*http.Response, *attempt.Failure) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
 	if err != nil {
-		return nil, &Failure{Kind: retry.NotSent, Err: err}
+		return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 	}
 	if body != nil {
 		req.Body = onceBody{bytes.NewReader(body)}
@@ -93,9 +81,9 @@
 		return resp, nil
 	}
 	if !connected.Load() {
-		return nil, &Failure{Kind: retry.NotSent, Err: err}
+		return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 	}
-	return nil, &Failure{Kind: retry.LinkLost, Err: err}
+	return nil, &attempt.Failure{Kind: retry.LinkLost, Err: err}
 }
 
 func incarnation(resp *http.Response) uint64 {
@@ -104,10 +92,10 @@
 }
 
 // refusal reads a reply with an error status.
-func refusal(resp *http.Response) *Failure {
+func refusal(resp *http.Response) *attempt.Failure {
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
-	f := &Failure{
+	f := &attempt.Failure{
 		Kind:        retry.Protocol,
 		Draining:    resp.Header.Get(engineapi.HeaderDraining) != "",
 		Incarnation: incarnation(resp),
@@ -127,10 +115,10 @@
 }
 
 // Start asks for a generation.
-func (c *Client) Start(ctx context.Context, e fleet.Endpoint, requestID string, req *engineapi.CompletionRequest) (*Stream, *Failure) {
+func (c *Client) Start(ctx context.Context, e fleet.Endpoint, requestID string, req *engineapi.CompletionRequest) (*Stream, *attempt.Failure) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return nil, &Failure{Kind: retry.NotSent, Err: err}
+		return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 	}
 	header := http.Header{
 		"Content-Type":                    {"application/json"},
@@ -148,7 +136,7 @@
 }
 
 // Resume follows a generation again, from an index on.
-func (c *Client) Resume(ctx context.Context, e fleet.Endpoint, requestID string, g stream.Generation, from int) (*Stream, *Failure) {
+func (c *Client) Resume(ctx context.Context, e fleet.Endpoint, requestID string, g stream.Generation, from int) (*Stream, *attempt.Failure) {
 	url := "http://" + e.Address + engineapi.PathGenerations + g.ID + "?from=" + strconv.Itoa(from)
 	resp, f := c.send(ctx, http.MethodGet, url, nil, nil)
 	if f != nil {
@@ -186,24 +174,24 @@
 
 // Each calls handle for each event until it returns false or the stream ends.
 // A stream that ends without its last chunk is a lost link.
-func (s *Stream) Each(handle func(Event) bool) *Failure {
+func (s *Stream) Each(handle func(Event) bool) *attempt.Failure {
 	defer s.body.Close()
 	for ev, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
-			return &Failure{Kind: retry.LinkLost, Err: err}
+			return &attempt.Failure{Kind: retry.LinkLost, Err: err}
 		}
 		if ev.Data == engineapi.DoneData {
 			return nil
 		}
 		event, err := s.parse(ev.Data)
 		if err != nil {
-			return &Failure{Kind: retry.Protocol, Err: err}
+			return &attempt.Failure{Kind: retry.Protocol, Err: err}
 		}
 		if !handle(event) {
 			return nil
 		}
 	}
-	return &Failure{Kind: retry.LinkLost, Err: io.ErrUnexpectedEOF}
+	return &attempt.Failure{Kind: retry.LinkLost, Err: io.ErrUnexpectedEOF}
 }
 
 func (s *Stream) parse(data string) (Event, error) {
@@ -259,7 +247,7 @@
 }
 
 // Call makes one call of a plain service.
-func (c *Client) Call(ctx context.Context, e fleet.Endpoint, requestID, method, path, contentType string, body []byte) (*Reply, *Failure) {
+func (c *Client) Call(ctx context.Context, e fleet.Endpoint, requestID, method, path, contentType string, body []byte) (*Reply, *attempt.Failure) {
 	header := http.Header{engineapi.HeaderRequestID: {requestID}}
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
@@ -273,14 +261,14 @@
 	}
 	defer resp.Body.Close()
 	if got := resp.Header.Get(engineapi.HeaderRequestID); got != "" && got != requestID {
-		return nil, &Failure{Kind: retry.Protocol, Err: errors.New("reply to another request")}
+		return nil, &attempt.Failure{Kind: retry.Protocol, Err: errors.New("reply to another request")}
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
-		return nil, &Failure{Kind: retry.LinkLost, Err: err}
+		return nil, &attempt.Failure{Kind: retry.LinkLost, Err: err}
 	}
 	if len(data) > maxReplyBytes {
-		return nil, &Failure{Kind: retry.Protocol, Err: errors.New("reply too large")}
+		return nil, &attempt.Failure{Kind: retry.Protocol, Err: errors.New("reply too large")}
 	}
 	return &Reply{resp.StatusCode, resp.Header.Get("Content-Type"), data}, nil
 }
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -30,11 +30,11 @@
 	run = identify.New(run, e.lookupKey)
 	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout)
 	run = bound.New(run, e.cfg.MaxOpen)
-	run = account.New(run, e.metrics.Observe)
+	run = account.New(run, account.Own, e.metrics.Observe)
 
 	var tickets http.Handler = http.HandlerFunc(e.tickets)
 	tickets = identify.New(tickets, e.lookupKey)
-	tickets = account.New(tickets, func(*job.Job) {})
+	tickets = account.New(tickets, account.Own, func(*job.Job) {})
 
 	r := chi.NewRouter()
 	r.Handle(httpapi.PathCompletions, run)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,9 +22,10 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
+	"github.com/bridgehoist/bridgehoist/internal/native"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
-	"github.com/bridgehoist/bridgehoist/internal/platform"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
 	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
@@ -35,6 +36,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/platform"
 )
 
 const (
@@ -94,7 +96,7 @@
 		Epoch:       uint64(e.started.UnixMilli()),
 		Incarnation: incarnation[:],
 	}), e.dispatcher, e.onLeave)
-	e.store = published.New(e.onValue, e.beliefs.ApplyFleet)
+	e.store = published.New(published.OwnParsers(), e.onValue, e.beliefs.ApplyFleet)
 	e.makeRunner()
 	e.makePeers(incarnation, secret)
 	e.makeControllers()
@@ -125,15 +127,22 @@
 }
 
 func (e *Entry) makeRunner() {
+	onFailure := func(f retry.Failure) { e.metrics.Failures.WithLabelValues(f.String()).Inc() }
+	onStep := func(s retry.Step) { e.metrics.Steps.WithLabelValues(s.String()).Inc() }
 	e.runner = runner.New(runner.Config{
-		Dispatcher:   e.dispatcher,
-		Client:       e.client,
-		StallTimeout: e.cfg.StallTimeout,
+		Dispatcher: e.dispatcher,
+		Performer: native.New(native.Config{
+			Dispatcher:   e.dispatcher,
+			Client:       e.client,
+			StallTimeout: e.cfg.StallTimeout,
+			OnFailure:    onFailure,
+			OnStep:       onStep,
+		}),
 		OnLeave: func(id string, incarnation uint64) {
 			e.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, "endpoint")
 		},
-		OnFailure: func(f retry.Failure) { e.metrics.Failures.WithLabelValues(f.String()).Inc() },
-		OnStep:    func(s retry.Step) { e.metrics.Steps.WithLabelValues(s.String()).Inc() },
+		OnFailure: onFailure,
+		OnStep:    onStep,
 	})
 }
 
@@ -173,12 +182,12 @@
 		},
 	}
 	e.config = &controllers.Config{
-		Platform: platform.New(e.cfg.Platform, e.metrics.PlatformCalls.Inc),
-		Store:    e.store,
-		Beliefs:  e.beliefs,
-		Wait:     e.cfg.WatchWait,
-		LookIn:   e.cfg.LookIn,
-		OnError:  func(error) { e.metrics.PlatformErrors.Inc() },
+		Reader:  platform.NewValues(platform.NewStore(e.cfg.Platform, e.metrics.PlatformCalls.Inc)),
+		Store:   e.store,
+		Beliefs: e.beliefs,
+		Wait:    e.cfg.WatchWait,
+		LookIn:  e.cfg.LookIn,
+		OnError: func(error) { e.metrics.PlatformErrors.Inc() },
 	}
 }
 
@@ -250,7 +259,7 @@
 // it begins again: a replica of the platform that comes late may be behind.
 func (e *Entry) start(ctx context.Context) {
 	e.catchUp(ctx)
-	for e.store.Fleet() == nil && controllers.Pause(ctx, catchupPause) {
+	for e.store.Fleet() == nil && pause.For(ctx, catchupPause) {
 		e.catchUp(ctx)
 	}
 	e.caughtUp.Store(true)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,8 +10,9 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
-	"github.com/bridgehoist/bridgehoist/internal/platformapi"
+	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -25,16 +25,11 @@
 	r.Get(operatorapi.PathHealth, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	r.Get(operatorapi.PathReady, e.readiness)
 	r.Method(http.MethodGet, operatorapi.PathMetrics, promhttp.HandlerFor(e.metrics.Registry, promhttp.HandlerOpts{}))
-	r.Get(operatorapi.PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.status()) })
+	r.Get(operatorapi.PathStatus, func(w http.ResponseWriter, _ *http.Request) { httpapi.WriteJSON(w, e.status()) })
 	r.Get(operatorapi.PathExplain, e.explain)
 	return r
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 func (e *Entry) readiness(w http.ResponseWriter, _ *http.Request) {
 	if !e.ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -87,14 +82,14 @@
 	var out []operatorapi.Value
 	if h := e.store.Table(); h != nil {
 		out = append(out, operatorapi.Value{
-			Name: platformapi.Table, Revision: h.Revision,
-			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[platformapi.Table],
+			Name: published.Table, Revision: h.Revision,
+			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[published.Table],
 		})
 	}
 	if h := e.store.Fleet(); h != nil {
 		out = append(out, operatorapi.Value{
-			Name: platformapi.Fleet, Revision: h.Revision,
-			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[platformapi.Fleet],
+			Name: published.Fleet, Revision: h.Revision,
+			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[published.Fleet],
 		})
 	}
 	return out
@@ -137,7 +132,7 @@
 	if ok {
 		e.explainRow(&out, row, workspace, kind, tokens)
 	}
-	writeJSON(w, out)
+	httpapi.WriteJSON(w, out)
 }
 
 func (e *Entry) explainRow(out *operatorapi.Explanation, row table.Row, workspace, kind string, tokens int) {
--- a/internal/filters/account/account.go
+++ b/internal/filters/account/account.go
@@ -13,22 +13,33 @@
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 )
 
+// Fill completes a new job with what the headers of its request say.
+type Fill func(w http.ResponseWriter, r *http.Request, j *job.Job)
+
 // New makes the filter; observe is told of each job that has ended.
-func New(next http.Handler, observe func(*job.Job)) http.Handler {
+func New(next http.Handler, fill Fill, observe func(*job.Job)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j := &job.Job{
-			RequestID: uuid.NewString(),
-			Arrived:   time.Now(),
-			Method:    r.Method,
-			Path:      r.URL.RequestURI(),
-			Ticket:    ticketOf(r),
+			Arrived: time.Now(),
+			Method:  r.Method,
+			Path:    r.RequestURI,
+			Host:    r.Host,
 		}
-		w.Header().Set(httpapi.HeaderRequestID, j.RequestID)
+		fill(w, r, j)
 		defer observe(j)
 		next.ServeHTTP(w, job.With(r, j))
 	})
 }
 
+// Own fills jobs of the system's own interface: it gives them an id, and finds
+// their tickets.
+func Own(w http.ResponseWriter, r *http.Request, j *job.Job) {
+	j.RequestID = uuid.NewString()
+	j.Path = r.URL.RequestURI()
+	j.Ticket = ticketOf(r)
+	w.Header().Set(httpapi.HeaderRequestID, j.RequestID)
+}
+
 // ticketOf finds the ticket of a request. Keys that callers made up are no
 // tickets and are left out.
 func ticketOf(r *http.Request) string {
--- a/internal/filters/respond/respond.go
+++ b/internal/filters/respond/respond.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -17,6 +18,10 @@
 	flusher     *http.ResponseController
 	started     bool
 	contentType string
+	// passed says that the answer is an endpoint's, passed on as it came.
+	passed bool
+	// exact says that callers read Retry-After with fractions of a second.
+	exact bool
 }
 
 var _ job.Sink = (*Writer)(nil)
@@ -26,6 +31,30 @@
 	return &Writer{w: w, flusher: http.NewResponseController(w)}
 }
 
+// NewForwarder makes a sink for answers that are passed on as they came. Its
+// callers read fractions in Retry-After.
+func NewForwarder(w http.ResponseWriter) *Writer {
+	s := NewWriter(w)
+	s.exact = true
+	return s
+}
+
+var _ job.HeaderSink = (*Writer)(nil)
+
+// Start implements job.HeaderSink.
+func (s *Writer) Start(status int, h http.Header, length int64) {
+	s.started = true
+	s.passed = true
+	out := s.w.Header()
+	for name, values := range h {
+		out[name] = values
+	}
+	if length >= 0 {
+		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	s.w.WriteHeader(status)
+}
+
 // Header implements job.Sink.
 func (s *Writer) Header(status int, contentType string) {
 	s.started = true
@@ -62,17 +91,18 @@
 	}
 	j.Outcome = err.Outcome
 	j.Code = err.Code
+	j.Reason = err.Message
 	if !s.started {
-		httpapi.WriteError(s.w, err)
+		httpapi.WriteError(s.w, err, s.exact)
 		return
 	}
 	s.breakOff(err)
 }
 
-// breakOff ends an answer that was begun. A stream gets an error event; any
-// other body is cut, so that the caller can't take it for whole.
+// breakOff ends an answer that was begun. A stream of the system's own gets an
+// error event; anything else is cut, so that the caller can't take it for whole.
 func (s *Writer) breakOff(err *outcome.Error) {
-	if s.contentType != httpapi.ContentEvents {
+	if s.passed || s.contentType != httpapi.ContentEvents {
 		panic(http.ErrAbortHandler)
 	}
 	if s.Data(httpapi.ErrorEvent(err)) == nil {
@@ -82,5 +112,8 @@
 
 // Refuse answers a request that isn't run.
 func Refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error) {
-	NewWriter(w).End(job.From(r), err)
+	j := job.From(r)
+	s := NewWriter(w)
+	s.exact = j.Header != nil
+	s.End(j, err)
 }
--- /dev/null
+++ b/internal/filters/route/route.go
@@ -0,0 +1,85 @@
+// Package route finds the row of the table for a request by its host and path,
+// and the workspace by its API key. Both come from one revision of the table,
+// under which the request is decided to its end.
+package route
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+// retryAfterNoTable is when a caller may come back to an entry that has no table
+// yet; another entry will take it.
+const retryAfterNoTable = 100 * time.Millisecond
+
+// rankLimit is the highest rank of a request at an endpoint.
+const rankLimit = 9
+
+// Table returns the table in force, or nil.
+type Table func() *register.Held[*table.Table]
+
+// New makes the filter.
+func New(next http.Handler, current Table) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		j := job.From(r)
+		if err := fill(j, current()); err != nil {
+			respond.Refuse(w, r, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func fill(j *job.Job, held *register.Held[*table.Table]) *outcome.Error {
+	if held == nil {
+		return outcome.NotRunf(outcome.CodeNoTable, "no table has been read yet").After(retryAfterNoTable)
+	}
+	j.Revision = held.Revision
+	if j.RequestID == "" {
+		return outcome.NotRunf(outcome.CodeBadRequest, "the request has no id")
+	}
+	path, _, _ := strings.Cut(j.Path, "?")
+	row, ok := held.Value.Match(hostname(j.Host), path)
+	if !ok {
+		return outcome.NotRunf(outcome.CodeUnknownKind, "no route for %s%s", j.Host, path)
+	}
+	j.Kind = row.Kind
+	j.Row = row.Pick(rand.Float64())
+	return identify(j, held.Value)
+}
+
+func identify(j *job.Job, t *table.Table) *outcome.Error {
+	j.Rank = rank(j.Row.Priority)
+	if !t.HasWorkspaces() || j.Row.Anonymous {
+		return nil
+	}
+	w, ok := t.WorkspaceByKey(j.APIKey)
+	if !ok {
+		return outcome.NotRunf(outcome.CodeUnauthenticated, "the API key is not known")
+	}
+	j.Workspace = w.Name
+	return nil
+}
+
+// rank turns a priority of the table, where the highest goes first, into a rank
+// at endpoints, where 0 goes first.
+func rank(priority int) int {
+	return min(max(table.MaxPriority-priority, 0), rankLimit)
+}
+
+// hostname drops a port.
+func hostname(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+	"github.com/bridgehoist/bridgehoist/platform"
+)
+
+// Sources of news of leaving endpoints.
+const (
+	sourceFleet    = "fleet"
+	sourceEndpoint = "endpoint"
+	sourcePeer     = "peer"
+)
+
+func (g *Gateway) parsers() published.Parsers {
+	return published.Parsers{
+		Table: platform.ParseConfiguration,
+		Fleet: func(b []byte) (*fleet.List, error) {
+			return platform.ParseEndpoints(b, func(f fleet.Findings) {
+				g.metrics.Values.WithLabelValues(published.Fleet, register.Rejected.String()).Inc()
+				g.log.Warn("endpoint records left out", "findings", f.Error())
+			})
+		},
+	}
+}
+
+// onValue logs news of a published value.
+func (g *Gateway) onValue(ev published.Event) {
+	g.metrics.Values.WithLabelValues(ev.Name, ev.Verdict.String()).Inc()
+	if ev.Verdict != register.Adopted {
+		g.log.Warn("value refused", "name", ev.Name, "revision", ev.Revision, "source", ev.Source,
+			"verdict", ev.Verdict, "findings", ev.Findings)
+		return
+	}
+	g.log.Info("value in force", "name", ev.Name, "revision", ev.Revision, "source", ev.Source)
+	if g.caughtUp.Load() {
+		g.exchange.Kick()
+	}
+	if ev.Name == published.Table {
+		// What the operators say of engines is part of the table.
+		go g.applyEndpoints()
+	}
+}
+
+// applyEndpoints makes the endpoints in force of the published ones and of what
+// the table says of their targets.
+func (g *Gateway) applyEndpoints() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := g.store.Fleet()
+	if held == nil {
+		return
+	}
+	use, again := g.grace.Apply(time.Now(), held.Value.Endpoints)
+	if !again.IsZero() {
+		g.log.Warn("endpoints vanished together are kept for now", "revision", held.Revision,
+			"kept", len(use)-len(held.Value.Endpoints), "until", again.Format(time.RFC3339Nano))
+		if g.graceEnd != nil {
+			g.graceEnd.Stop()
+		}
+		g.graceEnd = time.AfterFunc(time.Until(again), g.applyEndpoints)
+	}
+	if t := g.store.Table(); t != nil {
+		use = withTable(use, t.Value)
+	}
+	list := held.Value.WithEndpoints(use)
+	g.beliefs.ApplyFleet(list)
+	g.pool.Keep(func(id string) bool { _, ok := list.Endpoint(id); return ok })
+}
+
+// withTable completes endpoints by what the table says of engines.
+func withTable(endpoints []fleet.Endpoint, t *table.Table) []fleet.Endpoint {
+	out := make([]fleet.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if s, ok := t.Service(e.Targets[0]); ok && s.Engine != nil {
+			e.Type = fleet.Engine
+			e.CapacityTokens = s.Engine.CapacityTokens
+			e.MaxRunning = s.Engine.Slots
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (g *Gateway) onLeave(l drain.Leave, source string) {
+	if source != sourceFleet && source != sourceEndpoint {
+		source = sourcePeer
+	}
+	g.metrics.Leaves.WithLabelValues(source).Inc()
+	g.log.Info("endpoint leaving", "endpoint", l.Endpoint, "source", source)
+	if g.caughtUp.Load() {
+		g.exchange.Kick()
+	}
+}
+
+func (g *Gateway) onRound(answered, asked int) {
+	g.metrics.PeersAsked.Add(float64(asked))
+	g.metrics.PeersAnswered.Add(float64(answered))
+}
+
+func (g *Gateway) onStoreState(up bool, since time.Duration, err error) {
+	if up {
+		g.log.Info("store regained", "away", since.Round(time.Millisecond))
+		return
+	}
+	g.log.Warn("store lost", "error", err)
+}
+
+func (g *Gateway) onViolation(name invariant.Name, detail string) {
+	g.log.Error("invariant violated", "invariant", name, "detail", detail)
+}
+
+// onAttempt logs an attempt that failed and what followed.
+func (g *Gateway) onAttempt(j *job.Job, grant dispatch.Grant, f *attempt.Failure, step retry.Step) {
+	g.log.Warn("attempt failed", "request", j.RequestID, "endpoint", grant.Endpoint.ID, "address", grant.Endpoint.Address,
+		"failure", f.Kind, "error", f.Err, "step", step, "elapsed_ms", time.Since(j.Arrived).Milliseconds(),
+		"table", j.Revision, "fleet", g.fleetRevision())
+}
+
+func (g *Gateway) fleetRevision() uint64 {
+	if held := g.store.Fleet(); held != nil {
+		return held.Revision
+	}
+	return 0
+}
+
+// onRequest accounts for a request that has ended, and logs it unless all went
+// well.
+func (g *Gateway) onRequest(j *job.Job) {
+	g.metrics.Observe(j)
+	if j.Outcome == outcome.Complete {
+		return
+	}
+	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target,
+		"outcome", j.Outcome, "code", j.Code, "reason", j.Reason, "queued_ms", j.Timings.Queued.Milliseconds(),
+		"elapsed_ms", time.Since(j.Arrived).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
+		"table", j.Revision, "fleet", g.fleetRevision())
+}
--- /dev/null
+++ b/internal/gateway/chain.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/bridgehoist/bridgehoist/internal/filters/account"
+	"github.com/bridgehoist/bridgehoist/internal/filters/body"
+	"github.com/bridgehoist/bridgehoist/internal/filters/bound"
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/filters/route"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+)
+
+// callers builds the chain of filters. This is the one place that shows their
+// order.
+func (g *Gateway) callers() http.Handler {
+	var run http.Handler = http.HandlerFunc(g.relay)
+	run = body.New(run, int64(g.cfg.MaxBodyBytes), g.cfg.BodyTimeout)
+	run = route.New(run, g.store.Table)
+	run = bound.New(run, g.cfg.MaxOpen)
+	run = account.New(run, g.fill, g.onRequest)
+	return run
+}
+
+func (g *Gateway) fill(w http.ResponseWriter, r *http.Request, j *job.Job) {
+	g.protocol.ReadCaller(j, r.Header)
+	if g.stopping.Load() {
+		// The caller's next request goes to another entry.
+		w.Header().Set("Connection", "close")
+	}
+}
+
+func (g *Gateway) relay(w http.ResponseWriter, r *http.Request) {
+	j := job.From(r)
+	sink := respond.NewForwarder(w)
+	sink.End(j, g.runner.Run(r.Context(), j, sink))
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/settings"
+)
+
+// Config holds the settings of a gateway that are the system's own; the others
+// come from the platform's settings file.
+type Config struct {
+	// MetricsPort is the port of the metrics on the VM's address.
+	MetricsPort int
+
+	MaxBodyBytes  int
+	MaxOpen       int
+	BodyTimeout   time.Duration
+	IdleTimeout   time.Duration
+	ExchangeEvery time.Duration
+	WatchWait     time.Duration
+	LookIn        time.Duration
+	DrainDelay    time.Duration
+	LapseHold     time.Duration
+	LogLines      int
+}
+
+// Register adds the settings to a set.
+func (c *Config) Register(s *settings.Set) {
+	s.IntVar(&c.MetricsPort, "metrics-port", 0, "port of the metrics on the VM's address; 0 serves none")
+	s.IntVar(&c.MaxBodyBytes, "max-body-bytes", 4<<20, "largest body of a request")
+	s.IntVar(&c.MaxOpen, "max-open", 1024, "requests that are open at once")
+	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
+	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
+	s.DurationVar(&c.ExchangeEvery, "exchange-every", time.Second, "interval of the exchange with other entries")
+	s.DurationVar(&c.WatchWait, "watch-wait", 10*time.Second, "how long one watch of the store waits")
+	s.DurationVar(&c.LookIn, "look-in", 20*time.Second, "how often one of the entries of a data centre that do not watch reads the store")
+	s.DurationVar(&c.DrainDelay, "drain-delay", 3*time.Second, "time between unready and closing the listener, for the balancer")
+	s.DurationVar(&c.LapseHold, "lapse-hold", 1800*time.Millisecond, "time for which endpoints are used that vanished together")
+	s.IntVar(&c.LogLines, "log-lines", 40, "lines of log a second")
+}
+
+// Check records what is wrong with the settings.
+func (c *Config) Check(s *settings.Set) {
+	const maxPort = 65535
+	s.NeedInt("metrics-port", c.MetricsPort, 0, maxPort)
+	s.NeedInt("max-body-bytes", c.MaxBodyBytes, 1, 64<<20)
+	s.NeedInt("max-open", c.MaxOpen, 1, 1_000_000)
+	s.NeedDuration("body-timeout", c.BodyTimeout, time.Millisecond, time.Hour)
+	s.NeedDuration("idle-timeout", c.IdleTimeout, time.Second, time.Hour)
+	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
+	s.NeedDuration("watch-wait", c.WatchWait, 100*time.Millisecond, 30*time.Second)
+	s.NeedDuration("look-in", c.LookIn, time.Second, time.Hour)
+	s.NeedDuration("drain-delay", c.DrainDelay, 0, time.Minute)
+	s.NeedDuration("lapse-hold", c.LapseHold, 0, time.Minute)
+	s.NeedInt("log-lines", c.LogLines, 1, 100_000)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,258 @@
+// Package gateway assembles an entry that runs on the users' platform.
+//
+// One process a VM does everything: it takes callers' requests, reads the
+// configuration and the endpoints from the platform's store, exchanges what it
+// knows with the other entries, and serves its readiness and metrics. It uses the
+// same scheduler, retry, drain and exchange packages as package entry, but passes
+// requests and answers through as they are; chain.go shows the filters in their
+// order. Names and formats of the platform are known to package platform only.
+//
+//	[starting] --table and endpoints known--> [ready] --SIGTERM--> [draining]
+//	                                                                    |
+//	        no request is open, or the grace period is nearly over      v
+//	                                                                 [stopped]
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/metrics"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/internal/relay"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/platform"
+)
+
+const (
+	// catchUpTimeout bounds the first exchange with the seeds.
+	catchUpTimeout = time.Second
+	// catchUpPause is the wait before the store and the seeds are asked again at
+	// the start.
+	catchUpPause = 200 * time.Millisecond
+)
+
+// Gateway is one entry process.
+type Gateway struct {
+	cfg      Config
+	vm       platform.Settings
+	log      *log.Logger
+	started  time.Time
+	caughtUp atomic.Bool
+	stopping atomic.Bool
+
+	protocol   platform.Protocol
+	metrics    *metrics.Metrics
+	dispatcher *dispatch.Dispatcher
+	store      *published.Store
+	reader     *reader
+	beliefs    *peering.Beliefs
+	peers      *peering.Client
+	traffic    *peering.Traffic
+	pool       *upstream.Pool
+	runner     *runner.Runner
+	exchange   *controllers.Exchange
+	config     *controllers.Config
+
+	// grace and its timer are guarded by mu.
+	mu       sync.Mutex
+	grace    fleet.Grace
+	graceEnd *time.Timer
+}
+
+// New makes a gateway from checked settings and those of the platform.
+func New(cfg Config, vm platform.Settings, logger *log.Logger) *Gateway {
+	g := &Gateway{
+		cfg:     cfg,
+		vm:      vm,
+		log:     logger,
+		started: time.Now(),
+		metrics: metrics.New(),
+		traffic: &peering.Traffic{},
+		grace:   fleet.Grace{Hold: cfg.LapseHold},
+	}
+	policy := scheduler.Version(scheduler.Forwarding)
+	policy.DataCenter = vm.DataCenter
+	g.dispatcher = dispatch.New(scheduler.New(policy))
+	g.pool = upstream.NewPool(g.protocol, g.metrics.Connections.Inc)
+	g.store = published.New(g.parsers(), g.onValue, func(*fleet.List) { g.applyEndpoints() })
+	g.makeExchange()
+	g.makeRunner()
+	invariant.SetHook(g.onViolation)
+	return g
+}
+
+func (g *Gateway) makeExchange() {
+	incarnation := make([]byte, 16)
+	// rand.Read never fails.
+	_, _ = rand.Read(incarnation)
+	view := membership.New(membership.Config{
+		VM:          g.vm.VM,
+		DataCenter:  g.vm.DataCenter,
+		PeerAddress: g.vm.Peers,
+		Epoch:       uint64(g.started.UnixMilli()),
+		Incarnation: incarnation,
+	})
+	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.onLeave)
+	g.peers = peering.NewClient(peering.Config{
+		Beliefs: g.beliefs,
+		Store:   g.store,
+		HTTP:    &http.Client{Transport: peerTransport()},
+		Scheme:  "http",
+		Traffic: g.traffic,
+	})
+	g.exchange = &controllers.Exchange{
+		Beliefs:   g.beliefs,
+		Client:    g.peers,
+		Interval:  g.cfg.ExchangeEvery,
+		SeedPeers: g.seeds(),
+		Kicked:    make(chan struct{}, 1),
+		OnRound:   g.onRound,
+	}
+	source := platform.NewPublished(platform.NewStore(g.vm.Store, g.metrics.PlatformCalls.Inc))
+	g.reader = newReader(source, func() (published.Value, bool) { return g.store.Get(published.Fleet) })
+	g.config = &controllers.Config{
+		Reader:  g.reader,
+		Store:   g.store,
+		Beliefs: g.beliefs,
+		Wait:    g.cfg.WatchWait,
+		LookIn:  g.cfg.LookIn,
+		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
+		OnState: g.onStoreState,
+	}
+}
+
+func (g *Gateway) seeds() []string {
+	var out []string
+	for _, s := range g.vm.Seeds {
+		if s != g.vm.Peers {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (g *Gateway) makeRunner() {
+	g.runner = runner.New(runner.Config{
+		Dispatcher: g.dispatcher,
+		Performer: relay.New(relay.Config{
+			Dispatcher:     g.dispatcher,
+			Pool:           g.pool,
+			TokensPerEvent: g.tokensPerEvent,
+		}),
+		Budget: g.retryBudget(),
+		OnLeave: func(id string, incarnation uint64) {
+			g.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, sourceEndpoint)
+		},
+		OnFailure: func(f retry.Failure) { g.metrics.Failures.WithLabelValues(f.String()).Inc() },
+		OnStep:    func(s retry.Step) { g.metrics.Steps.WithLabelValues(s.String()).Inc() },
+		OnAttempt: g.onAttempt,
+	})
+}
+
+// presumedEntries is among how many entries the slack of the retry budget is
+// split while their number isn't known.
+const presumedEntries = 24
+
+// retryBudget is this entry's part of the budget of a target. All entries share
+// it without talking: each has half of the ratio, since requests are counted by
+// window, and a small part of the slack.
+func (g *Gateway) retryBudget() retry.Budget {
+	const half = 0.5
+	return retry.Budget{
+		Share: g.vm.Bounds.RetryRatio * half,
+		Burst: max(g.vm.Bounds.RetrySlack*half/presumedEntries, 1),
+	}
+}
+
+func (g *Gateway) tokensPerEvent(target string) int {
+	if held := g.store.Table(); held != nil {
+		if s, ok := held.Value.Service(target); ok && s.Engine != nil {
+			return s.Engine.TokensPerEvent
+		}
+	}
+	return 1
+}
+
+func (g *Gateway) ready() bool {
+	return g.caughtUp.Load() && g.store.Ready() && !g.stopping.Load()
+}
+
+// Run serves until the context ends, then stops without cutting any request.
+func (g *Gateway) Run(ctx context.Context, reload <-chan platform.Settings) error {
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var loops sync.WaitGroup
+	loops.Go(func() { g.dispatcher.Run(work) })
+	loops.Go(func() { g.start(work) })
+	g.log.Info("started", "data_center", g.vm.DataCenter, "callers", g.vm.Callers, "peers", g.vm.Peers,
+		"store", g.vm.Store, "seeds", len(g.vm.Seeds), "first_start", g.vm.FirstStart)
+	g.awaitStop(ctx, reload)
+	g.stop(work, servers)
+	cancel()
+	loops.Wait()
+	g.log.Info("stopped", "uptime", time.Since(g.started).Round(time.Millisecond))
+	return nil
+}
+
+func (g *Gateway) awaitStop(ctx context.Context, reload <-chan platform.Settings) {
+	for {
+		select {
+		case s := <-reload:
+			g.log.Info("reloaded", "seeds", len(s.Seeds), "store", s.Store)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// start reads the store and asks the seeds until a table and the endpoints are
+// known; only then does the gateway become ready.
+func (g *Gateway) start(ctx context.Context) {
+	for {
+		g.catchUp(ctx)
+		if g.store.Ready() || !pause.For(ctx, catchUpPause) {
+			break
+		}
+	}
+	g.caughtUp.Store(true)
+	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
+	var loops sync.WaitGroup
+	for _, c := range []controllers.Controller{g.exchange, g.config} {
+		loops.Go(func() { c.Run(ctx) })
+	}
+	loops.Wait()
+}
+
+// catchUp asks the store and the peers at the same time: either may be away.
+func (g *Gateway) catchUp(ctx context.Context) {
+	var both sync.WaitGroup
+	both.Go(func() { g.config.Read(ctx, 0) })
+	both.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+		defer cancel()
+		g.exchange.Catchup(ctx, g.vm.DataCenter)
+	})
+	both.Wait()
+}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/platform"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+)
+
+const (
+	// headerTimeout is for a caller to send its headers.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes is twice what the users' callers send.
+	maxHeaderBytes = 32 << 10
+	// peerDialTimeout, peerIdle and peerIdleConns keep connections to peers.
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdle        = 30 * time.Second
+	peerIdleConns   = 1
+	// graceMargin is how long before the platform kills the process it gives up
+	// what is still open.
+	graceMargin = 700 * time.Millisecond
+	// farewellTimeout is for telling the peers.
+	farewellTimeout = 300 * time.Millisecond
+	// listenerCloseGrace is for closing the listener of the peers.
+	listenerCloseGrace = 100 * time.Millisecond
+)
+
+func peerTransport() *http.Transport {
+	d := &net.Dialer{Timeout: peerDialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: peerIdleConns,
+		IdleConnTimeout:     peerIdle,
+	}
+}
+
+// servers are the listeners; metrics may be nil.
+type servers struct {
+	callers, readiness, peers, metrics *http.Server
+}
+
+func (g *Gateway) listen() (*servers, error) {
+	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
+	s := &servers{}
+	var err error
+	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness()); err != nil {
+		return nil, err
+	}
+	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler("")); err != nil {
+		return nil, err
+	}
+	if g.cfg.MetricsPort != 0 {
+		host, _, _ := net.SplitHostPort(g.vm.Peers)
+		address := net.JoinHostPort(host, strconv.Itoa(g.cfg.MetricsPort))
+		if s.metrics, err = g.serve(address, g.metricsHandler()); err != nil {
+			return nil, err
+		}
+	}
+	if s.callers, err = g.serve(g.vm.Callers, g.callers()); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (g *Gateway) serve(address string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       g.cfg.IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("listener ended", "address", address, "error", err)
+		}
+	}()
+	return s, nil
+}
+
+func (g *Gateway) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	return r
+}
+
+func (g *Gateway) metricsHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Method(http.MethodGet, operatorapi.PathMetrics, promhttp.HandlerFor(g.metrics.Registry, promhttp.HandlerOpts{}))
+	return r
+}
+
+// stop ends the gateway: unready at once, serve what the balancer still sends,
+// let open requests end, and tell the peers.
+func (g *Gateway) stop(ctx context.Context, s *servers) {
+	begun := time.Now()
+	g.stopping.Store(true)
+	g.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEAVING)
+	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
+	deadline := begun.Add(g.vm.Bounds.Grace - graceMargin)
+	time.Sleep(g.cfg.DrainDelay)
+	open, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := s.callers.Shutdown(open); err != nil {
+		g.log.Warn("requests cut at the end of the grace period", "error", err)
+		_ = s.callers.Close()
+	}
+	farewell, cancelFarewell := context.WithTimeout(ctx, farewellTimeout)
+	defer cancelFarewell()
+	g.exchange.Farewell(farewell)
+	closing, cancelClosing := context.WithTimeout(ctx, listenerCloseGrace)
+	defer cancelClosing()
+	// Peers repeat their exchanges elsewhere, and nothing else is left to lose.
+	_ = s.peers.Shutdown(closing)
+	_ = s.readiness.Close()
+	if s.metrics != nil {
+		_ = s.metrics.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/reader.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/platform"
+)
+
+// reader turns what the platform's store holds into the published values: the
+// configuration is the table, and the records of the endpoints are the fleet.
+// Registries that peers pass on are adopted first, so that a reader that was cut
+// off from the store for a while never builds on an older one.
+type reader struct {
+	source *platform.Published
+	held   func() (published.Value, bool)
+
+	mu       sync.Mutex
+	registry *fleet.Registry
+	since    uint64
+}
+
+var _ controllers.Reader = (*reader)(nil)
+
+// newReader makes a reader; held returns the newest fleet value known.
+func newReader(s *platform.Published, held func() (published.Value, bool)) *reader {
+	return &reader{source: s, held: held, registry: fleet.NewRegistry()}
+}
+
+// Read implements controllers.Reader.
+func (r *reader) Read(ctx context.Context, wait time.Duration) ([]published.Value, error) {
+	r.mu.Lock()
+	since := r.since
+	r.mu.Unlock()
+	if wait == 0 || since == 0 {
+		return r.list(ctx)
+	}
+	news, err := r.source.Watch(ctx, since, wait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		return r.list(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = news.Revision
+	return r.values(news, func() bool { return r.registry.Apply(news.Endpoints) })
+}
+
+func (r *reader) list(ctx context.Context) ([]published.Value, error) {
+	all, err := r.source.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = all.Revision
+	return r.values(all, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
+}
+
+func (r *reader) values(news platform.News, apply func() bool) ([]published.Value, error) {
+	if v, ok := r.held(); ok {
+		if err := r.registry.Adopt(v.Content, v.Revision); err != nil {
+			return nil, err
+		}
+	}
+	var out []published.Value
+	if apply() {
+		content, err := r.registry.Encode()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, published.Value{Name: published.Fleet, Revision: r.registry.Revision(), Content: content})
+	}
+	if news.Table != nil {
+		out = append(out, *news.Table)
+	}
+	return out, nil
+}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -109,19 +109,27 @@
 	}}
 }
 
-// WriteError answers with an error before anything else was written.
-func WriteError(w http.ResponseWriter, err *outcome.Error) {
+// WriteError answers with an error before anything else was written. Exact
+// callers read fractions of a second in Retry-After.
+func WriteError(w http.ResponseWriter, err *outcome.Error, exact bool) {
 	h := w.Header()
 	h.Set("Content-Type", ContentJSON)
 	h.Set(HeaderOutcome, err.Outcome.String())
 	if err.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
+		h.Set("Retry-After", retryAfter(err.RetryAfter, exact))
 		h.Set(HeaderRetryAfterMS, strconv.FormatInt(err.RetryAfter.Milliseconds(), 10))
 	}
 	w.WriteHeader(err.Status())
 	_ = json.NewEncoder(w).Encode(Detail(err))
 }
 
+func retryAfter(d time.Duration, exact bool) string {
+	if exact {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
 // ErrorEvent makes the last event of a stream that failed.
 func ErrorEvent(err *outcome.Error) []byte {
 	data, _ := json.Marshal(Detail(err))
@@ -140,5 +148,12 @@
 	return &c
 }
 
+// WriteJSON answers with a value.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", ContentJSON)
+	// A caller that no longer reads is all that can fail here.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
 // Clock tells the time; tests replace it.
 type Clock func() time.Time
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -40,14 +40,31 @@
 	MaxTokens int
 	Stream    bool
 
+	// APIKey is what the caller identified itself with.
+	APIKey string
+	// Header is passed on to the endpoint, Host and URI too.
+	Header http.Header
+	Host   string
+	// PromptTokens and ExpectedTokens are what the caller said of its prompt and
+	// of the output; zero if it said nothing.
+	PromptTokens   int
+	ExpectedTokens int
+	PromptParts    []PromptPart
+	// CallerWaits is how long the caller waits from its arrival on; zero if it
+	// didn't say.
+	CallerWaits time.Duration
+	// Rank of the request among those at an endpoint, from 0, which goes first.
+	Rank int
 	// Ticket is what the caller sent to make the request non-repeatable.
 	Ticket string
 	// OwnerAnswered says that an error comes from the ticket's owner.
 	OwnerAnswered bool
 
 	// Outcome and Code are set when the answer has been written, for accounting.
+	// Reason says why in words.
 	Outcome outcome.Outcome
 	Code    outcome.Code
+	Reason  string
 	// Timings for accounting.
 	Timings Timings
 
@@ -90,8 +107,36 @@
 	return now
 }
 
-// Deadline is when the request's timeout ends.
-func (j *Job) Deadline() time.Time { return j.Arrived.Add(j.Row.Timeout) }
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Deadline is when the request's timeout ends, or when its caller stops waiting
+// if that is sooner.
+func (j *Job) Deadline() time.Time {
+	if j.CallerWaits > 0 && j.CallerWaits < j.Row.Timeout {
+		return j.Arrived.Add(j.CallerWaits)
+	}
+	return j.Arrived.Add(j.Row.Timeout)
+}
+
+// Left is the time until the deadline, or zero if the context has ended.
+func (j *Job) Left(ctx context.Context) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	return time.Until(j.Deadline())
+}
+
+// HeaderSink is a sink that passes on an endpoint's answer with its headers.
+type HeaderSink interface {
+	Sink
+	// Start starts the answer; length is that of its body, or -1 if it isn't
+	// known.
+	Start(status int, h http.Header, length int64)
+}
 
 // Sink takes an answer: one header, data, and one end.
 type Sink interface {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,8 @@
 	Values *prometheus.CounterVec
 	// Leaves counts news of leaving endpoints by source.
 	Leaves *prometheus.CounterVec
+	// Connections counts new connections to endpoints.
+	Connections prometheus.Counter
 	// Rejected counts bad input by code.
 	Rejected *prometheus.CounterVec
 	// PeersAsked and PeersAnswered count exchanges begun and ended well.
@@ -76,11 +78,12 @@
 	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
+	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected,
-		m.PeersAsked, m.PeersAnswered,
+		m.PeersAsked, m.PeersAnswered, m.Connections,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
 	return m
--- /dev/null
+++ b/internal/native/native.go
@@ -0,0 +1,72 @@
+// Package native makes attempts in the system's own interface: generations at
+// engines, which can be resumed, and calls of plain services.
+package native
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/engineclient"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+)
+
+// Config holds the settings of a Performer.
+type Config struct {
+	Dispatcher *dispatch.Dispatcher
+	Client     *engineclient.Client
+	// StallTimeout is how long a stream may make no progress before its link is
+	// taken as lost.
+	StallTimeout time.Duration
+	// OnFailure is told of each link that was lost, for metrics.
+	OnFailure func(retry.Failure)
+	// OnStep is told of each resumption, for metrics.
+	OnStep func(retry.Step)
+}
+
+// Performer makes attempts.
+type Performer struct{ cfg Config }
+
+var _ runner.Performer = (*Performer)(nil)
+
+// New makes a performer.
+func New(cfg Config) *Performer { return &Performer{cfg: cfg} }
+
+// Perform implements runner.Performer.
+func (p *Performer) Perform(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
+	if grant.Endpoint.Type == fleet.Engine {
+		return p.generate(ctx, j, sink, grant)
+	}
+	return p.call(ctx, j, sink, grant)
+}
+
+// call runs a request at a plain service.
+func (p *Performer) call(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
+	start := time.Now()
+	reply, f := p.cfg.Client.Call(ctx, grant.Endpoint, j.RequestID, j.Method, j.ServicePath, j.ContentType, j.Body)
+	if f != nil {
+		return attempt.Ending{Failure: f}
+	}
+	j.Timings.Progress(j.Arrived, start)
+	sink.Header(reply.Status, reply.ContentType)
+	_ = sink.Data(reply.Body)
+	sink.Flush()
+	return attempt.Ending{}
+}
+
+func completion(j *job.Job, text string, reason *string, usage *httpapi.Usage) []byte {
+	data, _ := json.Marshal(httpapi.Completion{
+		ID:      j.RequestID,
+		Object:  httpapi.ObjectCompletion,
+		Model:   j.Model,
+		Choices: []httpapi.Choice{{Text: text, FinishReason: reason}},
+		Usage:   usage,
+	})
+	return data
+}
--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -9,7 +9,7 @@
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/job"
-	"github.com/bridgehoist/bridgehoist/internal/platformapi"
+	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
@@ -92,7 +92,7 @@
 	return out
 }
 
-func documentsOut(in []platformapi.Value) []*peerv1.Document {
+func documentsOut(in []published.Value) []*peerv1.Document {
 	out := make([]*peerv1.Document, 0, len(in))
 	for _, v := range in {
 		out = append(out, &peerv1.Document{Name: v.Name, Revision: v.Revision, Content: v.Content})
@@ -100,8 +100,8 @@
 	return out
 }
 
-func documentIn(d *peerv1.Document) platformapi.Value {
-	return platformapi.Value{Name: d.GetName(), Revision: d.GetRevision(), Content: d.GetContent()}
+func documentIn(d *peerv1.Document) published.Value {
+	return published.Value{Name: d.GetName(), Revision: d.GetRevision(), Content: d.GetContent()}
 }
 
 func runRequest(ticket string, j *job.Job) *peerv1.RunRequest {
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -45,7 +45,7 @@
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
 
-// NewServer makes the service.
+// NewServer makes the service. Without an owner it offers the exchange alone.
 func NewServer(b *Beliefs, s *published.Store, o *owner.Owner, m MakeJob, t *Traffic) *Server {
 	return &Server{beliefs: b, store: s, owner: o, makeJob: m, traffic: t}
 }
@@ -119,6 +119,9 @@
 
 // Run implements the service.
 func (s *Server) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
+	if s.owner == nil {
+		return errNoTickets()
+	}
 	sink := &rpcSink{stream: stream}
 	stop := sink.beat(ctx)
 	final := s.run(ctx, req.Msg, sink)
@@ -187,8 +190,15 @@
 // Flush implements job.Sink; each message is sent at once.
 func (s *rpcSink) Flush() {}
 
+func errNoTickets() error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("this entry gives no tickets"))
+}
+
 // Handover implements the service.
 func (s *Server) Handover(_ context.Context, req *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error) {
+	if s.owner == nil {
+		return nil, errNoTickets()
+	}
 	err := s.owner.Adopt(req.Msg)
 	if errors.Is(err, claims.ErrStopping) {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -7,12 +7,41 @@
 	"sync"
 	"time"
 
-	"github.com/bridgehoist/bridgehoist/internal/platformapi"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
+// Names of the published values.
+const (
+	// Table is the operators' table.
+	Table = "table"
+	// Fleet is the list of endpoints, and of VMs and workspaces where the platform
+	// publishes these.
+	Fleet = "fleet"
+)
+
+// Value is one published value. Its content is in the platform's format.
+type Value struct {
+	Name     string
+	Revision uint64
+	Content  []byte
+}
+
+// Parsers read the contents of the values.
+type Parsers struct {
+	Table func([]byte) (*table.Table, error)
+	Fleet func([]byte) (*fleet.List, error)
+}
+
+// OwnParsers read the system's own formats: CSV and JSON.
+func OwnParsers() Parsers {
+	return Parsers{
+		Table: func(b []byte) (*table.Table, error) { return table.Parse(Table, b) },
+		Fleet: func(b []byte) (*fleet.List, error) { return fleet.Parse(Fleet, b) },
+	}
+}
+
 // Event tells of an offered value that changed something, or was bad.
 type Event struct {
 	Name     string
@@ -27,36 +56,32 @@
 	mu      sync.Mutex
 	table   *register.Register[*table.Table]
 	fleet   *register.Register[*fleet.List]
-	raw     map[string]platformapi.Value
+	raw     map[string]Value
 	onEvent func(Event)
 	onFleet func(*fleet.List)
 }
 
 // New makes an empty store. onEvent is told of adoptions, rejections and
 // conflicts; onFleet of each new fleet list.
-func New(onEvent func(Event), onFleet func(*fleet.List)) *Store {
+func New(p Parsers, onEvent func(Event), onFleet func(*fleet.List)) *Store {
 	return &Store{
-		table: register.New(func(b []byte) (*table.Table, error) {
-			return table.Parse(platformapi.Table, b)
-		}),
-		fleet: register.New(func(b []byte) (*fleet.List, error) {
-			return fleet.Parse(platformapi.Fleet, b)
-		}),
-		raw:     map[string]platformapi.Value{},
+		table:   register.New(p.Table),
+		fleet:   register.New(p.Fleet),
+		raw:     map[string]Value{},
 		onEvent: onEvent,
 		onFleet: onFleet,
 	}
 }
 
 // Offer gives the store a value from a source, such as "platform" or a peer.
-func (s *Store) Offer(now time.Time, v platformapi.Value, source string) register.Verdict {
+func (s *Store) Offer(now time.Time, v Value, source string) register.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	verdict, err := s.offer(now, v)
 	if verdict == register.Adopted || verdict == register.Rejected {
 		s.raw[v.Name] = v
 	}
-	if verdict == register.Adopted && v.Name == platformapi.Fleet {
+	if verdict == register.Adopted && v.Name == Fleet {
 		s.onFleet(s.fleet.Current().Value)
 	}
 	if verdict == register.Adopted || verdict == register.Rejected || verdict == register.Conflict {
@@ -65,11 +90,11 @@
 	return verdict
 }
 
-func (s *Store) offer(now time.Time, v platformapi.Value) (register.Verdict, error) {
+func (s *Store) offer(now time.Time, v Value) (register.Verdict, error) {
 	switch v.Name {
-	case platformapi.Table:
+	case Table:
 		return s.table.Offer(now, v.Revision, v.Content)
-	case platformapi.Fleet:
+	case Fleet:
 		return s.fleet.Offer(now, v.Revision, v.Content)
 	default:
 		return register.Known, nil
@@ -98,10 +123,10 @@
 
 // Newer returns the values seen that are newer than the given revisions. Bad
 // ones are passed on too: each entry checks and counts them for itself.
-func (s *Store) Newer(than map[string]uint64) []platformapi.Value {
+func (s *Store) Newer(than map[string]uint64) []Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platformapi.Value
+	var out []Value
 	for name, v := range s.raw {
 		if v.Revision > than[name] {
 			out = append(out, v)
@@ -111,7 +136,7 @@
 }
 
 // Get returns the newest value seen by name.
-func (s *Store) Get(name string) (platformapi.Value, bool) {
+func (s *Store) Get(name string) (Value, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.raw[name]
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,209 @@
+// Package relay makes attempts that pass a caller's request to an endpoint as it
+// came, and the endpoint's answer back as it came.
+//
+// A plain answer is read whole before a byte of it goes on, so that one that
+// breaks off can still be replaced by a failure. A stream is passed on event by
+// event, and only whole events; when it breaks off, the caller's connection is
+// cut, so that it can't be taken for whole.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/stream"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 4 << 20
+	// readBytes is the size of the reads of a stream.
+	readBytes = 4 << 10
+	// streamType is the content type of event streams.
+	streamType = "text/event-stream"
+)
+
+// Config holds the settings of a Forwarder.
+type Config struct {
+	Dispatcher *dispatch.Dispatcher
+	Pool       *upstream.Pool
+	// TokensPerEvent says how many tokens one event of a target's streams carries.
+	TokensPerEvent func(target string) int
+}
+
+// Forwarder makes attempts.
+type Forwarder struct{ cfg Config }
+
+var _ runner.Performer = (*Forwarder)(nil)
+
+// New makes a forwarder.
+func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+
+// Perform implements runner.Performer. The sink must be a job.HeaderSink.
+func (f *Forwarder) Perform(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
+	start := time.Now()
+	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant))
+	if failure != nil {
+		return attempt.Ending{Failure: failure}
+	}
+	defer resp.Close()
+	if failure := refused(resp); failure != nil {
+		// The connection stays good if the refusal is read to its end.
+		_, _ = io.CopyN(io.Discard, resp, maxAnswerBytes)
+		return attempt.Ending{Failure: failure}
+	}
+	out := sink.(job.HeaderSink)
+	if isStream(resp) {
+		return f.passStream(j, out, grant, resp, start)
+	}
+	return passWhole(j, out, resp, start)
+}
+
+func request(j *job.Job) *upstream.Request {
+	return &upstream.Request{ID: j.RequestID, Method: j.Method, URI: j.Path, Host: j.Host, Header: j.Header, Body: j.Body}
+}
+
+func sending(ctx context.Context, j *job.Job, grant dispatch.Grant) upstream.Sending {
+	return upstream.Sending{Endpoint: grant.Endpoint.ID, Workspace: j.Workspace, Left: j.Left(ctx), Rank: j.Rank}
+}
+
+// refused looks for answers that aren't passed on: refusals, and those that the
+// endpoint doesn't vouch for.
+func refused(resp *upstream.Response) *attempt.Failure {
+	switch {
+	case resp.NotRun:
+		return &attempt.Failure{
+			Kind:       retry.RefusedBeforeExecution,
+			Draining:   resp.Replaced,
+			RetryAfter: retryAfter(resp.Header),
+			Err:        errors.Errorf("status %d", resp.Status),
+		}
+	case resp.Signed:
+		return nil
+	case resp.Status < http.StatusMultipleChoices:
+		return &attempt.Failure{Kind: retry.Protocol, Err: errors.Errorf("status %d without a signature", resp.Status)}
+	case outcome.Promises(resp.Status):
+		return &attempt.Failure{Kind: retry.LinkLost, Err: errors.Errorf("status %d without a proof that nothing ran", resp.Status)}
+	default:
+		return nil
+	}
+}
+
+// retryAfter reads when to come back, in seconds with fractions.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+func isStream(resp *upstream.Response) bool {
+	return resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType)
+}
+
+// passWhole reads a plain answer to its end and passes it on.
+func passWhole(j *job.Job, sink job.HeaderSink, resp *upstream.Response, start time.Time) attempt.Ending {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	if err != nil {
+		return attempt.Ending{Failure: &attempt.Failure{Kind: retry.LinkLost, Err: err}}
+	}
+	if len(body) > maxAnswerBytes {
+		return attempt.Ending{Failure: &attempt.Failure{Kind: retry.Protocol, Err: errors.New("answer too large")}}
+	}
+	j.Timings.Progress(j.Arrived, start)
+	sink.Start(resp.Status, resp.Header, int64(len(body)))
+	// A caller that no longer reads is noticed by its context.
+	_ = sink.Data(body)
+	sink.Flush()
+	return attempt.Ending{}
+}
+
+// pass follows one stream.
+type pass struct {
+	j        *job.Job
+	sink     job.HeaderSink
+	grant    dispatch.Grant
+	split    stream.Splitter
+	events   int
+	last     time.Time
+	started  bool
+	perEvent int
+}
+
+func (f *Forwarder) passStream(j *job.Job, sink job.HeaderSink, grant dispatch.Grant, resp *upstream.Response, start time.Time) attempt.Ending {
+	p := &pass{j: j, sink: sink, grant: grant, last: start, perEvent: f.cfg.TokensPerEvent(j.Row.Target)}
+	err := f.copy(p, resp)
+	end := attempt.Ending{Released: p.events * p.perEvent, Generated: p.events * p.perEvent}
+	if err != nil {
+		end.Failure = &attempt.Failure{Kind: retry.LinkLost, Err: err}
+	}
+	return end
+}
+
+func (f *Forwarder) copy(p *pass, resp *upstream.Response) error {
+	buf := make([]byte, readBytes)
+	for {
+		n, err := resp.Read(buf)
+		if n > 0 {
+			if err := f.take(p, resp, buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return p.end(resp)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// take passes on the events that are whole by now.
+func (f *Forwarder) take(p *pass, resp *upstream.Response, data []byte) error {
+	events, count := p.split.Feed(data)
+	if p.split.TooLong() {
+		return errors.New("an event is too long")
+	}
+	if count == 0 {
+		return nil
+	}
+	p.start(resp)
+	p.events += count
+	p.last = p.j.Timings.Progress(p.j.Arrived, p.last)
+	f.cfg.Dispatcher.Progress(p.grant.ID, p.events*p.perEvent)
+	if err := p.sink.Data(events); err != nil {
+		return errors.Wrap(err, "caller")
+	}
+	p.sink.Flush()
+	return nil
+}
+
+func (p *pass) start(resp *upstream.Response) {
+	if !p.started {
+		p.started = true
+		p.sink.Start(resp.Status, resp.Header, resp.Length)
+	}
+}
+
+// end checks that a stream ended between two events.
+func (p *pass) end(resp *upstream.Response) error {
+	if p.split.Partial() {
+		return io.ErrUnexpectedEOF
+	}
+	p.start(resp)
+	return nil
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,3 +1,5 @@
+// Package standin holds the stand-ins for engines and plain services. They serve
+// the demo and the tests.
 package standin
 
 import (
@@ -14,6 +16,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/enginemodel"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 )
 
 // EngineConfig sets up a stand-in engine.
@@ -163,7 +166,7 @@
 	r.Get(engineapi.PathOrders, e.orders)
 	r.Post(engineapi.PathOrders, e.order)
 	r.Put("/control/faults", e.setFaults)
-	r.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
+	r.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) { httpapi.WriteJSON(w, e.Runs()) })
 	return r
 }
 
@@ -354,7 +357,7 @@
 	defer e.mu.Unlock()
 	e.report(time.Now())
 	l := e.reports[0].load
-	writeJSON(w, engineapi.LoadReport{
+	httpapi.WriteJSON(w, engineapi.LoadReport{
 		Incarnation:    e.cfg.Incarnation,
 		UsedTokens:     l.UsedTokens,
 		CapacityTokens: e.cfg.Model.CapacityTokens,
@@ -379,7 +382,7 @@
 func (e *Engine) orders(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, engineapi.OrderState{Fencing: e.fencing, Loaded: e.loaded, Loading: e.loading})
+	httpapi.WriteJSON(w, engineapi.OrderState{Fencing: e.fencing, Loaded: e.loaded, Loading: e.loading})
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 )
 
 // ServiceAnswer is the reply of the plain service.
@@ -48,7 +49,7 @@
 // Handler serves the service.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	r.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) { httpapi.WriteJSON(w, s.Runs()) })
 	r.Put("/control/faults", s.setFaults)
 	r.HandleFunc("/*", s.call)
 	return r
@@ -86,5 +87,5 @@
 	}
 	time.Sleep(s.latency)
 	w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
-	writeJSON(w, ServiceAnswer{Echo: hash, RequestID: r.Header.Get(engineapi.HeaderRequestID)})
+	httpapi.WriteJSON(w, ServiceAnswer{Echo: hash, RequestID: r.Header.Get(engineapi.HeaderRequestID)})
 }
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,285 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+)
+
+const (
+	// maxIdlePerEndpoint bounds the kept connections to one endpoint.
+	maxIdlePerEndpoint = 32
+	// defaultMaxIdle is for how long a connection is kept without use.
+	defaultMaxIdle = 8 * time.Second
+	// writeAtOnce is the size up to which a body is written before the answer is
+	// read. Larger ones are written beside it, as an endpoint may answer before it
+	// has read all.
+	writeAtOnce = 32 << 10
+	// maxStrayAnswers bounds the answers to other requests that are skipped.
+	maxStrayAnswers = 4
+)
+
+// Pool keeps connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	protocol Protocol
+	onDial   func()
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewPool makes an empty pool; onDial is told of each new connection.
+func NewPool(p Protocol, onDial func()) *Pool {
+	return &Pool{protocol: p, onDial: onDial, idle: map[string][]*conn{}}
+}
+
+// Keep closes the idle connections to endpoints that are no longer listed.
+func (p *Pool) Keep(listed func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, conns := range p.idle {
+		if listed(id) {
+			continue
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		delete(p.idle, id)
+	}
+}
+
+// take returns a kept connection that is usable, or nil.
+func (p *Pool) take(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for conns := p.idle[id]; len(conns) > 0; conns = p.idle[id] {
+		c := conns[len(conns)-1]
+		p.idle[id] = conns[:len(conns)-1]
+		if c.usable(now, defaultMaxIdle) {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) put(id string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[id]) >= maxIdlePerEndpoint {
+		c.Close()
+		return
+	}
+	c.lastUsed = time.Now()
+	p.idle[id] = append(p.idle[id], c)
+}
+
+// Response is an answer whose body is still to be read. It must be closed.
+type Response struct {
+	Answer
+	Status int
+	// Length of the body, or -1 if it isn't known.
+	Length int64
+
+	pool     *Pool
+	endpoint string
+	conn     *conn
+	body     io.ReadCloser
+	release  func() bool
+	reusable bool
+	ended    bool
+}
+
+// Do sends a request to an endpoint and reads the head of its answer. When the
+// context ends the connection is closed, so that the endpoint stops its work.
+func (p *Pool) Do(ctx context.Context, e fleet.Endpoint, r *Request, s Sending) (*Response, *attempt.Failure) {
+	for {
+		c := p.take(e.ID)
+		kept := c != nil
+		if !kept {
+			var err error
+			if c, err = dial(ctx, e.Address); err != nil {
+				return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
+			}
+			p.onDial()
+		}
+		resp, f := p.exchange(ctx, c, e, r, s)
+		if f != nil && f.Kind == retry.NotSent && kept && ctx.Err() == nil {
+			// The connection was dead before a byte was taken; the next one may not be.
+			continue
+		}
+		return resp, f
+	}
+}
+
+func (p *Pool) exchange(ctx context.Context, c *conn, e fleet.Endpoint, r *Request, s Sending) (*Response, *attempt.Failure) {
+	release := context.AfterFunc(ctx, func() { c.Close() })
+	fail := func(kind retry.Failure, err error) (*Response, *attempt.Failure) {
+		release()
+		c.Close()
+		return nil, &attempt.Failure{Kind: kind, Err: err}
+	}
+	written, err := p.write(c, r, s)
+	if err != nil {
+		return fail(retry.NotSent, err)
+	}
+	resp, err := p.answer(c, r)
+	if err != nil {
+		return fail(kindOf(err), err)
+	}
+	whole := written()
+	resp.endpoint = e.ID
+	resp.release = release
+	resp.reusable = resp.reusable && whole
+	return resp, nil
+}
+
+// errNotAnAnswer says that the bytes on a connection are no answer.
+var errNotAnAnswer = errors.New("not an answer in the protocol")
+
+// kindOf tells a broken link from an endpoint that sent what makes no sense.
+func kindOf(err error) retry.Failure {
+	if errors.Is(err, errNotAnAnswer) {
+		return retry.Protocol
+	}
+	return retry.LinkLost
+}
+
+// write sends the request. An error means that nothing has left. The function
+// that it returns reports whether all has been written by now.
+func (p *Pool) write(c *conn, r *Request, s Sending) (written func() bool, err error) {
+	var buf bytes.Buffer
+	p.head(&buf, r, s)
+	if len(r.Body) <= writeAtOnce {
+		buf.Write(r.Body)
+	}
+	n, err := c.Write(buf.Bytes())
+	if n == 0 && err != nil {
+		return nil, err
+	}
+	if err != nil {
+		return func() bool { return false }, nil
+	}
+	if len(r.Body) <= writeAtOnce {
+		return func() bool { return true }, nil
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(r.Body)
+		done <- err
+	}()
+	return func() bool {
+		select {
+		case err := <-done:
+			return err == nil
+		default:
+			return false
+		}
+	}, nil
+}
+
+func (p *Pool) head(buf *bytes.Buffer, r *Request, s Sending) {
+	h := r.Header.Clone()
+	p.protocol.WriteRequest(h, s)
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	buf.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// A bytes.Buffer takes every write.
+	_ = h.Write(buf)
+	buf.WriteString("\r\n")
+}
+
+// answer reads heads until one is of the request.
+func (p *Pool) answer(c *conn, r *Request) (*Response, error) {
+	for range maxStrayAnswers {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, notAnAnswer(err)
+		}
+		if hr.StatusCode < http.StatusOK {
+			continue
+		}
+		a := p.protocol.ReadAnswer(hr.StatusCode, hr.Header)
+		if a.RequestID != "" && a.RequestID != r.ID {
+			// A surplus answer to an earlier request on this connection.
+			if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		c.keep = keepAlive(hr.Header)
+		return &Response{
+			Answer:   a,
+			Status:   hr.StatusCode,
+			Length:   hr.ContentLength,
+			pool:     p,
+			conn:     c,
+			body:     hr.Body,
+			reusable: !hr.Close && (hr.ContentLength >= 0 || len(hr.TransferEncoding) > 0),
+		}, nil
+	}
+	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
+}
+
+// notAnAnswer tells bytes that make no sense from a connection that ended.
+func notAnAnswer(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || isNetwork(err) {
+		return err
+	}
+	return errors.Wrap(errNotAnAnswer, err.Error())
+}
+
+func isNetwork(err error) bool {
+	var n interface{ Timeout() bool }
+	return errors.As(err, &n)
+}
+
+// keepAlive reads for how long an endpoint keeps an idle connection.
+func keepAlive(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body.
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if err == io.EOF {
+		r.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the body was read to its
+// end and nothing follows it.
+func (r *Response) Close() {
+	cancelled := !r.release()
+	if cancelled || !r.ended || !r.reusable || r.conn.reader.Buffered() > 0 {
+		r.conn.Close()
+		return
+	}
+	r.pool.put(r.endpoint, r.conn)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,65 @@
+// Package upstream sends requests to endpoints over HTTP/1.1 and says of each
+// failure how far the request came.
+//
+// It keeps its own connections instead of using http.Transport, which sends a
+// request again by itself when a kept connection turns out to be dead. Here each
+// write to a connection is decided by the caller: what follows from a failure
+// depends on whether a byte may have reached the endpoint. The messages themselves
+// are written and read by net/http.
+//
+//	idle --Do--> sent --answer with the request's id--> answered --Close--> idle
+//	  |           |  \--answer with another id: skipped             \--> closed
+//	  |           +--> failed: NotSent (nothing was written) or LinkLost
+//	  +--> closed (too old, or the peer has closed it)
+package upstream
+
+import (
+	"net/http"
+	"time"
+)
+
+// Sending is what the system tells an endpoint beside the caller's request.
+type Sending struct {
+	// Endpoint is the id of the one endpoint that may run the request.
+	Endpoint  string
+	Workspace string
+	// Left is how long the answer is waited for.
+	Left time.Duration
+	// Rank orders requests at the endpoint, from 0, which goes first; it is not
+	// sent if negative.
+	Rank int
+}
+
+// Answer is what the head of an endpoint's answer says.
+type Answer struct {
+	// RequestID of the request that it answers; empty if the endpoint didn't say.
+	RequestID string
+	// Signed says that the endpoint vouches for the answer.
+	Signed bool
+	// NotRun says that the endpoint has not run the request and won't.
+	NotRun bool
+	// Replaced says that another endpoint has the address now.
+	Replaced bool
+	// Header holds what a caller may see.
+	Header http.Header
+}
+
+// Protocol reads and writes the headers that endpoints understand.
+type Protocol interface {
+	// WriteRequest adds to the headers of a request.
+	WriteRequest(h http.Header, s Sending)
+	// ReadAnswer reads the head of an answer.
+	ReadAnswer(status int, h http.Header) Answer
+}
+
+// Request is a request as it goes to an endpoint.
+type Request struct {
+	// ID of the request, by which its answer is known.
+	ID     string
+	Method string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 )
 
 // State of a VM or endpoint on the list.
@@ -72,6 +73,8 @@
 	ChecksFencing bool `json:"checks_fencing"`
 	// Desired are the models that the operators want loaded.
 	Desired []string `json:"desired,omitempty"`
+	// WarmUp is for how long from its start the endpoint is slow.
+	WarmUp time.Duration `json:"-"`
 }
 
 // Workspace is one customer, with the digests of its API keys.
--- /dev/null
+++ b/pkg/fleet/grace.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// Grace keeps endpoints whose records lapsed in use for a short time.
+//
+// While the platform's store is away the endpoints can't renew their records, so
+// many of them may vanish together although they live; they come back soon after
+// the store does. An endpoint that vanishes is therefore kept for Hold if fewer
+// than half of the live endpoints of its target are left without those that
+// vanished at the same time. A single one that vanishes is gone at once.
+//
+// The caller serialises calls.
+type Grace struct {
+	// Hold is for how long a lapsed endpoint is kept.
+	Hold time.Duration
+
+	known map[string]Endpoint
+	held  map[string]time.Time
+}
+
+// Apply takes the published endpoints and returns those to use. If some are
+// held, again is when to apply the same list once more.
+func (g *Grace) Apply(now time.Time, published []Endpoint) (use []Endpoint, again time.Time) {
+	if g.known == nil {
+		g.known = map[string]Endpoint{}
+		g.held = map[string]time.Time{}
+	}
+	listed := make(map[string]bool, len(published))
+	for _, e := range published {
+		listed[e.ID] = true
+	}
+	g.holdLapsed(now, listed)
+	use = slices.Clone(published)
+	for id, until := range g.held {
+		if listed[id] || !now.Before(until) {
+			delete(g.held, id)
+			continue
+		}
+		use = append(use, g.known[id])
+		if again.IsZero() || until.Before(again) {
+			again = until
+		}
+	}
+	clear(g.known)
+	for _, e := range use {
+		g.known[e.ID] = e
+	}
+	return use, again
+}
+
+// holdLapsed holds the endpoints that vanished now, if they are most of their
+// target's.
+func (g *Grace) holdLapsed(now time.Time, listed map[string]bool) {
+	live, left := map[string]int{}, map[string]int{}
+	for id, e := range g.known {
+		if e.State == Leaving {
+			continue
+		}
+		for _, t := range e.Targets {
+			live[t]++
+			if listed[id] {
+				left[t]++
+			}
+		}
+	}
+	for id, e := range g.known {
+		if listed[id] || e.State == Leaving || len(e.Targets) == 0 {
+			continue
+		}
+		if _, held := g.held[id]; held {
+			continue
+		}
+		if t := e.Targets[0]; live[t] > 1 && left[t]*2 < live[t] {
+			g.held[id] = now.Add(g.Hold)
+		}
+	}
+}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -144,17 +144,35 @@
 	CodeTicketConflict:  http.StatusUnprocessableEntity,
 	CodeLimit:           http.StatusTooManyRequests,
 	CodeQueueFull:       http.StatusTooManyRequests,
-	CodeEndpointBad:     http.StatusBadGateway,
-	CodeEndpointLost:    http.StatusBadGateway,
+}
+
+// badGateway are the codes that blame an endpoint, where the request may have
+// run. Where it has not, the status is the promise of 503.
+var badGateway = map[Code]bool{CodeEndpointBad: true, CodeEndpointLost: true}
+
+// Promises reports whether a status tells callers that their request has not
+// run and never will.
+func Promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 // Status gives the HTTP status of the error.
 func (e *Error) Status() int {
-	if s, ok := statusByCode[e.Code]; ok {
+	s, ok := statusByCode[e.Code]
+	if ok && (e.Outcome == NotRun || !Promises(s)) {
 		return s
 	}
 	if e.Outcome == NotRun {
 		return http.StatusServiceUnavailable
 	}
+	if badGateway[e.Code] {
+		return http.StatusBadGateway
+	}
 	return http.StatusGatewayTimeout
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -22,8 +22,11 @@
 )
 
 // NewBudget makes a full budget with the defaults.
-func NewBudget() *Budget {
-	return &Budget{Share: DefaultShare, Burst: DefaultBurst, saved: DefaultBurst}
+func NewBudget() *Budget { return NewBudgetOf(DefaultShare, DefaultBurst) }
+
+// NewBudgetOf makes a full budget.
+func NewBudgetOf(share, burst float64) *Budget {
+	return &Budget{Share: share, Burst: burst, saved: burst}
 }
 
 // First records a first attempt.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -46,6 +46,10 @@
 	Resumes int
 	// Runs counts the attempts so far, this one included.
 	Runs int
+	// Sent counts those of which bytes may have reached an endpoint, and MaxSent
+	// bounds them; zero leaves the bound to MaxRuns.
+	Sent    int
+	MaxSent int
 	// EarlierMayHaveRun says that an attempt before this one may have run.
 	EarlierMayHaveRun bool
 	// BudgetLeft says that workspace and endpoint may still retry.
@@ -97,7 +101,14 @@
 }
 
 func canRunAgain(a Attempt) bool {
-	if a.Released > 0 || a.Runs >= MaxRuns || !a.BudgetLeft || a.TimeLeft <= 0 {
+	if a.Released > 0 || a.Runs >= MaxRuns || a.TimeLeft <= 0 {
+		return false
+	}
+	if a.MaxSent > 0 && a.Sent >= a.MaxSent {
+		return false
+	}
+	// What no endpoint has received puts no load on any.
+	if a.Failure != NotSent && !a.BudgetLeft {
 		return false
 	}
 	return a.Idempotent || provenNotRun(a.Failure)
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -8,6 +8,10 @@
 // Current is the name of the version that the entries use.
 const Current = "v7"
 
+// Forwarding is the name of the version for entries whose endpoints take requests
+// as they come, and which read no load reports.
+const Forwarding = "v8"
+
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
 
@@ -32,6 +36,11 @@
 	}},
 	{"v6", func(c *Config) { c.RateWarmUp = 4 * time.Second }},
 	{"v7", func(c *Config) { c.OrderByWorth = true }},
+	{"v8", func(c *Config) {
+		c.PeersFromReports = false
+		c.Parts = false
+		c.OrderByWorth = false
+	}},
 }
 
 // Versions lists the names of the versions, the oldest first.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -61,6 +61,26 @@
 	Idempotent bool
 	// Line is the row's place in the file.
 	Line int
+
+	// Route, Shares and what follows are not columns of the file; they are set in
+	// tables made by New.
+
+	// Route says which requests the row takes.
+	Route Route
+	// Shares split the row's requests over several targets; see Pick.
+	Shares []Share
+	// MaxAttempts bounds the endpoints that one request is sent to; zero leaves
+	// it to package retry.
+	MaxAttempts int
+	// Objective is the time to the answer, or to its first event, within which
+	// it is in time; zero is none.
+	Objective time.Duration
+	// MaxGap is the longest time between events of an answer in time.
+	MaxGap time.Duration
+	// Streaming says that the answer is a stream of events.
+	Streaming bool
+	// Anonymous says that requests need no API key.
+	Anonymous bool
 }
 
 // Finding is one thing wrong with a table.
@@ -98,6 +118,12 @@
 type Table struct {
 	rows  []Row
 	byKey map[Key]int
+
+	// Set by New only.
+	byHost     map[string][]int
+	byAPIKey   map[keyDigest]string
+	workspaces map[string]Workspace
+	services   map[string]Service
 }
 
 // Rows returns the rows in the order of the file.
