Running generations are moved off engines that are about to end

Change: package evacuation plans, per leaving engine and without coordination, which generation goes where and when: all entries compute the same order from the engine's own list of its runs. internal/evacuate makes the calls: a first copy while the generation runs, a second one after it was stopped; internal/relay's Session continues the stream at the target after the last event passed on. Leaving is learnt from the store, from a deleted record, and from the engines' own reports, which one entry of a data centre reads for all.

Ruled out: one copy after a stop (every caller waits for all of it); copies of all generations at once (the second copies queue behind first ones).

Next: the pauses above 180 ms, and the price of the probes.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -29,6 +29,4 @@
 	Released int
 	// Generated counts the tokens that came.
 	Generated int
-	// Endpoint is where it ended, if that isn't where it began.
-	Endpoint string
 }
--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/pause"
@@ -61,7 +62,9 @@
 		lookedIn = now
 		wait := time.Duration(0)
 		if watcher {
-			wait = c.Wait
+			// The jitter keeps the watches of all entries from ending together: one that
+			// has gone deaf without being cut is then covered by another's.
+			wait = time.Duration((0.5 + rand.Float64()) * float64(c.Wait))
 		}
 		if !c.Read(ctx, wait) {
 			pause.For(ctx, failurePause)
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -17,11 +17,14 @@
 	pollTimeout    = time.Second
 )
 
+// LoadReader reads the load of an engine, and whether it takes no new work.
+type LoadReader func(ctx context.Context, e fleet.Endpoint) (r scheduler.Report, leaving bool, err error)
+
 // Load reads the load of the engines that this entry is a home entry of; the
 // others hear of it in the exchange.
 type Load struct {
 	Beliefs  *peering.Beliefs
-	Client   *engineclient.Client
+	Read     LoadReader
 	Interval time.Duration
 }
 
@@ -45,19 +48,29 @@
 func (c *Load) read(ctx context.Context, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	asked := time.Now()
-	load, err := c.Client.Load(ctx, e)
-	if err != nil {
-		return
+	// A report that can't be had is missed by its age.
+	if report, leaving, err := c.Read(ctx, e); err == nil {
+		c.Beliefs.Polled(report, leaving)
+	}
+}
+
+// NativeLoad reads the load of engines that speak the system's own interface.
+func NativeLoad(client *engineclient.Client) LoadReader {
+	return func(ctx context.Context, e fleet.Endpoint) (scheduler.Report, bool, error) {
+		asked := time.Now()
+		load, err := client.Load(ctx, e)
+		if err != nil {
+			return scheduler.Report{}, false, err
+		}
+		return scheduler.Report{
+			Endpoint:       e.ID,
+			Incarnation:    load.Incarnation,
+			At:             asked,
+			UsedTokens:     load.UsedTokens,
+			CapacityTokens: load.CapacityTokens,
+			Running:        load.Running,
+			Waiting:        load.Waiting,
+			Preemptions:    load.Preemptions,
+		}, load.Draining, nil
 	}
-	c.Beliefs.Polled(scheduler.Report{
-		Endpoint:       e.ID,
-		Incarnation:    load.Incarnation,
-		At:             asked,
-		UsedTokens:     load.UsedTokens,
-		CapacityTokens: load.CapacityTokens,
-		Running:        load.Running,
-		Waiting:        load.Waiting,
-		Preemptions:    load.Preemptions,
-	}, load.Draining)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -157,6 +157,11 @@
 	d.policy.Progress(time.Now(), id, generated)
 }
 
+// Move records that a granted request goes on at another endpoint.
+func (d *Dispatcher) Move(id scheduler.ID, endpoint string) {
+	d.Update(func(_ time.Time, p scheduler.Policy) { p.Move(id, endpoint) })
+}
+
 // Finish ends a granted request.
 func (d *Dispatcher) Finish(id scheduler.ID, res scheduler.Result) {
 	d.Update(func(now time.Time, p scheduler.Policy) { p.Finish(now, id, res) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,7 @@
 		PeerAddress: cfg.Peer,
 		Epoch:       uint64(e.started.UnixMilli()),
 		Incarnation: incarnation[:],
-	}), e.dispatcher, e.onLeave)
+	}), e.dispatcher, peering.HomeEntries, e.onLeave)
 	e.store = published.New(published.OwnParsers(), e.onValue, e.beliefs.ApplyFleet)
 	e.makeRunner()
 	e.makePeers(incarnation, secret)
@@ -281,7 +281,7 @@
 	return []controllers.Controller{
 		e.exchange,
 		e.config,
-		&controllers.Load{Beliefs: e.beliefs, Client: e.client, Interval: e.cfg.PollEvery},
+		&controllers.Load{Beliefs: e.beliefs, Read: controllers.NativeLoad(e.client), Interval: e.cfg.PollEvery},
 		&controllers.Housekeeping{Interval: housekeepingEvery, Tasks: []func(){e.owner.Expire}},
 	}
 }
--- /dev/null
+++ b/internal/evacuate/evacuate.go
@@ -0,0 +1,256 @@
+// Package evacuate moves the running generations of this entry away from engines
+// that are about to end. What goes where and when is decided by package
+// evacuation; this package reads the engine's own list of runs, makes the calls
+// and tells the streams.
+package evacuate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/engines"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/relay"
+	"github.com/bridgehoist/bridgehoist/pkg/evacuation"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+const (
+	// reportTimeout is for the list of runs: without it the plan is made of what
+	// this entry knows.
+	reportTimeout = 300 * time.Millisecond
+	// copyTimeout bounds one copy. An engine that was told to end lives for about
+	// two seconds.
+	copyTimeout = 2500 * time.Millisecond
+	// releaseTimeout bounds the release of a copy that isn't used; the engines
+	// forget it by themselves some seconds later.
+	releaseTimeout = 500 * time.Millisecond
+	// passes is how often an engine is looked at: generations that begin after its
+	// list was made are found by the second pass.
+	passes = 2
+	// usableShare is the share of a target's memory that copies may fill; the rest
+	// is for the growth of what runs there.
+	usableShare = 0.9
+	// overhead is what moving one generation takes besides the copy of its memory;
+	// measured on the users' bench.
+	overhead = 20 * time.Millisecond
+	// farFactor is by how much longer a copy to another data centre takes
+	// (PROTOCOL, model servers).
+	farFactor   = 2
+	bitsPerByte = 8
+)
+
+// Config holds the settings of an Evacuator.
+type Config struct {
+	Forwarder  *relay.Forwarder
+	Engines    engines.Caller
+	Dispatcher *dispatch.Dispatcher
+	// Service returns what the table says of a target.
+	Service func(target string) (table.Service, bool)
+	// Endpoint finds an endpoint in force by its id.
+	Endpoint func(id string) (fleet.Endpoint, bool)
+	Log      *log.Logger
+	// OnMove is told the result of each move, for metrics.
+	OnMove func(result string)
+}
+
+// Results of moves, for metrics.
+const (
+	ResultMoved   = "moved"
+	ResultEnded   = "ended"
+	ResultNoRoom  = "no_room"
+	ResultFailed  = "failed"
+	ResultReturn  = "stayed"
+	ResultTooLate = "too_late"
+)
+
+// Evacuator moves generations. It is safe for concurrent use.
+type Evacuator struct {
+	cfg Config
+
+	mu     sync.Mutex
+	active map[string]bool
+}
+
+// New makes an evacuator.
+func New(cfg Config) *Evacuator { return &Evacuator{cfg: cfg, active: map[string]bool{}} }
+
+// Leaving starts the evacuation of an engine, unless it is under way. It doesn't
+// wait for it.
+func (e *Evacuator) Leaving(ctx context.Context, source fleet.Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.active[source.ID] || source.Type != fleet.Engine {
+		return
+	}
+	e.active[source.ID] = true
+	go func() {
+		e.run(ctx, source)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.active, source.ID)
+	}()
+}
+
+func (e *Evacuator) run(ctx context.Context, source fleet.Endpoint) {
+	service, ok := e.cfg.Service(source.Targets[0])
+	if !ok || service.Engine == nil || !service.Engine.CanMove {
+		return
+	}
+	for range passes {
+		if !e.pass(ctx, source, service.Engine) {
+			return
+		}
+	}
+}
+
+// pass moves what is there; it returns false if there was nothing.
+func (e *Evacuator) pass(ctx context.Context, source fleet.Endpoint, engine *table.Engine) bool {
+	mine := map[string]*relay.Session{}
+	for _, s := range e.cfg.Forwarder.SessionsAt(source.ID) {
+		mine[s.RequestID()] = s
+	}
+	if len(mine) == 0 {
+		return false
+	}
+	begun := time.Now()
+	report, err := e.report(ctx, source)
+	in := evacuation.Input{
+		Source:  source.ID,
+		Runs:    runs(report, mine, engine.TokensPerEvent),
+		Targets: e.targets(source),
+		Link:    link(engine),
+		Left:    report.LeavesIn,
+	}
+	steps := evacuation.Plan(in)
+	e.cfg.Log.Info("evacuation", "endpoint", source.ID, "mine", len(mine), "runs", len(in.Runs), "targets", len(in.Targets),
+		"steps", len(steps), "leaves_in_ms", report.LeavesIn.Milliseconds(), "report_error", err)
+	for _, step := range steps {
+		if !pause.For(ctx, time.Until(begun.Add(step.Start))) {
+			return false
+		}
+		e.cfg.OnMove(e.move(ctx, mine[step.RequestID], source, step.Target))
+	}
+	return true
+}
+
+func (e *Evacuator) report(ctx context.Context, source fleet.Endpoint) (engines.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return e.cfg.Engines.Report(ctx, source)
+}
+
+// runs joins the engine's list with the streams that it doesn't show yet.
+func runs(report engines.Report, mine map[string]*relay.Session, perEvent int) []evacuation.Run {
+	var out []evacuation.Run
+	listed := map[string]bool{}
+	for _, r := range report.Runs {
+		listed[r.RequestID] = true
+		out = append(out, evacuation.Run{RequestID: r.RequestID, Tokens: r.Tokens, Mine: mine[r.RequestID] != nil})
+	}
+	for id, s := range mine {
+		if !listed[id] {
+			out = append(out, evacuation.Run{RequestID: id, Tokens: s.Tokens(perEvent), Mine: true, Unlisted: true})
+		}
+	}
+	return out
+}
+
+func link(engine *table.Engine) evacuation.Link {
+	return evacuation.Link{
+		BytesPerToken:  engine.KVBytesPerToken,
+		BytesPerSecond: engine.LinkBitsPerSecond / bitsPerByte,
+		Overhead:       overhead,
+		FarFactor:      farFactor,
+	}
+}
+
+// targets lists the engines that may take generations of a source.
+func (e *Evacuator) targets(source fleet.Endpoint) []evacuation.Target {
+	var out []evacuation.Target
+	e.cfg.Dispatcher.View(func(now time.Time, p scheduler.Policy) {
+		s, ok := p.(*scheduler.Scheduler)
+		if !ok {
+			return
+		}
+		for _, st := range s.Status(now) {
+			at, known := e.cfg.Endpoint(st.ID)
+			if !known || st.ID == source.ID || st.Leaving || st.Breaker != retry.Closed || at.Targets[0] != source.Targets[0] {
+				continue
+			}
+			out = append(out, evacuation.Target{
+				ID:         st.ID,
+				FreeTokens: int(usableShare*float64(st.Capacity)) - int(st.Projected.Max()) - st.Unexplained,
+				Far:        at.DataCenter != source.DataCenter,
+			})
+		}
+	})
+	return out
+}
+
+// move copies one generation, stops it, copies the rest and hands it over.
+func (e *Evacuator) move(ctx context.Context, s *relay.Session, source fleet.Endpoint, targetID string) string {
+	target, ok := e.cfg.Endpoint(targetID)
+	if !ok {
+		return e.failed(s, source, targetID, errors.New("the target has gone"))
+	}
+	first, err := e.copy(ctx, source, s, target, false)
+	switch {
+	case errors.Is(err, engines.ErrNoRun):
+		return ResultEnded
+	case errors.Is(err, engines.ErrNoRoom):
+		e.failed(s, source, targetID, err)
+		return ResultNoRoom
+	case err != nil:
+		return e.failed(s, source, targetID, err)
+	}
+	if !s.Begin(target, first) {
+		e.release(ctx, target, first)
+		return ResultEnded
+	}
+	last, err := e.copy(ctx, source, s, target, true)
+	switch {
+	case err == nil:
+		s.Finish(target, &last)
+		return ResultMoved
+	case errors.Is(err, engines.ErrNoRun):
+		s.Finish(target, nil)
+		return ResultEnded
+	case errors.Is(err, engines.ErrNoRoom):
+		// The generation has stopped, and its memory is still at the source.
+		s.Finish(source, &last)
+		return ResultReturn
+	default:
+		// If the stream breaks off, the first copy is all there is.
+		s.Finish(target, nil)
+		e.failed(s, source, targetID, err)
+		return ResultTooLate
+	}
+}
+
+func (e *Evacuator) copy(ctx context.Context, source fleet.Endpoint, s *relay.Session, target fleet.Endpoint, stop bool) (engines.Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	return e.cfg.Engines.Copy(ctx, source, s.RequestID(), target, stop)
+}
+
+func (e *Evacuator) release(ctx context.Context, at fleet.Endpoint, c engines.Copy) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := e.cfg.Engines.Release(ctx, at, c); err != nil {
+		e.cfg.Log.Debug("copy not released", "endpoint", at.ID, "error", err)
+	}
+}
+
+func (e *Evacuator) failed(s *relay.Session, source fleet.Endpoint, target string, err error) string {
+	e.cfg.Log.Warn("move failed", "request", s.RequestID(), "from", source.ID, "to", target, "error", err)
+	return ResultFailed
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -1,18 +1,21 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
@@ -76,10 +79,25 @@
 		use = withTable(use, t.Value)
 	}
 	list := held.Value.WithEndpoints(use)
+	before := g.inForce.Swap(list)
 	g.beliefs.ApplyFleet(list)
+	g.evacuateVanished(before, list)
 	g.pool.Keep(func(id string) bool { _, ok := list.Endpoint(id); return ok })
 }
 
+// evacuateVanished moves generations off endpoints whose records were deleted:
+// some leave without announcing it, and live a little longer.
+func (g *Gateway) evacuateVanished(before, now *fleet.List) {
+	if before == nil {
+		return
+	}
+	for _, e := range before.Endpoints {
+		if _, listed := now.Endpoint(e.ID); !listed {
+			g.evacuator.Leaving(g.work, e)
+		}
+	}
+}
+
 // withTable completes endpoints by what the table says of engines.
 func withTable(endpoints []fleet.Endpoint, t *table.Table) []fleet.Endpoint {
 	out := make([]fleet.Endpoint, 0, len(endpoints))
@@ -99,12 +117,45 @@
 		source = sourcePeer
 	}
 	g.metrics.Leaves.WithLabelValues(source).Inc()
-	g.log.Info("endpoint leaving", "endpoint", l.Endpoint, "source", source)
+	g.log.Info("endpoint leaving", "endpoint", l.Endpoint, "source", source, "fleet", g.fleetRevision())
+	if e, ok := g.endpoint(l.Endpoint); ok {
+		g.evacuator.Leaving(g.work, e)
+	}
 	if g.caughtUp.Load() {
 		g.exchange.Kick()
 	}
 }
 
+// readLoad reads the state of an engine.
+func (g *Gateway) readLoad(ctx context.Context, e fleet.Endpoint) (scheduler.Report, bool, error) {
+	asked := time.Now()
+	r, err := g.engines.Report(ctx, e)
+	if err != nil {
+		return scheduler.Report{}, false, err
+	}
+	return scheduler.Report{
+		Endpoint:       e.ID,
+		Incarnation:    e.Incarnation,
+		At:             asked,
+		UsedTokens:     r.UsedTokens,
+		CapacityTokens: r.CapacityTokens,
+		Running:        r.Running,
+		Waiting:        r.Queued,
+	}, r.Leaving, nil
+}
+
+// onHandoff logs where a generation went on.
+func (g *Gateway) onHandoff(e relay.HandoffEvent) {
+	g.metrics.HandoffPause.Observe(e.Pause.Seconds())
+	if e.Err != nil {
+		g.log.Warn("handoff failed", "request", e.Job.RequestID, "from", e.From, "to", e.To, "events", e.Events,
+			"pause_ms", e.Pause.Milliseconds(), "stopped", e.Stopped, "error", e.Err)
+		return
+	}
+	g.log.Info("handed over", "request", e.Job.RequestID, "from", e.From, "to", e.To, "events", e.Events,
+		"pause_ms", e.Pause.Milliseconds(), "stopped", e.Stopped)
+}
+
 func (g *Gateway) onRound(answered, asked int) {
 	g.metrics.PeersAsked.Add(float64(asked))
 	g.metrics.PeersAnswered.Add(float64(answered))
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -17,6 +17,7 @@
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	ExchangeEvery time.Duration
+	PollEvery     time.Duration
 	WatchWait     time.Duration
 	LookIn        time.Duration
 	DrainDelay    time.Duration
@@ -32,7 +33,8 @@
 	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
 	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", time.Second, "interval of the exchange with other entries")
-	s.DurationVar(&c.WatchWait, "watch-wait", 10*time.Second, "how long one watch of the store waits")
+	s.DurationVar(&c.PollEvery, "poll-every", 400*time.Millisecond, "interval of reading engines' states")
+	s.DurationVar(&c.WatchWait, "watch-wait", 3*time.Second, "how long one watch of the store waits")
 	s.DurationVar(&c.LookIn, "look-in", 20*time.Second, "how often one of the entries of a data centre that do not watch reads the store")
 	s.DurationVar(&c.DrainDelay, "drain-delay", 3*time.Second, "time between unready and closing the listener, for the balancer")
 	s.DurationVar(&c.LapseHold, "lapse-hold", 1800*time.Millisecond, "time for which endpoints are used that vanished together")
@@ -48,6 +50,7 @@
 	s.NeedDuration("body-timeout", c.BodyTimeout, time.Millisecond, time.Hour)
 	s.NeedDuration("idle-timeout", c.IdleTimeout, time.Second, time.Hour)
 	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
+	s.NeedDuration("poll-every", c.PollEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("watch-wait", c.WatchWait, 100*time.Millisecond, 30*time.Second)
 	s.NeedDuration("look-in", c.LookIn, time.Second, time.Hour)
 	s.NeedDuration("drain-delay", c.DrainDelay, 0, time.Minute)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/engines"
+	"github.com/bridgehoist/bridgehoist/internal/evacuate"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -38,12 +40,16 @@
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
 const (
 	// catchUpTimeout bounds the first exchange with the seeds.
 	catchUpTimeout = time.Second
+	// readersPerEngine is how many entries of a data centre read the state of an
+	// engine; the others hear from them. Each read is priced.
+	readersPerEngine = 1
 	// catchUpPause is the wait before the store and the seeds are asked again at
 	// the start.
 	catchUpPause = 200 * time.Millisecond
@@ -67,9 +73,15 @@
 	peers      *peering.Client
 	traffic    *peering.Traffic
 	pool       *upstream.Pool
+	forwarder  *relay.Forwarder
+	engines    engines.Caller
+	evacuator  *evacuate.Evacuator
 	runner     *runner.Runner
-	exchange   *controllers.Exchange
-	config     *controllers.Config
+	// inForce are the endpoints in force.
+	inForce  atomic.Pointer[fleet.List]
+	work     context.Context
+	exchange *controllers.Exchange
+	config   *controllers.Config
 
 	// grace and its timer are guarded by mu.
 	mu       sync.Mutex
@@ -110,7 +122,7 @@
 		Epoch:       uint64(g.started.UnixMilli()),
 		Incarnation: incarnation,
 	})
-	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.onLeave)
+	g.beliefs = peering.NewBeliefs(view, g.dispatcher, readersPerEngine, g.onLeave)
 	g.peers = peering.NewClient(peering.Config{
 		Beliefs: g.beliefs,
 		Store:   g.store,
@@ -150,14 +162,26 @@
 }
 
 func (g *Gateway) makeRunner() {
+	g.forwarder = relay.New(relay.Config{
+		Dispatcher:     g.dispatcher,
+		Pool:           g.pool,
+		TokensPerEvent: g.tokensPerEvent,
+		OnHandoff:      g.onHandoff,
+	})
+	g.engines = platform.NewEngines(g.pool)
+	g.evacuator = evacuate.New(evacuate.Config{
+		Forwarder:  g.forwarder,
+		Engines:    g.engines,
+		Dispatcher: g.dispatcher,
+		Service:    g.service,
+		Endpoint:   g.endpoint,
+		Log:        g.log,
+		OnMove:     func(result string) { g.metrics.Moves.WithLabelValues(result).Inc() },
+	})
 	g.runner = runner.New(runner.Config{
 		Dispatcher: g.dispatcher,
-		Performer: relay.New(relay.Config{
-			Dispatcher:     g.dispatcher,
-			Pool:           g.pool,
-			TokensPerEvent: g.tokensPerEvent,
-		}),
-		Budget: g.retryBudget(),
+		Performer:  g.forwarder,
+		Budget:     g.retryBudget(),
 		OnLeave: func(id string, incarnation uint64) {
 			g.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, sourceEndpoint)
 		},
@@ -183,26 +207,42 @@
 }
 
 func (g *Gateway) tokensPerEvent(target string) int {
-	if held := g.store.Table(); held != nil {
-		if s, ok := held.Value.Service(target); ok && s.Engine != nil {
-			return s.Engine.TokensPerEvent
-		}
+	if s, ok := g.service(target); ok && s.Engine != nil {
+		return s.Engine.TokensPerEvent
 	}
 	return 1
 }
 
+func (g *Gateway) service(target string) (table.Service, bool) {
+	held := g.store.Table()
+	if held == nil {
+		return table.Service{}, false
+	}
+	return held.Value.Service(target)
+}
+
+// endpoint finds an endpoint in force.
+func (g *Gateway) endpoint(id string) (fleet.Endpoint, bool) {
+	list := g.inForce.Load()
+	if list == nil {
+		return fleet.Endpoint{}, false
+	}
+	return list.Endpoint(id)
+}
+
 func (g *Gateway) ready() bool {
 	return g.caughtUp.Load() && g.store.Ready() && !g.stopping.Load()
 }
 
 // Run serves until the context ends, then stops without cutting any request.
 func (g *Gateway) Run(ctx context.Context, reload <-chan platform.Settings) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.work = work
 	servers, err := g.listen()
 	if err != nil {
 		return err
 	}
-	work, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	var loops sync.WaitGroup
 	loops.Go(func() { g.dispatcher.Run(work) })
 	loops.Go(func() { g.start(work) })
@@ -239,7 +279,8 @@
 	g.caughtUp.Store(true)
 	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
-	for _, c := range []controllers.Controller{g.exchange, g.config} {
+	load := &controllers.Load{Beliefs: g.beliefs, Read: g.readLoad, Interval: g.cfg.PollEvery}
+	for _, c := range []controllers.Controller{g.exchange, g.config, load} {
 		loops.Go(func() { c.Run(ctx) })
 	}
 	loops.Wait()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -45,6 +45,10 @@
 	Leaves *prometheus.CounterVec
 	// Connections counts new connections to endpoints.
 	Connections prometheus.Counter
+	// Moves counts generations that were to be moved to another engine, by result.
+	Moves *prometheus.CounterVec
+	// HandoffPause is for how long callers got nothing while a generation moved.
+	HandoffPause prometheus.Histogram
 	// Rejected counts bad input by code.
 	Rejected *prometheus.CounterVec
 	// PeersAsked and PeersAnswered count exchanges begun and ended well.
@@ -79,11 +83,16 @@
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
+	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
+	m.HandoffPause = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "handoff_pause_seconds", Buckets: waitBuckets,
+		Help: "Time without an event while a generation moved.",
+	})
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected,
-		m.PeersAsked, m.PeersAnswered, m.Connections,
+		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.HandoffPause,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
 	return m
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -27,7 +27,7 @@
 }
 
 // HomeEntries is among how many entries of its data centre the memory of an
-// endpoint is split.
+// engine is split by default.
 const HomeEntries = 3
 
 // homesEvery is how often the home entries are computed anew.
@@ -48,21 +48,25 @@
 	payloadAt  time.Time
 	state      peerv1.NodeState
 	dispatcher *dispatch.Dispatcher
-	onLeave    func(drain.Leave, string)
+	// homeEntries is among how many entries an engine is split.
+	homeEntries int
+	onLeave     func(drain.Leave, string)
 }
 
-// NewBeliefs makes the beliefs of a node that knows only itself. onLeave is
-// told of each leave that was news, and where it came from.
-func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, onLeave func(drain.Leave, string)) *Beliefs {
+// NewBeliefs makes the beliefs of a node that knows only itself. homeEntries is
+// among how many entries of its data centre an engine is split. onLeave is told of
+// each leave that was news, and where it came from.
+func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, homeEntries int, onLeave func(drain.Leave, string)) *Beliefs {
 	return &Beliefs{
-		view:       view,
-		drains:     drain.New(),
-		homes:      map[string]bool{},
-		reports:    map[string]scheduler.Report{},
-		counted:    map[string]bool{},
-		state:      peerv1.NodeState_NODE_STATE_LIVE,
-		dispatcher: d,
-		onLeave:    onLeave,
+		view:        view,
+		drains:      drain.New(),
+		homes:       map[string]bool{},
+		reports:     map[string]scheduler.Report{},
+		counted:     map[string]bool{},
+		state:       peerv1.NodeState_NODE_STATE_LIVE,
+		dispatcher:  d,
+		homeEntries: homeEntries,
+		onLeave:     onLeave,
 	}
 }
 
@@ -115,6 +119,12 @@
 	if !b.drains.Add(l) {
 		return false
 	}
+	if b.list != nil {
+		if _, listed := b.list.Endpoint(l.Endpoint); !listed {
+			// A peer still tells of one that has gone.
+			return false
+		}
+	}
 	b.onLeave(l, source)
 	return true
 }
@@ -281,10 +291,10 @@
 	if e.Type == fleet.Service {
 		return size
 	}
-	if !b.view.Assigned(now, "home/"+e.ID, HomeEntries) {
+	if !b.view.Assigned(now, "home/"+e.ID, b.homeEntries) {
 		return 0
 	}
-	return min(size, HomeEntries)
+	return min(size, b.homeEntries)
 }
 
 // applyMembers drops the work of members that are dead or gone.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -30,7 +30,7 @@
 			return
 		}
 		view := membership.New(membership.Config{VM: "a", Incarnation: []byte{1}})
-		b := NewBeliefs(view, dispatch.New(scheduler.New(scheduler.Config{})), func(drain.Leave, string) {})
+		b := NewBeliefs(view, dispatch.New(scheduler.New(scheduler.Config{})), HomeEntries, func(drain.Leave, string) {})
 		b.Merge(time.Now(), []*peerv1.NodeRecord{&r})
 		b.Beat(time.Now(), nil)
 		if view.Self().GetVm() != "a" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,7 +24,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
-	"github.com/bridgehoist/bridgehoist/pkg/stream"
 )
 
 const (
@@ -42,15 +41,36 @@
 	Pool       *upstream.Pool
 	// TokensPerEvent says how many tokens one event of a target's streams carries.
 	TokensPerEvent func(target string) int
+	// OnHandoff, if set, is told of each stream that went on at another endpoint,
+	// or failed to.
+	OnHandoff func(HandoffEvent)
+}
+
+// HandoffEvent tells how a handoff ended.
+type HandoffEvent struct {
+	Job    *job.Job
+	From   string
+	To     string
+	Events int
+	// Pause is how long the caller got nothing.
+	Pause time.Duration
+	// Stopped says that the source had certainly stopped.
+	Stopped bool
+	Err     error
 }
 
 // Forwarder makes attempts.
-type Forwarder struct{ cfg Config }
+type Forwarder struct {
+	cfg      Config
+	sessions sessions
+}
 
 var _ runner.Performer = (*Forwarder)(nil)
 
 // New makes a forwarder.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+func New(cfg Config) *Forwarder {
+	return &Forwarder{cfg: cfg, sessions: sessions{byID: map[string]*Session{}}}
+}
 
 // Perform implements runner.Performer. The sink must be a job.HeaderSink.
 func (f *Forwarder) Perform(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
@@ -59,19 +79,25 @@
 	if failure != nil {
 		return attempt.Ending{Failure: failure}
 	}
-	defer resp.Close()
 	if failure := refused(resp); failure != nil {
-		// The connection stays good if the refusal is read to its end.
-		_, _ = io.CopyN(io.Discard, resp, maxAnswerBytes)
+		drop(resp)
 		return attempt.Ending{Failure: failure}
 	}
 	out := sink.(job.HeaderSink)
 	if isStream(resp) {
-		return f.passStream(j, out, grant, resp, start)
+		return f.passStream(ctx, j, out, grant, resp, start)
 	}
+	defer resp.Close()
 	return passWhole(j, out, resp, start)
 }
 
+// drop reads a refusal to its end, so that its connection stays good.
+func drop(resp *upstream.Response) {
+	// If it breaks off, the connection isn't kept.
+	_, _ = io.CopyN(io.Discard, resp, maxAnswerBytes)
+	resp.Close()
+}
+
 func request(j *job.Job) *upstream.Request {
 	return &upstream.Request{ID: j.RequestID, Method: j.Method, URI: j.Path, Host: j.Host, Header: j.Header, Body: j.Body}
 }
@@ -131,79 +157,3 @@
 	sink.Flush()
 	return attempt.Ending{}
 }
-
-// pass follows one stream.
-type pass struct {
-	j        *job.Job
-	sink     job.HeaderSink
-	grant    dispatch.Grant
-	split    stream.Splitter
-	events   int
-	last     time.Time
-	started  bool
-	perEvent int
-}
-
-func (f *Forwarder) passStream(j *job.Job, sink job.HeaderSink, grant dispatch.Grant, resp *upstream.Response, start time.Time) attempt.Ending {
-	p := &pass{j: j, sink: sink, grant: grant, last: start, perEvent: f.cfg.TokensPerEvent(j.Row.Target)}
-	err := f.copy(p, resp)
-	end := attempt.Ending{Released: p.events * p.perEvent, Generated: p.events * p.perEvent}
-	if err != nil {
-		end.Failure = &attempt.Failure{Kind: retry.LinkLost, Err: err}
-	}
-	return end
-}
-
-func (f *Forwarder) copy(p *pass, resp *upstream.Response) error {
-	buf := make([]byte, readBytes)
-	for {
-		n, err := resp.Read(buf)
-		if n > 0 {
-			if err := f.take(p, resp, buf[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return p.end(resp)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// take passes on the events that are whole by now.
-func (f *Forwarder) take(p *pass, resp *upstream.Response, data []byte) error {
-	events, count := p.split.Feed(data)
-	if p.split.TooLong() {
-		return errors.New("an event is too long")
-	}
-	if count == 0 {
-		return nil
-	}
-	p.start(resp)
-	p.events += count
-	p.last = p.j.Timings.Progress(p.j.Arrived, p.last)
-	f.cfg.Dispatcher.Progress(p.grant.ID, p.events*p.perEvent)
-	if err := p.sink.Data(events); err != nil {
-		return errors.Wrap(err, "caller")
-	}
-	p.sink.Flush()
-	return nil
-}
-
-func (p *pass) start(resp *upstream.Response) {
-	if !p.started {
-		p.started = true
-		p.sink.Start(resp.Status, resp.Header, resp.Length)
-	}
-}
-
-// end checks that a stream ended between two events.
-func (p *pass) end(resp *upstream.Response) error {
-	if p.split.Partial() {
-		return io.ErrUnexpectedEOF
-	}
-	p.start(resp)
-	return nil
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,6 +92,8 @@
 	Status int
 	// Length of the body, or -1 if it isn't known.
 	Length int64
+	// Framed says that the end of the body can be told from a broken connection.
+	Framed bool
 
 	pool     *Pool
 	endpoint string
@@ -224,6 +226,7 @@
 			continue
 		}
 		c.keep = keepAlive(hr.Header)
+		framed := hr.ContentLength >= 0 || len(hr.TransferEncoding) > 0
 		return &Response{
 			Answer:   a,
 			Status:   hr.StatusCode,
@@ -231,7 +234,8 @@
 			pool:     p,
 			conn:     c,
 			body:     hr.Body,
-			reusable: !hr.Close && (hr.ContentLength >= 0 || len(hr.TransferEncoding) > 0),
+			Framed:   framed,
+			reusable: !hr.Close && framed,
 		}, nil
 	}
 	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,6 +28,20 @@
 	// Rank orders requests at the endpoint, from 0, which goes first; it is not
 	// sent if negative.
 	Rank int
+	// Continue is nil unless the request goes on with a generation that ran
+	// elsewhere.
+	Continue *Continuation
+}
+
+// Continuation says where the memory of a generation is, and how far its caller
+// has come.
+type Continuation struct {
+	// Source is the address of the endpoint that it ran at, and Handle what the
+	// source calls the copy.
+	Source string
+	Handle string
+	// LastEvent is the id of the last event that the caller has.
+	LastEvent int
 }
 
 // Answer is what the head of an endpoint's answer says.
--- a/pkg/scheduler/baseline.go
+++ b/pkg/scheduler/baseline.go
@@ -108,6 +108,15 @@
 // Progress implements Policy.
 func (b *Baseline) Progress(time.Time, ID, int) {}
 
+// Move implements Policy.
+func (b *Baseline) Move(id ID, endpoint string) {
+	if from, ok := b.running[id]; ok {
+		b.inFlight[from]--
+		b.inFlight[endpoint]++
+		b.running[id] = endpoint
+	}
+}
+
 // Finish implements Policy.
 func (b *Baseline) Finish(_ time.Time, id ID, _ Result) {
 	b.inFlight[b.running[id]]--
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -126,6 +126,8 @@
 	Next(now time.Time) Actions
 	// Progress records that a running request has generated so many tokens.
 	Progress(now time.Time, id ID, generated int)
+	// Move records that a running request goes on at another endpoint.
+	Move(id ID, endpoint string)
 	// Finish records the end of a running request.
 	Finish(now time.Time, id ID, res Result)
 	// Report takes a load report.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// Move implements Policy.
+func (s *Scheduler) Move(id ID, endpoint string) {
+	it, to := s.running[id], s.byID[endpoint]
+	if it == nil || to == nil || it.endpoint == to {
+		return
+	}
+	it.endpoint.take(it, -1)
+	it.endpoint.ownRunning--
+	it.endpoint = to
+	it.lastToken = time.Time{}
+	to.take(it, 1)
+	to.ownRunning++
+}
+
 // Finish implements Policy.
 func (s *Scheduler) Finish(now time.Time, id ID, res Result) {
 	it := s.running[id]
--- a/pkg/scheduler/status.go
+++ b/pkg/scheduler/status.go
@@ -17,10 +17,12 @@
 	Running      int
 	PeersRunning int
 	Projected    lengths.Profile
-	Capacity     int
-	Gap          time.Duration
-	ReportAge    time.Duration
-	Preemptions  int
+	// Unexplained is load that a report showed and nobody claims.
+	Unexplained int
+	Capacity    int
+	Gap         time.Duration
+	ReportAge   time.Duration
+	Preemptions int
 }
 
 // Status lists the endpoints as they are believed to be.
@@ -34,6 +36,7 @@
 			Running:      e.ownRunning,
 			PeersRunning: e.peersRunning,
 			Projected:    e.own.Mean.Add(e.peers),
+			Unexplained:  int(e.extra(now)),
 			Capacity:     e.spec.CapacityTokens,
 			Gap:          time.Duration(e.gap * float64(time.Second)),
 			Preemptions:  e.report.Preemptions,
--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/pkg/errors"
 )
 
 // Splitter cuts the bytes of an event stream into whole events, so that a
 // stream that breaks off within an event passes no part of it on.
 //
-// It also reads the ids of the events, which must rise: an event that was there
-// already, or one that comes after a gap, can then be told.
+// It also reads the ids of the events, which rise by one. After a stream was taken
+// up elsewhere, events that were there already are left out, and a gap is an
+// error. Events without ids are passed on as they are.
 type Splitter struct {
 	rest []byte
 	last int
@@ -22,35 +25,63 @@
 // maxEventBytes bounds one event.
 const maxEventBytes = 256 << 10
 
-// Feed takes bytes as they come and returns the events that are now whole, as
-// one run of bytes, and their number. The bytes are valid until the next call.
-func (s *Splitter) Feed(data []byte) (events []byte, count int) {
+// Errors of a stream.
+var (
+	// ErrEventTooLong says that an event is larger than any may be.
+	ErrEventTooLong = errors.New("stream: an event is too long")
+	// ErrEventGap says that events are missing.
+	ErrEventGap = errors.New("stream: events are missing")
+)
+
+// Feed takes bytes as they come and returns the events that are now whole and
+// new, as one run of bytes, and their number. The bytes are valid until the next
+// call.
+func (s *Splitter) Feed(data []byte) (events []byte, count int, err error) {
 	s.rest = append(s.rest, data...)
-	end := bytes.LastIndex(s.rest, eventEnd)
-	if end < 0 {
-		return nil, 0
-	}
-	events = bytes.Clone(s.rest[:end+len(eventEnd)])
-	s.rest = append(s.rest[:0], s.rest[end+len(eventEnd):]...)
-	for event := range bytes.SplitSeq(events, eventEnd) {
-		if len(event) == 0 {
-			continue
+	for {
+		end := bytes.Index(s.rest, eventEnd)
+		if end < 0 {
+			break
+		}
+		event := s.rest[:end+len(eventEnd)]
+		s.rest = s.rest[end+len(eventEnd):]
+		fresh, gap := s.accept(event)
+		if gap != nil {
+			return events, count, gap
 		}
-		count++
-		if id, ok := eventID(event); ok {
-			s.last = id
-			s.seen = true
+		if fresh {
+			events = append(events, event...)
+			count++
 		}
 	}
-	return events, count
+	if len(s.rest) > maxEventBytes {
+		return events, count, ErrEventTooLong
+	}
+	return events, count, nil
 }
 
+func (s *Splitter) accept(event []byte) (fresh bool, err error) {
+	id, ok := eventID(event)
+	if !ok {
+		return true, nil
+	}
+	switch {
+	case s.seen && id <= s.last:
+		return false, nil
+	case s.seen && id > s.last+1:
+		return false, ErrEventGap
+	}
+	s.last = id
+	s.seen = true
+	return true, nil
+}
+
+// Reset forgets an event that has begun, since the stream goes on elsewhere.
+func (s *Splitter) Reset() { s.rest = nil }
+
 // Partial reports whether an event has begun and not ended.
 func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.rest)) > 0 }
 
-// TooLong reports whether an event is larger than any may be.
-func (s *Splitter) TooLong() bool { return len(s.rest) > maxEventBytes }
-
 // LastID returns the id of the last whole event, if one had an id.
 func (s *Splitter) LastID() (int, bool) { return s.last, s.seen }
 
