Late answers are logged with their times

Cause: nothing told why an answer was late. Change: one line a late answer: time to its first event, longest gap, endpoint.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -192,6 +192,7 @@
 func (g *Gateway) onRequest(j *job.Job) {
 	g.metrics.Observe(j)
 	if j.Outcome == outcome.Complete {
+		g.logLate(j)
 		return
 	}
 	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target,
@@ -199,3 +200,16 @@
 		"elapsed_ms", time.Since(j.Arrived).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
 }
+
+// logLate logs a complete answer that came later than its objectives.
+func (g *Gateway) logLate(j *job.Job) {
+	row := &j.Row
+	t := &j.Timings
+	if t.FirstToken <= row.Objective && (row.MaxGap == 0 || t.LongestGap <= row.MaxGap) {
+		return
+	}
+	g.log.Info("request late", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "endpoint", j.Endpoint,
+		"first_ms", t.FirstToken.Milliseconds(), "objective_ms", row.Objective.Milliseconds(),
+		"queued_ms", t.Queued.Milliseconds(), "gap_ms", t.LongestGap.Milliseconds(), "max_gap_ms", row.MaxGap.Milliseconds(),
+		"tokens_in", j.PromptTokens, "elapsed_ms", time.Since(j.Arrived).Milliseconds(), "table", j.Revision)
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -60,6 +60,8 @@
 	// OwnerAnswered says that an error comes from the ticket's owner.
 	OwnerAnswered bool
 
+	// Endpoint is where the request ran last, for logs.
+	Endpoint string
 	// Outcome and Code are set when the answer has been written, for accounting.
 	// Reason says why in words.
 	Outcome outcome.Outcome
@@ -82,6 +84,8 @@
 	// the wait for the first token included.
 	Stalled     time.Duration
 	Gaps        []time.Duration
+	// LongestGap is the longest time between two parts of the answer.
+	LongestGap  time.Duration
 	Preemptions int
 }
 
@@ -98,8 +102,11 @@
 	if t.FirstToken == 0 {
 		t.FirstToken = now.Sub(arrived)
 		gap = t.FirstToken
-	} else if len(t.Gaps) < maxGaps {
-		t.Gaps = append(t.Gaps, gap)
+	} else {
+		t.LongestGap = max(t.LongestGap, gap)
+		if len(t.Gaps) < maxGaps {
+			t.Gaps = append(t.Gaps, gap)
+		}
 	}
 	if gap > StallGap {
 		t.Stalled += gap
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -92,6 +92,7 @@
 	}
 	p.told(event)
 	p.session.moved(h.Target)
+	p.j.Endpoint = h.Target.ID
 	p.f.cfg.Dispatcher.Move(p.grant.ID, h.Target.ID)
 	return resp, nil
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -133,6 +133,7 @@
 		return outcome.MayHaveRunf(outcome.CodeStopping, "a second run was prevented"), false
 	}
 	st.runs++
+	j.Endpoint = grant.Endpoint.ID
 	if st.runs == 1 {
 		r.budgets.first(j.Workspace, grant.Endpoint.ID, j.Row.Target)
 	}
