--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -20,10 +20,10 @@
 	for _, e := range t.homes {
 		s.addCandidate(now, e, typical)
 	}
-	s.sample(now, t.local, sampleLocal, typical)
-	s.sample(now, t.remoteServices, sampleRemote, typical)
+	s.sample(now, t.local, s.cfg.LocalChoices, typical)
+	s.sample(now, t.remoteServices, s.cfg.RemoteChoices, typical)
 	if !s.cfg.PeersFromReports {
-		s.sample(now, t.remoteEngines, sampleRemote, typical)
+		s.sample(now, t.remoteEngines, s.cfg.RemoteChoices, typical)
 		return
 	}
 	s.reported = slices.DeleteFunc(s.reported, func(e *endpoint) bool { return e.gone || !e.fresh(now) })
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -44,6 +44,11 @@
 	// PeersFromReports takes the others' work from the endpoints' load reports,
 	// so that entries need not tell each other.
 	PeersFromReports bool
+	// LocalChoices and RemoteChoices are how many endpoints of the own and of other
+	// data centres one decision compares, chosen at random. Few choices keep entries
+	// with the same late news from all taking the same endpoint.
+	LocalChoices  int
+	RemoteChoices int
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// Rand is the source of all randomness.
@@ -81,6 +86,8 @@
 	c.PriorHazard = cmp.Or(c.PriorHazard, lengths.PriorHazard)
 	c.RateSmoothing = cmp.Or(c.RateSmoothing, DefaultRateSmoothing)
 	c.DisplaceRatio = cmp.Or(c.DisplaceRatio, DefaultDisplaceRatio)
+	c.LocalChoices = cmp.Or(c.LocalChoices, sampleLocal)
+	c.RemoteChoices = cmp.Or(c.RemoteChoices, sampleRemote)
 	if c.Pipeline.Filters == nil {
 		c.Pipeline = routing.Default()
 	}
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -6,7 +6,7 @@
 // endpoints.
 const (
 	sampleLocal  = 8
-	sampleRemote = 8
+	sampleRemote = 4
 )
 
 // target lists the endpoints that answer for one target.
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -43,6 +43,8 @@
 		c.Parts = false
 		c.OrderByWorth = false
 		c.Pipeline = routing.Spread()
+		c.LocalChoices = 2
+		c.RemoteChoices = 1
 	}},
 }
 
