Unreachable endpoints are avoided at once; an endpoint's own error is tried elsewhere

Cause: requests waited 300 ms for connections to endpoints that had gone, were then refused since their queue time was over, and answers of 500 to requests that may be repeated were final.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -2,8 +2,10 @@
 package attempt
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
 
@@ -16,7 +18,24 @@
 	Incarnation uint64
 	// RetryAfter is when the endpoint says to come back; zero if it said nothing.
 	RetryAfter time.Duration
-	Err        error
+	// Answer is an endpoint's own error, which is passed on if nothing better comes.
+	Answer *Answer
+	Err    error
+}
+
+// Answer is a whole answer of an endpoint.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// WriteTo passes the answer on.
+func (a *Answer) WriteTo(sink job.HeaderSink) {
+	sink.Start(a.Status, a.Header, int64(len(a.Body)))
+	// A caller that no longer reads is noticed by its context.
+	_ = sink.Data(a.Body)
+	sink.Flush()
 }
 
 // Error implements the error interface.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -82,8 +82,8 @@
 	FirstToken time.Duration
 	// Stalled sums the gaps without progress that were longer than StallGap,
 	// the wait for the first token included.
-	Stalled     time.Duration
-	Gaps        []time.Duration
+	Stalled time.Duration
+	Gaps    []time.Duration
 	// LongestGap is the longest time between two parts of the answer.
 	LongestGap  time.Duration
 	Preemptions int
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -150,10 +150,13 @@
 	if len(body) > maxAnswerBytes {
 		return attempt.Ending{Failure: &attempt.Failure{Kind: retry.Protocol, Err: errors.New("answer too large")}}
 	}
+	answer := &attempt.Answer{Status: resp.Status, Header: resp.Header, Body: body}
+	if j.Row.Idempotent && resp.Status >= http.StatusInternalServerError {
+		// Another endpoint may do better.
+		err := errors.Errorf("status %d", resp.Status)
+		return attempt.Ending{Failure: &attempt.Failure{Kind: retry.AnsweredError, Answer: answer, Err: err}}
+	}
 	j.Timings.Progress(j.Arrived, start)
-	sink.Start(resp.Status, resp.Header, int64(len(body)))
-	// A caller that no longer reads is noticed by its context.
-	_ = sink.Data(body)
-	sink.Flush()
+	answer.WriteTo(sink)
 	return attempt.Ending{}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -142,7 +142,7 @@
 	if end.Failure == nil {
 		return nil, false
 	}
-	return r.decide(ctx, j, grant, st, end)
+	return r.decide(ctx, j, sink, grant, st, end)
 }
 
 // result blames the endpoint for a failure, unless it only drains, or the
@@ -151,11 +151,12 @@
 	res := scheduler.Result{Complete: e.Failure == nil, Generated: e.Generated}
 	if e.Failure != nil {
 		res.Failed = !e.Failure.Draining && ctx.Err() == nil
+		res.Unreachable = res.Failed && e.Failure.Kind == retry.NotSent
 	}
 	return res
 }
 
-func (r *Runner) decide(ctx context.Context, j *job.Job, grant dispatch.Grant, st *state, end attempt.Ending) (*outcome.Error, bool) {
+func (r *Runner) decide(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant, st *state, end attempt.Ending) (*outcome.Error, bool) {
 	f := end.Failure
 	r.tell(grant, f)
 	if ctx.Err() != nil && f.Kind != retry.NotSent && f.Kind != retry.RefusedBeforeExecution {
@@ -184,6 +185,10 @@
 		j.NotSent()
 	}
 	st.uncertain = st.uncertain || !proven
+	if d.Step == retry.GiveUp && f.Answer != nil {
+		f.Answer.WriteTo(sink.(job.HeaderSink))
+		return nil, false
+	}
 	if d.Step == retry.Again {
 		if f.Kind != retry.NotSent {
 			r.budgets.spend(j.Workspace, grant.Endpoint.ID, j.Row.Target)
@@ -207,6 +212,7 @@
 	retry.LinkLost:               outcome.CodeStalled,
 	retry.GenerationLost:         outcome.CodeEndpointLost,
 	retry.Protocol:               outcome.CodeEndpointBad,
+	retry.AnsweredError:          outcome.CodeEndpointBad,
 }
 
 // retryAfterFailure is when a caller may come back after endpoints failed it.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,9 +12,10 @@
 
 // Times of connections.
 const (
-	// dialTimeout is for a new connection. A lost opening packet is only repeated
-	// after a second, by which time another endpoint has answered.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout is for a new connection: some round trips between data centres. A
+	// lost opening packet is only repeated after a second, by which time another
+	// endpoint has answered.
+	dialTimeout = 120 * time.Millisecond
 	// unackedTimeout ends a connection whose peer no longer acknowledges: one that
 	// lost power or is cut off says nothing.
 	unackedTimeout = 3 * time.Second
--- a/pkg/retry/breaker.go
+++ b/pkg/retry/breaker.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// Trip opens the breaker at once: the endpoint can't be reached.
+func (b *Breaker) Trip(now time.Time) {
+	b.failures = failuresToOpen - 1
+	b.Failure(now)
+}
+
 // Success closes the breaker.
 func (b *Breaker) Success() { *b = Breaker{} }
 
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -27,11 +27,14 @@
 	GenerationLost
 	// Protocol: the endpoint's reply made no sense.
 	Protocol
+	// AnsweredError: the endpoint ran the request and answered with an error of its
+	// own, which the caller can have.
+	AnsweredError
 )
 
 // String names the failure for metrics and logs.
 func (f Failure) String() string {
-	return [...]string{"not_sent", "refused_before_execution", "link_lost", "generation_lost", "protocol"}[f]
+	return [...]string{"not_sent", "refused_before_execution", "link_lost", "generation_lost", "protocol", "answered_error"}[f]
 }
 
 // Attempt is what is known when an attempt has failed.
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -18,7 +18,7 @@
 func TestDecide(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := retry.Attempt{
-			Failure:           retry.Failure(rapid.IntRange(0, int(retry.Protocol)).Draw(t, "failure")),
+			Failure:           retry.Failure(rapid.IntRange(0, int(retry.AnsweredError)).Draw(t, "failure")),
 			Idempotent:        rapid.Bool().Draw(t, "idempotent"),
 			Bound:             rapid.Bool().Draw(t, "bound"),
 			Released:          rapid.IntRange(0, 2).Draw(t, "released"),
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -84,6 +84,8 @@
 	Complete bool
 	// Failed says that the endpoint is to blame.
 	Failed bool
+	// Unreachable says that no connection could be had.
+	Unreachable bool
 	// Generated counts the tokens that came.
 	Generated int
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -186,9 +186,12 @@
 	if res.Complete && it.req.PromptTokens > 0 {
 		it.run.End(res.Generated)
 	}
-	if res.Failed {
+	switch {
+	case res.Unreachable:
+		e.breaker.Trip(now)
+	case res.Failed:
 		e.breaker.Failure(now)
-	} else if res.Complete {
+	case res.Complete:
 		e.breaker.Success()
 	}
 	s.release(it)
