Small fleets tell each other all; plain services are near first

Cause: entries knew little of engines in other data centres, and calls of plain services waited for connections into a data centre that was cut off.

--- a/internal/controllers/controllers.go
+++ b/internal/controllers/controllers.go
@@ -20,7 +20,7 @@
 }
 
 // minKick is the shortest time between rounds that news has triggered.
-const minKick = 100 * time.Millisecond
+const minKick = 20 * time.Millisecond
 
 // every calls f at an interval with a jitter of a tenth, until the context ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// readersPerEngine is how many entries of a data centre read the state of an
 	// engine; the others hear from them. Each read is priced.
 	readersPerEngine = 1
+	// smallView is up to how many entries all tell each other all; see package
+	// membership.
+	smallView = 24
 	// catchUpPause is the wait before the store and the seeds are asked again at
 	// the start.
 	catchUpPause = 200 * time.Millisecond
@@ -121,8 +124,10 @@
 		PeerAddress: g.vm.Peers,
 		Epoch:       uint64(g.started.UnixMilli()),
 		Incarnation: incarnation,
+		SmallView:   smallView,
 	})
 	g.beliefs = peering.NewBeliefs(view, g.dispatcher, readersPerEngine, g.onLeave)
+	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
 	g.peers = peering.NewClient(peering.Config{
 		Beliefs: g.beliefs,
 		Store:   g.store,
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -50,7 +50,10 @@
 	dispatcher *dispatch.Dispatcher
 	// homeEntries is among how many entries an engine is split.
 	homeEntries int
-	onLeave     func(drain.Leave, string)
+	// payloadEvery is how often what changes all the time is told to peers: fills
+	// and usage. The rest of the record is told at once.
+	payloadEvery time.Duration
+	onLeave      func(drain.Leave, string)
 }
 
 // NewBeliefs makes the beliefs of a node that knows only itself. homeEntries is
@@ -58,15 +61,16 @@
 // each leave that was news, and where it came from.
 func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, homeEntries int, onLeave func(drain.Leave, string)) *Beliefs {
 	return &Beliefs{
-		view:        view,
-		drains:      drain.New(),
-		homes:       map[string]bool{},
-		reports:     map[string]scheduler.Report{},
-		counted:     map[string]bool{},
-		state:       peerv1.NodeState_NODE_STATE_LIVE,
-		dispatcher:  d,
-		homeEntries: homeEntries,
-		onLeave:     onLeave,
+		view:         view,
+		drains:       drain.New(),
+		homes:        map[string]bool{},
+		reports:      map[string]scheduler.Report{},
+		counted:      map[string]bool{},
+		state:        peerv1.NodeState_NODE_STATE_LIVE,
+		dispatcher:   d,
+		homeEntries:  homeEntries,
+		payloadEvery: PayloadEvery,
+		onLeave:      onLeave,
 	}
 }
 
@@ -231,7 +235,7 @@
 func (b *Beliefs) Beat(now time.Time, inherited [][]byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed := now.Sub(b.payloadAt) >= payloadEvery
+	changed := now.Sub(b.payloadAt) >= b.payloadEvery
 	if changed {
 		b.payloadAt = now
 	}
@@ -248,9 +252,16 @@
 	b.renewHomes(now)
 }
 
-// payloadEvery is how often what changes all the time is told to peers: fills
-// and usage. The rest of the record is told at once.
-const payloadEvery = 2 * time.Second
+// PayloadEvery is how often what changes all the time is told to peers by
+// default.
+const PayloadEvery = 2 * time.Second
+
+// SetPayloadEvery sets another interval than PayloadEvery.
+func (b *Beliefs) SetPayloadEvery(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.payloadEvery = d
+}
 
 func (b *Beliefs) setPayload(r *peerv1.NodeRecord) {
 	setFills(r, b.reports)
--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -17,7 +17,7 @@
 )
 
 // fillSteps is the resolution of the fills that entries tell each other.
-const fillSteps = 16
+const fillSteps = 64
 
 func endpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -80,6 +80,10 @@
 	// RemoteFactor stretches the times for nodes of other data centres, which
 	// are heard of more rarely.
 	RemoteFactor int
+	// SmallView is up to how many nodes every exchange is of all nodes and each round
+	// reaches another data centre: in a small fleet all know all within about a
+	// second. Beyond it the cost is bounded by the data centre.
+	SmallView int
 	// Fanout is how many peers of the own data centre each round contacts.
 	Fanout int
 	// Chance, a number within 0 to 1, gives the next random number.
--- a/pkg/membership/reconcile.go
+++ b/pkg/membership/reconcile.go
@@ -30,7 +30,7 @@
 // With nodes of other data centres, changes of mere payload count only now and
 // then.
 func (v *View) rankVersion(r *peerv1.NodeRecord, version uint64, scope Scope) uint64 {
-	if scope != "" || r.GetDataCenter() == v.cfg.DataCenter {
+	if scope != "" || r.GetDataCenter() == v.cfg.DataCenter || v.small() {
 		return version
 	}
 	return version / payloadSteps
@@ -42,9 +42,11 @@
 
 func (s Scope) has(r *peerv1.NodeRecord) bool { return s == "" || r.GetDataCenter() == string(s) }
 
+func (v *View) small() bool { return len(v.nodes) < v.cfg.SmallView }
+
 // ScopeWith chooses the scope of an exchange with a peer.
 func (v *View) ScopeWith(c Contact) Scope {
-	if c.DataCenter != v.cfg.DataCenter || v.cfg.Chance() < allShare {
+	if c.DataCenter != v.cfg.DataCenter || v.small() || v.cfg.Chance() < allShare {
 		return ""
 	}
 	return Scope(v.cfg.DataCenter)
--- a/pkg/membership/rounds.go
+++ b/pkg/membership/rounds.go
@@ -33,7 +33,7 @@
 	local, remote := v.contacts(now)
 	picked := v.pick(local, v.cfg.Fanout)
 	size := float64(len(local) + 1)
-	if len(remote) > 0 && v.cfg.Chance() < 1/size {
+	if len(remote) > 0 && (v.small() || v.cfg.Chance() < 1/size) {
 		picked = append(picked, v.pick(remote, 1)...)
 	}
 	return picked
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -66,7 +66,7 @@
 // more of it, because what is known of its load is older. An idle local endpoint
 // takes any request, else one larger than the endpoint would wait for ever.
 func (s *Scheduler) fits(now time.Time, c *routing.Candidate, e *endpoint, it *item) bool {
-	if s.cfg.Pipeline.Anywhere {
+	if s.pipeline(it).Anywhere {
 		return c.Fill <= 1 || e.ownRunning+e.peersRunning == 0
 	}
 	if !c.Local && !s.cfg.PeersFromReports {
@@ -104,6 +104,13 @@
 	}
 }
 
+func (s *Scheduler) pipeline(it *item) *routing.Pipeline {
+	if it.req.PromptTokens > 0 {
+		return &s.cfg.Pipeline
+	}
+	return &s.cfg.ServicePipeline
+}
+
 func (s *Scheduler) choose(now time.Time, it *item) *endpoint {
 	// The request is a field, since it would escape to the heap with each call.
 	r := &s.request
@@ -112,7 +119,7 @@
 		r.Avoid = e.index
 	}
 	s.measure(now, it)
-	i := s.cfg.Pipeline.Choose(s.cfg.Rand, r, s.candidates)
+	i := s.pipeline(it).Choose(s.cfg.Rand, r, s.candidates)
 	if i != routing.None {
 		return s.endpoints[i]
 	}
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -51,6 +51,8 @@
 	RemoteChoices int
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
+	// ServicePipeline chooses among plain services.
+	ServicePipeline routing.Pipeline
 	// Rand is the source of all randomness.
 	Rand *rand.Rand
 }
@@ -91,6 +93,9 @@
 	if c.Pipeline.Filters == nil {
 		c.Pipeline = routing.Default()
 	}
+	if c.ServicePipeline.Filters == nil {
+		c.ServicePipeline = c.Pipeline
+	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/pkg/scheduler/status.go
+++ b/pkg/scheduler/status.go
@@ -93,6 +93,6 @@
 	}
 	out.Candidates = slices.Clone(s.candidates)
 	req := routing.Request{Urgent: r.Urgent(), Avoid: routing.None}
-	out.Reasons = s.cfg.Pipeline.Explain(&req, s.candidates)
+	out.Reasons = s.pipeline(it).Explain(&req, s.candidates)
 	return out
 }
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -43,6 +43,7 @@
 		c.Parts = false
 		c.OrderByWorth = false
 		c.Pipeline = routing.Spread()
+		c.ServicePipeline = routing.Default()
 		c.LocalChoices = 2
 		c.RemoteChoices = 1
 	}},
