--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -134,7 +134,7 @@
 // Weights of Spread, in units of an engine's whole memory: a candidate of the own
 // data centre may be fuller by nearWeight. Measured on the users' bench.
 const (
-	nearWeight   = 0.15
+	nearWeight   = 0.5
 	speedWeight  = 0.5
 	promptTokens = 8000
 	spreadJitter = 0.05
