What is worth most per copied token is moved first; a report's time left is corrected by its age

Cause: plans counted with half a second that an engine no longer had, and long prompts went before long answers.

--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -36,6 +36,11 @@
 	// passes is how often an engine is looked at: generations that begin after its
 	// list was made are found by the second pass.
 	passes = 2
+	// reportAge is how old a report is when it is read; measured on the users' bench.
+	reportAge = 500 * time.Millisecond
+	// growth is the horizon, by index, at which a target needs to have room: some
+	// seconds of decoding.
+	growth = 1
 	// usableShare is the share of a target's memory that copies may fill; the rest
 	// is for the growth of what runs there.
 	usableShare = 0.9
@@ -128,11 +133,11 @@
 		Runs:    runs(report, mine, engine.TokensPerEvent),
 		Targets: e.targets(source),
 		Link:    link(engine),
-		Left:    report.LeavesIn,
+		Left:    left(report),
 	}
 	steps := evacuation.Plan(in)
 	e.cfg.Log.Info("evacuation", "endpoint", source.ID, "mine", len(mine), "runs", len(in.Runs), "targets", len(in.Targets),
-		"steps", len(steps), "leaves_in_ms", report.LeavesIn.Milliseconds(), "report_error", err)
+		"steps", len(steps), "left_ms", in.Left.Milliseconds(), "report_error", err)
 	for _, step := range steps {
 		if !pause.For(ctx, time.Until(begun.Add(step.Start))) {
 			return false
@@ -154,7 +159,8 @@
 	listed := map[string]bool{}
 	for _, r := range report.Runs {
 		listed[r.RequestID] = true
-		out = append(out, evacuation.Run{RequestID: r.RequestID, Tokens: r.Tokens, Mine: mine[r.RequestID] != nil})
+		made := min(r.Events*perEvent, r.Tokens)
+		out = append(out, evacuation.Run{RequestID: r.RequestID, Tokens: r.Tokens, Made: made, Mine: mine[r.RequestID] != nil})
 	}
 	for id, s := range mine {
 		if !listed[id] {
@@ -164,6 +170,14 @@
 	return out
 }
 
+// left corrects the time that an engine still has by the age of its report.
+func left(r engines.Report) time.Duration {
+	if r.LeavesIn == 0 {
+		return 0
+	}
+	return max(r.LeavesIn-reportAge, time.Millisecond)
+}
+
 func link(engine *table.Engine) evacuation.Link {
 	return evacuation.Link{
 		BytesPerToken:  engine.KVBytesPerToken,
@@ -188,7 +202,7 @@
 			}
 			out = append(out, evacuation.Target{
 				ID:         st.ID,
-				FreeTokens: int(usableShare*float64(st.Capacity)) - int(st.Projected.Max()) - st.Unexplained,
+				FreeTokens: int(usableShare*float64(st.Capacity)) - int(st.Projected[growth]) - st.Unexplained,
 				Far:        at.DataCenter != source.DataCenter,
 			})
 		}
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -18,8 +18,10 @@
 // whole copy; copying all at once makes the second copies queue; a lock or a
 // leader per engine costs round trips that the notice doesn't leave time for.
 //
-// What goes first is what holds the most: it has run longest, and it is the least
-// likely to end by itself in time. Plan does no I/O and reads no clock.
+// What goes first is what is worth most for the time that its copy takes: the worth
+// of a generation grows with its size, that of the copy with the memory it holds
+// now. So short prompts and long answers go before long prompts that have just
+// begun. Plan does no I/O and reads no clock.
 package evacuation
 
 import (
@@ -35,6 +37,8 @@
 	RequestID string
 	// Tokens that it holds in memory.
 	Tokens int
+	// Made counts those of them that are its answer so far.
+	Made int
 	// Mine says that the planning entry relays it.
 	Mine bool
 	// Unlisted says that it is too young for the engine's own list, so that the
@@ -42,6 +46,21 @@
 	Unlisted bool
 }
 
+// How the worth of a generation grows with its size: the users count a token of
+// the answer like ten of the prompt, and part of the worth is the same for all.
+const (
+	baseWorth   = 5000
+	answerWorth = 10
+	// expectedRest is how many tokens are still to come, as far as anybody knows.
+	expectedRest = 600
+)
+
+// worth is what a generation is worth per token of memory.
+func (r Run) worth() float64 {
+	prompt := r.Tokens - r.Made
+	return float64(baseWorth+prompt+answerWorth*(r.Made+expectedRest)) / float64(max(r.Tokens, 1))
+}
+
 // Target is an engine that may take generations over.
 type Target struct {
 	ID string
@@ -101,7 +120,7 @@
 	slices.SortFunc(runs, func(a, b Run) int {
 		return cmp.Or(
 			compareBool(a.Unlisted, b.Unlisted),
-			cmp.Compare(b.Tokens, a.Tokens),
+			cmp.Compare(b.worth(), a.worth()),
 			cmp.Compare(a.RequestID, b.RequestID),
 		)
 	})
