--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	bash scripts/check-wire-names.sh
 
 # Needs protoc (Debian package protobuf-compiler); the plugins are Go tools of this module.
 generate:
@@ -43,4 +44,8 @@
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParse$$ -fuzztime $${FUZZTIME:-20s} ./pkg/table
 	$(GO) test -run '^$$' -fuzz FuzzParseChunk -fuzztime $${FUZZTIME:-20s} ./internal/engineclient
+	$(GO) test -run '^$$' -fuzz FuzzConfiguration -fuzztime $${FUZZTIME:-20s} ./platform
+	$(GO) test -run '^$$' -fuzz FuzzEndpoint -fuzztime $${FUZZTIME:-20s} ./platform
+	$(GO) test -run '^$$' -fuzz FuzzReport -fuzztime $${FUZZTIME:-20s} ./platform
+	$(GO) test -run '^$$' -fuzz FuzzCaller -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRecord -fuzztime $${FUZZTIME:-20s} ./internal/peering
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -15,8 +15,8 @@
 
 // Headers of an endpoint's replies.
 const (
-	// HeaderNotExecuted on a refusal is defined as: before execution.
-	HeaderNotExecuted = "X-Not-Executed"
+	// HeaderNotRun on a refusal is defined as: before execution.
+	HeaderNotRun = "X-Not-Run"
 	// HeaderDraining says that the endpoint takes no new work.
 	HeaderDraining = "X-Draining"
 	// HeaderIncarnation is the endpoint's incarnation.
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -101,7 +101,7 @@
 		Incarnation: incarnation(resp),
 		Err:         errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
 	}
-	if resp.Header.Get(engineapi.HeaderNotExecuted) != "" {
+	if resp.Header.Get(engineapi.HeaderNotRun) != "" {
 		f.Kind = retry.RefusedBeforeExecution
 	}
 	return f
@@ -256,7 +256,7 @@
 	if f != nil {
 		return nil, f
 	}
-	if resp.Header.Get(engineapi.HeaderNotExecuted) != "" {
+	if resp.Header.Get(engineapi.HeaderNotRun) != "" {
 		return nil, refusal(resp)
 	}
 	defer resp.Body.Close()
--- a/internal/engineclient/engineclient_test.go
+++ b/internal/engineclient/engineclient_test.go
@@ -67,7 +67,7 @@
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch name {
 			case "refused":
-				w.Header().Set(engineapi.HeaderNotExecuted, "1")
+				w.Header().Set(engineapi.HeaderNotRun, "1")
 				w.WriteHeader(http.StatusServiceUnavailable)
 			case "crossed":
 				w.Header().Set(engineapi.HeaderRequestID, "another")
--- /dev/null
+++ b/internal/gateway/world_test.go
@@ -0,0 +1,225 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
+	"github.com/bridgehoist/bridgehoist/internal/gateway"
+	"github.com/bridgehoist/bridgehoist/internal/logging"
+	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+const (
+	// eventually bounds waits; nothing depends on how long they take.
+	eventually = "20s"
+	apiKey     = "key-1"
+)
+
+// world is a store, endpoints and gateways on loopback.
+type world struct {
+	t      *testing.T
+	g      *WithT
+	store  *standin.Store
+	url    string
+	ledger *standin.Ledger
+	logs   *lines
+
+	mu        sync.Mutex
+	endpoints map[string]*standin.Endpoint
+	config    standin.Configuration
+}
+
+// lines collects what gateways log.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+// with lists the lines that hold all of some words.
+func (l *lines) with(words ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for line := range strings.SplitSeq(l.buf.String(), "\n") {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(line, w)
+		}
+		if all && line != "" {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, g: NewWithT(t), store: standin.New(), ledger: &standin.Ledger{}, logs: &lines{}, endpoints: map[string]*standin.Endpoint{}}
+	server := httptest.NewServer(w.store.Handler())
+	t.Cleanup(server.Close)
+	w.url = server.URL
+	w.config = standin.Configuration{
+		Routes: []standin.Route{
+			route("plain", "/plain/", standin.Unsafe, "desk", 1),
+			route("safe", "/safe/", standin.Safe, "desk", 2),
+			route("stream", "/stream/", standin.Stream, "engine", 1),
+		},
+		Engines:    []string{"engine"},
+		Services:   []string{"desk"},
+		Workspaces: map[string][]string{"w": {apiKey}},
+	}
+	w.publish()
+	return w
+}
+
+func route(name, prefix, kind, target string, attempts int) standin.Route {
+	return standin.Route{Name: name, Host: "h.example", Prefix: prefix, Kind: kind, Target: target, Attempts: attempts, Timeout: 20 * time.Second}
+}
+
+// publish sends the configuration as the operators do.
+func (w *world) publish() {
+	w.config.Version++
+	w.store.Put(platform.ConfigurationKey, w.config.Encode())
+}
+
+// endpoint starts an endpoint of a service and announces it.
+func (w *world) endpoint(id, service string) *standin.Endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	w.g.Expect(err).NotTo(HaveOccurred())
+	e := &standin.Endpoint{ID: id, Address: l.Addr().String(), Events: 5, Every: 2 * time.Millisecond, Ledger: w.ledger, Peers: w.at}
+	server := &http.Server{Handler: e.Handler()}
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() { server.Close() })
+	w.mu.Lock()
+	w.endpoints[e.Address] = e
+	w.mu.Unlock()
+	w.announce(e, service, false)
+	return e
+}
+
+func (w *world) at(address string) *standin.Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoints[address]
+}
+
+func (w *world) announce(e *standin.Endpoint, target string, leaving bool) {
+	w.store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target, "dc", leaving))
+}
+
+// entry is a running gateway.
+type entry struct {
+	w       *world
+	vm      platform.Settings
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+func (w *world) settings(name string, seeds ...string) platform.Settings {
+	return platform.Settings{
+		VM: name, DataCenter: "dc",
+		Callers: freeport.Address(w.t), Readiness: freeport.Address(w.t), Peers: freeport.Address(w.t),
+		Seeds: seeds, Store: w.url, FirstStart: true,
+		Bounds: platform.Bounds{Grace: 20 * time.Second, RetryRatio: 0.2, RetrySlack: 58},
+	}
+}
+
+func (w *world) start(vm platform.Settings) *entry {
+	var cfg gateway.Config
+	set := settings.New("test")
+	cfg.Register(set)
+	w.g.Expect(set.Read([]string{"-drain-delay", "50ms", "-exchange-every", "50ms", "-poll-every", "50ms", "-watch-wait", "500ms"})).To(Succeed())
+	cfg.Check(set)
+	w.g.Expect(set.Err()).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1)}
+	gw := gateway.New(cfg, vm, logging.New(w.logs, "gateway", vm.VM))
+	go func() { e.stopped <- gw.Run(ctx, nil) }()
+	w.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-e.stopped:
+		case <-time.After(30 * time.Second):
+			w.t.Error("the gateway doesn't stop")
+		}
+	})
+	return e
+}
+
+func (e *entry) ready() bool {
+	resp, err := http.Get("http://" + e.vm.Readiness + platform.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (e *entry) waitReady() *entry {
+	e.w.g.Eventually(e.ready, eventually).Should(BeTrue())
+	return e
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	// err says that the answer broke off.
+	err error
+}
+
+// call sends one request.
+func (e *entry) call(id, method, path string, header map[string]string) answer {
+	req, err := http.NewRequest(method, "http://"+e.vm.Callers+path, strings.NewReader("body"))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h.example"
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderAPIKey, apiKey)
+	req.Header.Set(platform.HeaderWait, "20000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(body), resp.Header, err}
+}
+
+func (e *entry) stream(id string) answer {
+	return e.call(id, http.MethodPost, "/stream/x", map[string]string{platform.HeaderTokens: "100,50", "Model": "m"})
+}
+
+// events is the whole stream of a request.
+func events(id string, count int) string {
+	var b strings.Builder
+	for n := 1; n <= count; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, id, n)
+	}
+	return b.String()
+}
+
+func freeportNobodyListensAt(t *testing.T) string { return freeport.Address(t) }
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -27,8 +27,7 @@
 	tokens float64
 	at     time.Time
 
-	closing sync.Once
-	done    chan struct{}
+	done chan struct{}
 }
 
 // NewBounded makes a writer of at most so many lines a second, which may come
@@ -76,10 +75,15 @@
 
 // Close writes what waits, for at most a time, and ends the writer.
 func (b *Bounded) Close(wait time.Duration) {
-	b.closing.Do(func() { b.lines <- nil })
+	over := time.After(wait)
+	select {
+	case b.lines <- nil:
+	case <-over:
+		return
+	}
 	select {
 	case <-b.done:
-	case <-time.After(wait):
+	case <-over:
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -182,7 +182,7 @@
 }
 
 func (e *Engine) refuse(w http.ResponseWriter, status int, draining bool, text string) {
-	w.Header().Set(engineapi.HeaderNotExecuted, "1")
+	w.Header().Set(engineapi.HeaderNotRun, "1")
 	if draining {
 		w.Header().Set(engineapi.HeaderDraining, "1")
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -80,7 +80,7 @@
 	}
 	s.mu.Unlock()
 	if draining {
-		w.Header().Set(engineapi.HeaderNotExecuted, "1")
+		w.Header().Set(engineapi.HeaderNotRun, "1")
 		w.Header().Set(engineapi.HeaderDraining, "1")
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
--- /dev/null
+++ b/pkg/evacuation/evacuation_test.go
@@ -0,0 +1,108 @@
+package evacuation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bridgehoist/bridgehoist/internal/fixedseed"
+	"github.com/bridgehoist/bridgehoist/pkg/evacuation"
+)
+
+func init() { fixedseed.Set() }
+
+var link = evacuation.Link{BytesPerToken: 1000, BytesPerSecond: 10e6, Overhead: 10 * time.Millisecond, FarFactor: 2}
+
+// TestPlansOfAllEntriesFitTogether: entries that know the same list of runs plan
+// copies that never overlap on the source's link, and none twice.
+func TestPlansOfAllEntriesFitTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 4).Draw(t, "entries")
+		owner := map[string]int{}
+		tokens := map[string]int{}
+		var all []evacuation.Run
+		for i := range rapid.IntRange(1, 8).Draw(t, "runs") {
+			id := fmt.Sprintf("r%d", i)
+			owner[id] = rapid.IntRange(0, entries-1).Draw(t, "owner")
+			tokens[id] = rapid.IntRange(100, 7000).Draw(t, "tokens")
+			all = append(all, evacuation.Run{RequestID: id, Tokens: tokens[id], Made: rapid.IntRange(0, tokens[id]).Draw(t, "made")})
+		}
+		far := map[string]bool{}
+		var targets []evacuation.Target
+		for i := range rapid.IntRange(0, 5).Draw(t, "targets") {
+			id := fmt.Sprintf("t%d", i)
+			far[id] = rapid.Bool().Draw(t, "far")
+			targets = append(targets, evacuation.Target{ID: id, FreeTokens: rapid.IntRange(0, 20000).Draw(t, "free"), Far: far[id]})
+		}
+		left := time.Duration(rapid.IntRange(0, 3000).Draw(t, "left")) * time.Millisecond
+		type span struct{ from, to time.Duration }
+		var spans []span
+		moved := map[string]bool{}
+		used := map[string]int{}
+		for e := range entries {
+			runs := make([]evacuation.Run, len(all))
+			for i, r := range all {
+				r.Mine = owner[r.RequestID] == e
+				runs[i] = r
+			}
+			for _, s := range evacuation.Plan(evacuation.Input{Source: "s", Runs: runs, Targets: targets, Link: link, Left: left}) {
+				if owner[s.RequestID] != e || moved[s.RequestID] {
+					t.Fatalf("%s is planned by entry %d", s.RequestID, e)
+				}
+				moved[s.RequestID] = true
+				used[s.Target] += tokens[s.RequestID]
+				spans = append(spans, span{s.Start, s.Start + link.Time(tokens[s.RequestID], far[s.Target])})
+			}
+		}
+		for i, a := range spans {
+			if left > 0 && a.to > left {
+				t.Fatalf("a copy ends at %v, the source at %v", a.to, left)
+			}
+			for _, b := range spans[i+1:] {
+				if a.from < b.to && b.from < a.to {
+					t.Fatalf("%v and %v overlap", a, b)
+				}
+			}
+		}
+		for _, target := range targets {
+			if used[target.ID] > target.FreeTokens {
+				t.Fatalf("%s gets %d tokens, has room for %d", target.ID, used[target.ID], target.FreeTokens)
+			}
+		}
+	})
+}
+
+func TestWhatIsWorthMostPerCopiedTokenGoesFirst(t *testing.T) {
+	g := NewWithT(t)
+	steps := evacuation.Plan(evacuation.Input{
+		Source: "s", Link: link,
+		Runs: []evacuation.Run{
+			{RequestID: "long prompt", Tokens: 6000, Mine: true},
+			{RequestID: "long answer", Tokens: 4600, Made: 1600, Mine: true},
+			{RequestID: "short prompt", Tokens: 1500, Mine: true},
+			{RequestID: "not listed", Tokens: 500, Mine: true, Unlisted: true},
+		},
+		Targets: []evacuation.Target{{ID: "t", FreeTokens: 20000}},
+	})
+	var order []string
+	for _, s := range steps {
+		order = append(order, s.RequestID)
+	}
+	g.Expect(order).To(Equal([]string{"short prompt", "long answer", "long prompt", "not listed"}))
+}
+
+func TestNearTargetsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	steps := evacuation.Plan(evacuation.Input{
+		Source: "s", Link: link,
+		Runs:    []evacuation.Run{{RequestID: "a", Tokens: 900, Mine: true}, {RequestID: "b", Tokens: 1000, Mine: true}},
+		Targets: []evacuation.Target{{ID: "far", FreeTokens: 5000, Far: true}, {ID: "near", FreeTokens: 1500}},
+	})
+	g.Expect(steps).To(HaveLen(2))
+	g.Expect(steps[0].Target).To(Equal("near"))
+	g.Expect(steps[1].Target).To(Equal("far"), "the near one is full")
+	g.Expect(evacuation.Plan(evacuation.Input{Source: "s", Runs: []evacuation.Run{{RequestID: "a", Tokens: 1, Mine: true}}})).To(BeEmpty())
+}
--- /dev/null
+++ b/pkg/scheduler/forwarding_test.go
@@ -0,0 +1,127 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+func engine(id, dataCenter string) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Type: fleet.Engine, DataCenter: dataCenter, Targets: []string{"m"}, Incarnation: 1,
+		State: fleet.Live, CapacityTokens: 34000, MaxRunning: 24}
+}
+
+func forwarding(dataCenter string, seed uint64) *scheduler.Scheduler {
+	cfg := scheduler.Version(scheduler.Forwarding)
+	cfg.DataCenter = dataCenter
+	cfg.Rand = rand.New(rand.NewPCG(seed, seed))
+	return scheduler.New(cfg)
+}
+
+func longRequest(id int, now time.Time) scheduler.Request {
+	return scheduler.Request{
+		ID: scheduler.ID(id), Kind: "k", PromptTokens: 3000, MaxTokens: 1000, Arrived: now,
+		Row: table.Row{Target: "m", Weight: 1, Priority: 6, MaxInFlight: 1000, MaxQueued: 1000, MaxQueueTime: 5 * time.Second, Timeout: 40 * time.Second},
+	}
+}
+
+// TestEntriesDoNotAllTakeTheNewEndpoint: nine entries that know the load of all
+// endpoints but one, which has just begun, don't all send there. (Found on the
+// users' bench: 42 of 171 answers late.)
+func TestEntriesDoNotAllTakeTheNewEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	var endpoints []fleet.Endpoint
+	for i := range 12 {
+		endpoints = append(endpoints, engine(fmt.Sprintf("e%d", i), fmt.Sprintf("dc%d", i%3)))
+	}
+	endpoints = append(endpoints, engine("new", "dc0"))
+	got := map[string]int{}
+	const entries = 9
+	for n := range entries {
+		s := forwarding(fmt.Sprintf("dc%d", n%3), uint64(n))
+		s.SetEndpoints(now, endpoints)
+		for _, e := range endpoints[:12] {
+			s.Report(now, scheduler.Report{Endpoint: e.ID, Incarnation: 1, At: now, UsedTokens: 14000, CapacityTokens: 34000})
+		}
+		g.Expect(s.Submit(now, longRequest(1, now))).To(BeNil())
+		for _, d := range s.Next(now).Dispatches {
+			got[d.Endpoint.ID]++
+		}
+	}
+	sum := 0
+	for _, n := range got {
+		sum += n
+	}
+	g.Expect(sum).To(Equal(entries))
+	g.Expect(got["new"]).To(BeNumerically("<=", entries/2))
+}
+
+// TestUnreadPromptsTurnRequestsAway: an endpoint that still reads prompts of this
+// entry gets the next one last.
+func TestUnreadPromptsTurnRequestsAway(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{engine("a", "dc0"), engine("b", "dc0")})
+	got := map[string]int{}
+	for i := range 6 {
+		g.Expect(s.Submit(now, longRequest(i+1, now))).To(BeNil())
+		for _, d := range s.Next(now).Dispatches {
+			got[d.Endpoint.ID]++
+		}
+	}
+	g.Expect(got).To(Equal(map[string]int{"a": 3, "b": 3}))
+}
+
+// TestAnUnreachableEndpointIsAvoidedAtOnce: one connection that can't be had is
+// enough.
+func TestAnUnreachableEndpointIsAvoidedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{engine("a", "dc0"), engine("b", "dc1")})
+	g.Expect(s.Submit(now, longRequest(1, now))).To(BeNil())
+	first := s.Next(now).Dispatches
+	g.Expect(first).To(HaveLen(1))
+	g.Expect(first[0].Endpoint.ID).To(Equal("a"), "the own data centre is preferred")
+	s.Finish(now, 1, scheduler.Result{Failed: true, Unreachable: true})
+	for i := range 4 {
+		g.Expect(s.Submit(now, longRequest(i+2, now))).To(BeNil())
+		for _, d := range s.Next(now).Dispatches {
+			g.Expect(d.Endpoint.ID).To(Equal("b"))
+		}
+	}
+}
+
+// TestAMovedGenerationCountsWhereItIs keeps the believed load true.
+func TestAMovedGenerationCountsWhereItIs(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{engine("a", "dc0"), engine("b", "dc0")})
+	g.Expect(s.Submit(now, longRequest(1, now))).To(BeNil())
+	from := s.Next(now).Dispatches[0].Endpoint.ID
+	to := map[string]string{"a": "b", "b": "a"}[from]
+	s.Progress(now, 1, 4)
+	s.Move(1, to)
+	for _, st := range s.Status(now) {
+		want := 0
+		if st.ID == to {
+			want = 1
+		}
+		g.Expect(st.Running).To(Equal(want), st.ID)
+	}
+	s.Finish(now, 1, scheduler.Result{Complete: true, Generated: 8})
+	for _, st := range s.Status(now) {
+		g.Expect(st.Running).To(BeZero())
+		g.Expect(st.Projected.Max()).To(BeNumerically("~", 0, 1e-6))
+	}
+}
--- a/scripts/check-shares.sh
+++ b/scripts/check-shares.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Tests stay under a third of all Go lines, generated code aside.
+# The fault soak stays under a tenth of all Go lines, generated code aside. Tests
+# have no cap.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 all=$(git ls-files '*.go' | grep -v '^gen/' | xargs cat | wc -l)
-tests=$(git ls-files '*_test.go' | xargs -r cat | wc -l)
-echo "$tests of $all lines of Go are tests"
-[ $((tests * 3)) -le "$all" ] || { echo "tests are over a third"; exit 1; }
+soak=$(git ls-files '*.go' | { grep -i soak || true; } | xargs -r cat | wc -l)
+echo "$soak of $all lines of Go are the soak"
+[ $((soak * 10)) -le "$all" ] || { echo "the soak is over a tenth"; exit 1; }
