--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
@@ -196,7 +198,7 @@
 		st.avoid = grant.Endpoint.ID
 		return nil, true
 	}
-	return failed(d.Outcome, f, end), false
+	return failed(ctx, d.Outcome, f, end), false
 }
 
 func (r *Runner) tell(grant dispatch.Grant, f *attempt.Failure) {
@@ -215,11 +217,24 @@
 	retry.AnsweredError:          outcome.CodeEndpointBad,
 }
 
+// failureCode says whether the time was up or the caller had gone, which breaks a
+// connection too, or else what failed.
+func failureCode(ctx context.Context, f *attempt.Failure) outcome.Code {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return outcome.CodeDeadline
+	case ctx.Err() != nil:
+		return outcome.CodeCallerGone
+	default:
+		return codeByFailure[f.Kind]
+	}
+}
+
 // retryAfterFailure is when a caller may come back after endpoints failed it.
 const retryAfterFailure = time.Second
 
-func failed(o outcome.Outcome, f *attempt.Failure, end attempt.Ending) *outcome.Error {
-	err := outcome.New(o, codeByFailure[f.Kind], "%s", f.Kind)
+func failed(ctx context.Context, o outcome.Outcome, f *attempt.Failure, end attempt.Ending) *outcome.Error {
+	err := outcome.New(o, failureCode(ctx, f), "%s: %v", f.Kind, f.Err)
 	err.Delivered = end.Released
 	return err.After(retryAfterFailure)
 }
