--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -46,8 +46,11 @@
 // Source names the platform where values come from.
 const Source = "platform"
 
-// failurePause is the wait after a failed read.
-const failurePause = time.Second
+// failurePause is the mean wait after a failed read, which is jittered.
+const failurePause = 500 * time.Millisecond
+
+// idlePause is how often an entry that doesn't watch looks whether it should.
+const idlePause = time.Second
 
 // Run implements Controller.
 func (c *Config) Run(ctx context.Context) {
@@ -56,18 +59,20 @@
 		now := time.Now()
 		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
 		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
-			pause.For(ctx, failurePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		lookedIn = now
+		// While the platform is lost it is asked for all it has, which it answers at
+		// once: a watch that hangs would find its return late.
 		wait := time.Duration(0)
-		if watcher {
+		if watcher && c.lostAt.IsZero() {
 			// The jitter keeps the watches of all entries from ending together: one that
 			// has gone deaf without being cut is then covered by another's.
 			wait = time.Duration((0.5 + rand.Float64()) * float64(c.Wait))
 		}
 		if !c.Read(ctx, wait) {
-			pause.For(ctx, failurePause)
+			pause.For(ctx, time.Duration((0.5+rand.Float64())*float64(failurePause)))
 		}
 	}
 }
--- /dev/null
+++ b/internal/controllers/config_test.go
@@ -0,0 +1,114 @@
+package controllers_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/drain"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+// silent is a platform that hangs from one time to another, as one does that is
+// cut off: reads that began before go on hanging.
+type silent struct {
+	mu    sync.Mutex
+	from  time.Time
+	until time.Time
+	waits []time.Duration
+	good  []time.Time
+	// afterFailure are the waits of the reads that follow a failed one.
+	afterFailure []time.Duration
+	failed       bool
+}
+
+// hang is how long a read waits for an answer beyond the wait it asked for.
+const hang = 2 * time.Second
+
+func (s *silent) Read(ctx context.Context, wait time.Duration) ([]published.Value, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	if s.failed {
+		s.afterFailure = append(s.afterFailure, wait)
+	}
+	away := time.Now().Add(wait).After(s.from) && time.Now().Before(s.until)
+	s.failed = away
+	s.mu.Unlock()
+	if away {
+		time.Sleep(wait + hang)
+		return nil, errors.New("no answer")
+	}
+	time.Sleep(wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.good = append(s.good, time.Now())
+	return nil, ctx.Err()
+}
+
+func follow(t *testing.T, p *silent, runFor time.Duration, onState func(bool, time.Duration, error)) {
+	ctx, cancel := context.WithTimeout(t.Context(), runFor)
+	defer cancel()
+	view := membership.New(membership.Config{VM: "vm", DataCenter: "dc"})
+	c := &controllers.Config{
+		Reader:  p,
+		Store:   published.New(published.OwnParsers(), func(published.Event) {}, func(*fleet.List) {}),
+		Beliefs: peering.NewBeliefs(view, dispatch.New(scheduler.NewRoundRobin()), 1, func(drain.Leave, string) {}),
+		Wait:    3 * time.Second,
+		LookIn:  time.Minute,
+		OnError: func(error) {},
+		OnState: onState,
+	}
+	c.Run(ctx)
+}
+
+// TestAPlatformThatReturnsIsFoundSoon: while it is away it is asked without a
+// wait. (Found on the users' bench: entries heard six seconds late of a store that
+// was silent, and a configuration was in force too late.)
+func TestAPlatformThatReturnsIsFoundSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		begun := time.Now()
+		p := &silent{from: begun.Add(5 * time.Second), until: begun.Add(14 * time.Second)}
+		var states []bool
+		follow(t, p, 30*time.Second, func(up bool, _ time.Duration, _ error) { states = append(states, up) })
+		g.Expect(states).To(Equal([]bool{false, true}))
+		g.Expect(p.afterFailure).NotTo(BeEmpty())
+		g.Expect(p.afterFailure).To(HaveEach(time.Duration(0)))
+		for _, at := range p.good {
+			if !at.Before(p.until) {
+				g.Expect(at.Sub(p.until)).To(BeNumerically("<=", hang+time.Second))
+				return
+			}
+		}
+		t.Fatal("never found again")
+	})
+}
+
+// TestWatchesDoNotEndTogether: their waits are spread, so that an entry whose
+// watch has gone deaf is covered by others. (Found on the users' bench: CONFIG on a
+// day on which the store forgot its history.)
+func TestWatchesDoNotEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := &silent{}
+		follow(t, p, time.Minute, nil)
+		different := map[time.Duration]bool{}
+		for _, w := range p.waits {
+			g.Expect(w).To(BeNumerically(">=", 1500*time.Millisecond))
+			g.Expect(w).To(BeNumerically("<=", 4500*time.Millisecond))
+			different[w] = true
+		}
+		g.Expect(len(different)).To(BeNumerically(">", len(p.waits)/2))
+	})
+}
