--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to the connections through it.
+type mode int
+
+// The modes.
+const (
+	pass mode = iota
+	// delay holds each piece of data up.
+	delay
+	// reset resets all connections, and new ones.
+	reset
+	// oneWay loses what comes back.
+	oneWay
+	// silent takes connections and passes nothing on.
+	silent
+)
+
+func (m mode) String() string { return [...]string{"pass", "delay", "reset", "one_way", "silent"}[m] }
+
+// held is by how much delay holds data up.
+const held = 60 * time.Millisecond
+
+// proxy stands before one server on loopback.
+type proxy struct {
+	address string
+	target  string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, func(), error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	p := &proxy{address: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p, func() { l.Close(); p.set(reset) }, nil
+}
+
+// set changes the mode; it holds for open connections too.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m != reset {
+		return
+	}
+	for c := range p.conns {
+		abort(c)
+	}
+}
+
+func (p *proxy) now() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// abort closes a connection by a reset.
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (p *proxy) serve(c net.Conn) {
+	if p.now() == reset {
+		abort(c)
+		return
+	}
+	up, err := net.Dial("tcp", p.target)
+	if err != nil {
+		abort(c)
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[up] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(up, c, false) })
+	both.Go(func() { p.copy(c, up, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, up)
+	p.mu.Unlock()
+}
+
+// copy passes data on until one side ends; back is the way to the caller.
+func (p *proxy) copy(to, from net.Conn, back bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		for m := p.now(); m == silent || m == oneWay && back; m = p.now() {
+			time.Sleep(held)
+		}
+		if n > 0 && p.now() == delay {
+			time.Sleep(held)
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				abort(to)
+			}
+			return
+		}
+	}
+}
