The soak starts a gateway once after each end

Cause: a stop and a kill of one process each started the next one; the second couldn't listen, and the first was lost to the soak and left behind.

--- a/internal/soak/world_soak_test.go
+++ b/internal/soak/world_soak_test.go
@@ -233,7 +233,9 @@
 	life int
 	// ended is closed when the process of this life has ended.
 	ended chan struct{}
-	over  bool
+	// restarting says that the next process is about to be started.
+	restarting bool
+	over       bool
 }
 
 func (w *world) newGateway(i int, seeds []string) *gateway {
@@ -256,6 +258,7 @@
 		return
 	}
 	g.life++
+	g.restarting = false
 	cmd := exec.Command(gatewayBinary, "-drain-delay", "300ms")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
 	out, err := os.OpenFile(g.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -277,6 +280,19 @@
 	}()
 }
 
+// restart waits for the end of a process and starts the next one, once: the stop
+// and the kill of one process may overlap.
+func (g *gateway) restart(ended chan struct{}) {
+	<-ended
+	g.mu.Lock()
+	first := g.ended == ended && !g.restarting
+	g.restarting = g.restarting || first
+	g.mu.Unlock()
+	if first {
+		g.start()
+	}
+}
+
 // end kills the process for good.
 func (g *gateway) end() {
 	g.mu.Lock()
@@ -307,18 +323,12 @@
 
 func (g *gateway) kill() {
 	ended := g.signal(syscall.SIGKILL)
-	g.w.pending.Go(func() {
-		<-ended
-		g.start()
-	})
+	g.w.pending.Go(func() { g.restart(ended) })
 }
 
 func (g *gateway) term() {
 	ended := g.signal(syscall.SIGTERM)
-	g.w.pending.Go(func() {
-		<-ended
-		g.start()
-	})
+	g.w.pending.Go(func() { g.restart(ended) })
 }
 
 func (g *gateway) pause(d time.Duration) {
