The split files get their doc comments back

Cause: the split of peering/client.go, peering/beliefs.go and entry/entry.go cut comments line by line, so that they stood apart from their declarations or stayed behind in the other file. Change: split anew from the files before, comment and declaration together; checked that each file's words are the same before and after. No code changed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,7 +45,6 @@
 )
 
 // Entry is one entry process.
-
 type Entry struct {
 	cfg      Config
 	log      *log.Logger
@@ -68,7 +67,6 @@
 }
 
 // New makes an entry from checked settings.
-
 func New(cfg Config, logger *log.Logger) (*Entry, error) {
 	e := &Entry{
 		cfg:     cfg,
@@ -189,7 +187,6 @@
 func (e *Entry) newRequestID() string { return uuid.NewString() }
 
 // onLeave, onValue and onViolation log changes of state.
-
 func (e *Entry) onLeave(l drain.Leave, source string) {
 	e.kick()
 	e.metrics.Leaves.WithLabelValues(leaveSource(source)).Inc()
@@ -197,7 +194,6 @@
 }
 
 // kick passes news on soon. Values may come before there is an exchange.
-
 func (e *Entry) kick() {
 	if e.caughtUp.Load() {
 		e.exchange.Kick()
@@ -205,7 +201,6 @@
 }
 
 // leaveSource bounds the label: all peers count as one source.
-
 func leaveSource(source string) string {
 	if source == "fleet" || source == "endpoint" {
 		return source
@@ -231,17 +226,3 @@
 func (e *Entry) ready() bool {
 	return e.caughtUp.Load() && e.store.Ready() && !e.stopping.Load()
 }
-
-// Run serves until the context ends, then stops without cutting any request.
-
-// start reads the platform, catches up with the peers, and only then lets the
-
-// entry become ready. As long as no fleet list is there, nobody can be asked, so
-
-// it begins again: a replica of the platform that comes late may be behind.
-
-// servers are the three listeners.
-
-// stop ends the entry: unready, serve what the balancer still sends, let all
-
-// requests end, hand the tickets over, and tell the others.
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -18,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 )
 
+// Run serves until the context ends, then stops without cutting any request.
 func (e *Entry) Run(ctx context.Context) error {
 	servers, err := e.listen()
 	if err != nil {
@@ -37,6 +38,9 @@
 	return nil
 }
 
+// start reads the platform, catches up with the peers, and only then lets the
+// entry become ready. As long as no fleet list is there, nobody can be asked, so
+// it begins again: a replica of the platform that comes late may be behind.
 func (e *Entry) start(ctx context.Context) {
 	e.catchUp(ctx)
 	for e.store.Fleet() == nil && pause.For(ctx, catchupPause) {
@@ -66,6 +70,7 @@
 	}
 }
 
+// servers are the three listeners.
 type servers struct {
 	callers, peers, operators *http.Server
 }
@@ -108,6 +113,8 @@
 	return s, nil
 }
 
+// stop ends the entry: unready, serve what the balancer still sends, let all
+// requests end, hand the tickets over, and tell the others.
 func (e *Entry) stop(ctx context.Context, s *servers) {
 	e.stopping.Store(true)
 	e.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEAVING)
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -14,24 +14,13 @@
 )
 
 // limited is a policy that counts against the table's limits.
-
 type limited interface {
 	InFlight() *limits.Counter
 	Queued() *limits.Counter
 }
 
-// homed is a policy that splits endpoints among their home entries.
-
-// HomeEntries is among how many entries of its data centre the memory of an
-
-// engine is split by default.
-
-// homesEvery is how often the home entries are computed anew.
-
 // Beliefs is what an entry knows of the others and of the endpoints. It feeds
-
 // the scheduler. It is safe for concurrent use.
-
 type Beliefs struct {
 	mu         sync.Mutex
 	view       *membership.View
@@ -54,11 +43,8 @@
 }
 
 // NewBeliefs makes the beliefs of a node that knows only itself. homeEntries is
-
 // among how many entries of its data centre an engine is split. onLeave is told of
-
 // each leave that was news, and where it came from.
-
 func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, homeEntries int, onLeave func(drain.Leave, string)) *Beliefs {
 	return &Beliefs{
 		view:         view,
@@ -75,7 +61,6 @@
 }
 
 // ApplyFleet takes a new fleet list.
-
 func (b *Beliefs) ApplyFleet(list *fleet.List) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -112,7 +97,6 @@
 }
 
 // Leave records that an incarnation of an endpoint takes no new work.
-
 func (b *Beliefs) Leave(l drain.Leave, source string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -146,28 +130,7 @@
 	})
 }
 
-// Polled takes a load report that this entry has read itself.
-
-// spillPolls bounds the endpoints of other data centres whose load is read for
-
-// one target while requests wait for it.
-
-// ToPoll lists the endpoints that this entry reads the load of: the engines
-
-// that it is a home entry of and, while requests wait, a few of other data
-
-// centres, where work may go that has no room here.
-
-// spillTargets picks engines of other data centres, always the same ones for
-
-// this entry, and others for other entries.
-
-// Assigned reports whether this entry does a shared job of its data centre.
-
-// LocalSize counts the live entries of the data centre, this one included.
-
 // SetState changes what the entry declares of itself.
-
 func (b *Beliefs) SetState(s peerv1.NodeState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -175,7 +138,6 @@
 }
 
 // Beat renews the entry's own record.
-
 func (b *Beliefs) Beat(now time.Time, inherited [][]byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -197,13 +159,10 @@
 }
 
 // PayloadEvery is how often what changes all the time is told to peers by
-
 // default.
-
 const PayloadEvery = 2 * time.Second
 
 // SetPayloadEvery sets another interval than PayloadEvery.
-
 func (b *Beliefs) SetPayloadEvery(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -219,16 +178,7 @@
 	})
 }
 
-// renewHomes tells the scheduler now and then which endpoints this entry is a
-
-// home entry of.
-
-// partsOf says among how many entries an endpoint is split; zero if this entry
-
-// is none of them. A plain service is split among all of the data centre.
-
 // applyMembers drops the work of members that are dead or gone.
-
 func (b *Beliefs) applyMembers(now time.Time) {
 	live := map[string]bool{}
 	doubt := false
@@ -248,7 +198,6 @@
 }
 
 // setDoubt tells the limits whether the use of a counted member is in doubt.
-
 func (b *Beliefs) setDoubt(doubt bool) {
 	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
 		if l, ok := p.(limited); ok {
@@ -266,7 +215,6 @@
 }
 
 // Merge takes records from a peer and applies those that are news.
-
 func (b *Beliefs) Merge(now time.Time, records []*peerv1.NodeRecord) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -296,9 +244,7 @@
 }
 
 // applyFills takes what a peer says of endpoints that this entry doesn't read
-
 // itself.
-
 func (b *Beliefs) applyFills(now time.Time, p scheduler.Policy, r *peerv1.NodeRecord) {
 	for i, hash := range r.GetFillEndpoints() {
 		e, known := b.byHash[hash]
@@ -310,7 +256,6 @@
 }
 
 // View reads the membership view.
-
 func (b *Beliefs) View(read func(*membership.View)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -318,7 +263,6 @@
 }
 
 // Leaves lists the leaves known.
-
 func (b *Beliefs) Leaves() []drain.Leave {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -27,7 +27,6 @@
 )
 
 // Config holds the settings of a Client.
-
 type Config struct {
 	Beliefs *Beliefs
 	Store   *published.Store
@@ -41,7 +40,6 @@
 }
 
 // Client makes the calls of an entry to the others.
-
 type Client struct {
 	cfg Config
 
@@ -51,13 +49,11 @@
 }
 
 // NewClient makes a client.
-
 func NewClient(cfg Config) *Client {
 	return &Client{cfg: cfg, byAddress: map[string]peerv1connect.PeerServiceClient{}}
 }
 
 // maxClients bounds the clients kept; they hold no connection of their own.
-
 const maxClients = 1024
 
 func (c *Client) at(address string) peerv1connect.PeerServiceClient {
@@ -83,9 +79,7 @@
 }
 
 // Round reconciles with the peers that the view picks now, and returns how
-
 // many answered of how many.
-
 func (c *Client) Round(ctx context.Context) (answered, asked int) {
 	var peers []membership.Contact
 	c.cfg.Beliefs.View(func(v *membership.View) { peers = v.Round(time.Now()) })
@@ -93,7 +87,6 @@
 }
 
 // Reconcile exchanges with each of the peers and returns how many answered.
-
 func (c *Client) Reconcile(ctx context.Context, peers []membership.Contact) int {
 	var wg sync.WaitGroup
 	results := make([]bool, len(peers))
@@ -155,7 +148,6 @@
 }
 
 // wanted collects what a peer asked for, or nil.
-
 func (c *Client) wanted(resp *peerv1.ExchangeResponse) *peerv1.ExchangeRequest {
 	if len(resp.GetWantedNodes()) == 0 && len(resp.GetWantedDocuments()) == 0 {
 		return nil
@@ -172,23 +164,3 @@
 	}
 	return req
 }
-
-// HandOver gives the tickets of this entry to one successor. A peer that
-
-// refuses because it stops has adopted nothing, so the next is asked; after any
-
-// other failure nobody else may be asked.
-
-// RunAt implements owner.Remote.
-
-// locate finds the entry that holds the authority over a ticket.
-
-// Directory is a membership view as package claims asks it.
-
-// Holder implements claims.Directory.
-
-// Peer implements claims.Directory.
-
-// follower copies an answer over several links. The owner sends the same bytes
-
-// from the start each time, so those that were passed on are skipped.
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -11,14 +11,19 @@
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
+// homed is a policy that splits endpoints among their home entries.
 type homed interface {
 	SetHome(endpoint string, parts int)
 }
 
+// HomeEntries is among how many entries of its data centre the memory of an
+// engine is split by default.
 const HomeEntries = 3
 
+// homesEvery is how often the home entries are computed anew.
 const homesEvery = 2 * time.Second
 
+// Polled takes a load report that this entry has read itself.
 func (b *Beliefs) Polled(r scheduler.Report, draining bool) {
 	b.mu.Lock()
 	if b.homes[r.Endpoint] {
@@ -31,8 +36,13 @@
 	}
 }
 
+// spillPolls bounds the endpoints of other data centres whose load is read for
+// one target while requests wait for it.
 const spillPolls = 4
 
+// ToPoll lists the endpoints that this entry reads the load of: the engines
+// that it is a home entry of and, while requests wait, a few of other data
+// centres, where work may go that has no room here.
 func (b *Beliefs) ToPoll(now time.Time) []fleet.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,6 +73,8 @@
 	return out
 }
 
+// spillTargets picks engines of other data centres, always the same ones for
+// this entry, and others for other entries.
 func (b *Beliefs) spillTargets(target string) []fleet.Endpoint {
 	self := b.view.Self()
 	var out []fleet.Endpoint
@@ -77,18 +89,22 @@
 	return out[:min(len(out), spillPolls)]
 }
 
+// Assigned reports whether this entry does a shared job of its data centre.
 func (b *Beliefs) Assigned(now time.Time, name string, count int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.view.Assigned(now, name, count)
 }
 
+// LocalSize counts the live entries of the data centre, this one included.
 func (b *Beliefs) LocalSize(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.view.LocalSize(now)
 }
 
+// renewHomes tells the scheduler now and then which endpoints this entry is a
+// home entry of.
 func (b *Beliefs) renewHomes(now time.Time) {
 	if b.list == nil || now.Sub(b.homesAt) < homesEvery {
 		return
@@ -108,6 +124,8 @@
 	})
 }
 
+// partsOf says among how many entries an endpoint is split; zero if this entry
+// is none of them. A plain service is split among all of the data centre.
 func (b *Beliefs) partsOf(now time.Time, e fleet.Endpoint, size int) int {
 	if e.DataCenter != b.view.Self().GetDataCenter() {
 		return 0
--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -16,6 +16,9 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
+// HandOver gives the tickets of this entry to one successor. A peer that
+// refuses because it stops has adopted nothing, so the next is asked; after any
+// other failure nobody else may be asked.
 func (c *Client) HandOver(ctx context.Context, export func(to []byte) *peerv1.HandoverRequest) error {
 	tried := map[string]bool{}
 	for {
@@ -55,6 +58,7 @@
 	return err
 }
 
+// RunAt implements owner.Remote.
 func (c *Client) RunAt(ctx context.Context, t claims.Ticket, j *job.Job, sink job.Sink) *outcome.Error {
 	address, err := c.locate(t)
 	if err != nil {
@@ -73,6 +77,7 @@
 	return f.lost()
 }
 
+// locate finds the entry that holds the authority over a ticket.
 func (c *Client) locate(t claims.Ticket) (address string, err *outcome.Error) {
 	if s := c.handedTo(); s != "" && c.isSelf(t.OwnerVM) {
 		return s, nil
@@ -83,16 +88,19 @@
 	return address, err
 }
 
+// Directory is a membership view as package claims asks it.
 type Directory struct {
 	View *membership.View
 	Now  time.Time
 }
 
+// Holder implements claims.Directory.
 func (d Directory) Holder(i claims.Incarnation) (string, bool) {
 	m, ok := d.View.Inheritor(d.Now, i[:])
 	return m.Address, ok
 }
 
+// Peer implements claims.Directory.
 func (d Directory) Peer(vm string) (claims.Peer, bool) {
 	m, ok := d.View.Find(d.Now, vm)
 	if !ok {
@@ -125,6 +133,8 @@
 	return slices.ContainsFunc(c.cfg.Networks, func(p netip.Prefix) bool { return p.Contains(a.Addr()) })
 }
 
+// follower copies an answer over several links. The owner sends the same bytes
+// from the start each time, so those that were passed on are skipped.
 type follower struct {
 	sink    job.Sink
 	reached bool
