Read once more: twins joined, a decoded header that nobody used removed

Cause: the bound of the sources of leaves and the counting of failures and steps stood in entry and gateway; whether a caller reads fractions in Retry-After was guessed from a header map in one place and set on the writer in another; an endpoint's Retry-After was read and never used. Change: peering.SourceLabel, metrics.ObserveFailure and ObserveStep serve both; the job says how its caller reads Retry-After; the dead field and its reader go.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -16,8 +15,6 @@
 	Draining bool
 	// Incarnation of the endpoint, if it told.
 	Incarnation uint64
-	// RetryAfter is when the endpoint says to come back; zero if it said nothing.
-	RetryAfter time.Duration
 	// Answer is an endpoint's own error, which is passed on if nothing better comes.
 	Answer *Answer
 	Err    error
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,7 +27,6 @@
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
-	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
@@ -120,22 +119,20 @@
 }
 
 func (e *Entry) makeRunner() {
-	onFailure := func(f retry.Failure) { e.metrics.Failures.WithLabelValues(f.String()).Inc() }
-	onStep := func(s retry.Step) { e.metrics.Steps.WithLabelValues(s.String()).Inc() }
 	e.runner = runner.New(runner.Config{
 		Dispatcher: e.dispatcher,
 		Performer: native.New(native.Config{
 			Dispatcher:   e.dispatcher,
 			Client:       e.client,
 			StallTimeout: e.cfg.StallTimeout,
-			OnFailure:    onFailure,
-			OnStep:       onStep,
+			OnFailure:    e.metrics.ObserveFailure,
+			OnStep:       e.metrics.ObserveStep,
 		}),
 		OnLeave: func(id string, incarnation uint64) {
-			e.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, "endpoint")
+			e.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, peering.SourceEndpoint)
 		},
-		OnFailure: onFailure,
-		OnStep:    onStep,
+		OnFailure: e.metrics.ObserveFailure,
+		OnStep:    e.metrics.ObserveStep,
 	})
 }
 
@@ -189,7 +186,7 @@
 // onLeave, onValue and onViolation log changes of state.
 func (e *Entry) onLeave(l drain.Leave, source string) {
 	e.kick()
-	e.metrics.Leaves.WithLabelValues(leaveSource(source)).Inc()
+	e.metrics.Leaves.WithLabelValues(peering.SourceLabel(source)).Inc()
 	e.log.Info("endpoint leaving", "endpoint", l.Endpoint, "incarnation", l.Incarnation, "source", source)
 }
 
@@ -200,14 +197,6 @@
 	}
 }
 
-// leaveSource bounds the label: all peers count as one source.
-func leaveSource(source string) string {
-	if source == "fleet" || source == "endpoint" {
-		return source
-	}
-	return "peer"
-}
-
 func (e *Entry) onValue(ev published.Event) {
 	e.metrics.Values.WithLabelValues(ev.Name, ev.Verdict.String()).Inc()
 	if ev.Verdict == register.Adopted {
--- a/internal/filters/respond/respond.go
+++ b/internal/filters/respond/respond.go
@@ -20,8 +20,6 @@
 	contentType string
 	// passed says that the answer is an endpoint's, passed on as it came.
 	passed bool
-	// exact says that callers read Retry-After with fractions of a second.
-	exact bool
 }
 
 var _ job.Sink = (*Writer)(nil)
@@ -31,14 +29,6 @@
 	return &Writer{w: w, flusher: http.NewResponseController(w)}
 }
 
-// NewForwarder makes a sink for answers that are passed on as they came. Its
-// callers read fractions in Retry-After.
-func NewForwarder(w http.ResponseWriter) *Writer {
-	s := NewWriter(w)
-	s.exact = true
-	return s
-}
-
 var _ job.HeaderSink = (*Writer)(nil)
 
 // Start implements job.HeaderSink.
@@ -93,7 +83,7 @@
 	j.Code = err.Code
 	j.Reason = err.Message
 	if !s.started {
-		httpapi.WriteError(s.w, err, s.exact)
+		httpapi.WriteError(s.w, err, j.ExactRetryAfter)
 		return
 	}
 	s.breakOff(err)
@@ -112,8 +102,5 @@
 
 // Refuse answers a request that isn't run.
 func Refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error) {
-	j := job.From(r)
-	s := NewWriter(w)
-	s.exact = j.Header != nil
-	s.End(j, err)
+	NewWriter(w).End(job.From(r), err)
 }
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -7,6 +7,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
@@ -21,13 +22,6 @@
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
-// Sources of news of leaving endpoints.
-const (
-	sourceFleet    = "fleet"
-	sourceEndpoint = "endpoint"
-	sourcePeer     = "peer"
-)
-
 func (g *Gateway) parsers() published.Parsers {
 	return published.Parsers{
 		Table: platform.ParseConfiguration,
@@ -114,9 +108,7 @@
 }
 
 func (g *Gateway) onLeave(l drain.Leave, source string) {
-	if source != sourceFleet && source != sourceEndpoint {
-		source = sourcePeer
-	}
+	source = peering.SourceLabel(source)
 	g.metrics.Leaves.WithLabelValues(source).Inc()
 	g.log.Info("endpoint leaving", "endpoint", l.Endpoint, "source", source, "fleet", g.fleetRevision())
 	if e, ok := g.endpoint(l.Endpoint); ok {
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -24,6 +24,7 @@
 
 func (g *Gateway) fill(w http.ResponseWriter, r *http.Request, j *job.Job) {
 	g.protocol.ReadCaller(j, r.Header)
+	j.ExactRetryAfter = true
 	if g.stopping.Load() {
 		// The caller's next request goes to another entry.
 		w.Header().Set("Connection", "close")
@@ -32,6 +33,6 @@
 
 func (g *Gateway) relay(w http.ResponseWriter, r *http.Request) {
 	j := job.From(r)
-	sink := respond.NewForwarder(w)
+	sink := respond.NewWriter(w)
 	sink.End(j, g.runner.Run(r.Context(), j, sink))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,10 +193,10 @@
 		Performer:  g.forwarder,
 		Budget:     g.retryBudget(),
 		OnLeave: func(id string, incarnation uint64) {
-			g.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, sourceEndpoint)
+			g.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, peering.SourceEndpoint)
 		},
-		OnFailure: func(f retry.Failure) { g.metrics.Failures.WithLabelValues(f.String()).Inc() },
-		OnStep:    func(s retry.Step) { g.metrics.Steps.WithLabelValues(s.String()).Inc() },
+		OnFailure: g.metrics.ObserveFailure,
+		OnStep:    g.metrics.ObserveStep,
 		OnAttempt: g.onAttempt,
 	})
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -40,6 +40,9 @@
 	MaxTokens int
 	Stream    bool
 
+	// ExactRetryAfter says that the caller reads fractions of a second in
+	// Retry-After.
+	ExactRetryAfter bool
 	// APIKey is what the caller identified itself with.
 	APIKey string
 	// Header is passed on to the endpoint, Host and URI too.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
 
 const namespace = "bridgehoist"
@@ -159,6 +160,12 @@
 	m.observeTimings(ws, j.Kind, &j.Timings)
 }
 
+// ObserveFailure counts a failed attempt.
+func (m *Metrics) ObserveFailure(f retry.Failure) { m.Failures.WithLabelValues(f.String()).Inc() }
+
+// ObserveStep counts what followed a failed attempt.
+func (m *Metrics) ObserveStep(s retry.Step) { m.Steps.WithLabelValues(s.String()).Inc() }
+
 // ObserveRun accounts for the timings of a run whose callers are accounted for
 // on their own.
 func (m *Metrics) ObserveRun(j *job.Job) {
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -19,6 +19,21 @@
 	Queued() *limits.Counter
 }
 
+// Sources of news of leaving endpoints. A peer's news has its VM as the source.
+const (
+	SourceFleet    = "fleet"
+	SourceEndpoint = "endpoint"
+	sourcePeer     = "peer"
+)
+
+// SourceLabel bounds the sources for metrics and logs: all peers count as one.
+func SourceLabel(source string) string {
+	if source == SourceFleet || source == SourceEndpoint {
+		return source
+	}
+	return sourcePeer
+}
+
 // Beliefs is what an entry knows of the others and of the endpoints. It feeds
 // the scheduler. It is safe for concurrent use.
 type Beliefs struct {
@@ -74,7 +89,7 @@
 	for _, e := range list.Endpoints {
 		b.drains.Seen(e.ID, e.Incarnation)
 		if e.State == fleet.Leaving {
-			b.learn(drain.Leave{Endpoint: e.ID, Incarnation: e.Incarnation}, "fleet")
+			b.learn(drain.Leave{Endpoint: e.ID, Incarnation: e.Incarnation}, SourceFleet)
 		}
 	}
 	b.view.Seed(contacts(list))
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -32,7 +32,7 @@
 	b.mu.Unlock()
 	b.dispatcher.Update(func(now time.Time, p scheduler.Policy) { p.Report(now, r) })
 	if draining {
-		b.Leave(drain.Leave{Endpoint: r.Endpoint, Incarnation: r.Incarnation}, "endpoint")
+		b.Leave(drain.Leave{Endpoint: r.Endpoint, Incarnation: r.Incarnation}, SourceEndpoint)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,7 +11,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -112,10 +111,9 @@
 	switch {
 	case resp.NotRun:
 		return &attempt.Failure{
-			Kind:       retry.RefusedBeforeExecution,
-			Draining:   resp.Replaced,
-			RetryAfter: retryAfter(resp.Header),
-			Err:        errors.Errorf("status %d", resp.Status),
+			Kind:     retry.RefusedBeforeExecution,
+			Draining: resp.Replaced,
+			Err:      errors.Errorf("status %d", resp.Status),
 		}
 	case resp.Signed:
 		return nil
@@ -128,15 +126,6 @@
 	}
 }
 
-// retryAfter reads when to come back, in seconds with fractions.
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
-
 func isStream(resp *upstream.Response) bool {
 	return resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType)
 }
