Generations that begin at a leaving engine are moved too

Ruled out: late notice (the entries knew 1.5 to 2.1 s ahead in these cases). Change: an engine is looked at until nothing of this entry runs there, and again when a stream's first event comes from an engine that is known to leave.

--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -33,9 +33,12 @@
 	// releaseTimeout bounds the release of a copy that isn't used; the engines
 	// forget it by themselves some seconds later.
 	releaseTimeout = 500 * time.Millisecond
-	// passes is how often an engine is looked at: generations that begin after its
-	// list was made are found by the second pass.
-	passes = 2
+	// passPause is the wait before an engine is looked at again that something could
+	// not be moved off: a target may have room by then.
+	passPause = 150 * time.Millisecond
+	// leavingFor is for how long an engine that was told to end may live; some take
+	// many seconds (PROTOCOL, service discovery).
+	leavingFor = 30 * time.Second
 	// reportAge is how old a report is when it is read; measured on the users' bench.
 	reportAge = 500 * time.Millisecond
 	// growth is the horizon, by index, at which a target needs to have room: some
@@ -83,17 +86,50 @@
 
 	mu     sync.Mutex
 	active map[string]bool
+	// leaving holds the engines that are about to end, with the time of the notice.
+	leaving map[string]time.Time
 }
 
 // New makes an evacuator.
-func New(cfg Config) *Evacuator { return &Evacuator{cfg: cfg, active: map[string]bool{}} }
+func New(cfg Config) *Evacuator {
+	return &Evacuator{cfg: cfg, active: map[string]bool{}, leaving: map[string]time.Time{}}
+}
 
 // Leaving starts the evacuation of an engine, unless it is under way. It doesn't
 // wait for it.
 func (e *Evacuator) Leaving(ctx context.Context, source fleet.Endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.active[source.ID] || source.Type != fleet.Engine {
+	if source.Type != fleet.Engine {
+		return
+	}
+	e.forget()
+	e.leaving[source.ID] = time.Now()
+	e.start(ctx, source)
+}
+
+// Begun tells that a generation has begun at an engine. One that was sent there
+// before the engine was known to leave is moved now that it runs.
+func (e *Evacuator) Begun(ctx context.Context, source fleet.Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, leaving := e.leaving[source.ID]; leaving {
+		e.start(ctx, source)
+	}
+}
+
+// forget drops engines that have ended long ago.
+func (e *Evacuator) forget() {
+	for id, since := range e.leaving {
+		if time.Since(since) > leavingFor {
+			delete(e.leaving, id)
+		}
+	}
+}
+
+// start begins an evacuation unless one is under way. The caller holds the lock.
+func (e *Evacuator) start(ctx context.Context, source fleet.Endpoint) {
+	if e.active[source.ID] {
 		return
 	}
 	e.active[source.ID] = true
@@ -102,30 +138,43 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.active, source.ID)
+		if len(e.begun(source)) > 0 && ctx.Err() == nil && time.Since(e.leaving[source.ID]) < leavingFor {
+			// One began after the last pass had looked.
+			e.start(ctx, source)
+		}
 	}()
 }
 
+// run looks at an engine until none of this entry's generations runs there: they
+// were moved, or the engine has ended and their streams with it.
 func (e *Evacuator) run(ctx context.Context, source fleet.Endpoint) {
 	service, ok := e.cfg.Service(source.Targets[0])
 	if !ok || service.Engine == nil || !service.Engine.CanMove {
 		return
 	}
-	for range passes {
-		if !e.pass(ctx, source, service.Engine) {
+	end := time.Now().Add(leavingFor)
+	for time.Now().Before(end) {
+		mine := e.begun(source)
+		if len(mine) == 0 || !e.pass(ctx, source, service.Engine, mine) || !pause.For(ctx, passPause) {
 			return
 		}
 	}
 }
 
-// pass moves what is there; it returns false if there was nothing.
-func (e *Evacuator) pass(ctx context.Context, source fleet.Endpoint, engine *table.Engine) bool {
-	mine := map[string]*relay.Session{}
+// begun lists the generations of this entry that run at an engine. Those whose
+// prompt is still being read can't be moved.
+func (e *Evacuator) begun(source fleet.Endpoint) map[string]*relay.Session {
+	out := map[string]*relay.Session{}
 	for _, s := range e.cfg.Forwarder.SessionsAt(source.ID) {
-		mine[s.RequestID()] = s
-	}
-	if len(mine) == 0 {
-		return false
+		if s.Begun() {
+			out[s.RequestID()] = s
+		}
 	}
+	return out
+}
+
+// pass moves what is there; it returns false if the context has ended.
+func (e *Evacuator) pass(ctx context.Context, source fleet.Endpoint, engine *table.Engine, mine map[string]*relay.Session) bool {
 	begun := time.Now()
 	report, err := e.report(ctx, source)
 	in := evacuation.Input{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,6 +176,7 @@
 		Dispatcher:     g.dispatcher,
 		Pool:           g.pool,
 		TokensPerEvent: g.tokensPerEvent,
+		OnBegin:        func(at fleet.Endpoint) { g.evacuator.Begun(g.work, at) },
 		OnHandoff:      g.onHandoff,
 	})
 	g.engines = platform.NewEngines(g.pool)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// TestGenerationsThatBeginAtALeavingEngineAreMoved: a request whose prompt is being
+// read when the notice comes is moved once it runs.
+func TestGenerationsThatBeginAtALeavingEngineAreMoved(t *testing.T) {
+	w := newWorld(t)
+	first := w.endpoint("engine-1", "engine")
+	first.Events, first.Every, first.Prefill = 200, 10*time.Millisecond, time.Second
+	e := w.start(w.settings("vm-1")).waitReady()
+	got := make(chan answer, 1)
+	go func() { got <- e.stream("r1") }()
+	w.g.Eventually(first.Reading, eventually).Should(Equal(1))
+	second := w.endpoint("engine-2", "engine")
+	second.Events, second.Every = 200, time.Millisecond
+	w.announce(first, "engine", true)
+	w.g.Eventually(func() []string { return w.logs.with("endpoint leaving", "endpoint=engine-1") }, eventually).Should(HaveLen(1))
+	w.g.Expect(first.Running()).To(BeZero(), "the prompt is still being read")
+	var a answer
+	w.g.Eventually(got, eventually).Should(Receive(&a))
+	w.g.Expect(a.err).NotTo(HaveOccurred())
+	w.g.Expect(a.body).To(Equal(events("r1", 200)))
+	runs := w.ledger.Of("r1")
+	w.g.Expect(runs).To(HaveLen(2))
+	w.g.Expect(runs[1].Endpoint).To(Equal("engine-2"))
+}
+
 func TestLeavingEndpointsGetNothingNew(t *testing.T) {
 	w := newWorld(t)
 	one := w.endpoint("desk-1", "desk")
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -134,8 +134,12 @@
 		return nil
 	}
 	p.start(resp)
+	first := p.events == 0
 	p.events += count
 	p.session.progress(p.events)
+	if first && p.f.cfg.OnBegin != nil {
+		p.f.cfg.OnBegin(p.session.Endpoint())
+	}
 	p.last = p.j.Timings.Progress(p.j.Arrived, p.last)
 	p.f.cfg.Dispatcher.Progress(p.grant.ID, p.events*p.perEvent)
 	if err := p.sink.Data(events); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
@@ -40,6 +41,8 @@
 	Pool       *upstream.Pool
 	// TokensPerEvent says how many tokens one event of a target's streams carries.
 	TokensPerEvent func(target string) int
+	// OnBegin, if set, is told of each stream whose first event has come.
+	OnBegin func(at fleet.Endpoint)
 	// OnHandoff, if set, is told of each stream that went on at another endpoint,
 	// or failed to.
 	OnHandoff func(HandoffEvent)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -58,6 +58,13 @@
 	return s.job.PromptTokens + s.events*perEvent
 }
 
+// Begun reports whether the engine has made something of the answer.
+func (s *Session) Begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events > 0
+}
+
 // Begin prepares the end of the stream at the source: from now on its end leads to
 // the target. A first copy is what is fallen back on. It returns false if the
 // stream has ended or is being handed over already.
