Engines that leave together are evacuated by one plan

Cause: two engines often leave a data centre at the same moment. Each had a plan of its own that used the same targets: their links took the copies of both, and 'no room' came back after 0.2 s. In one such case 15 runs had 1.5 s; six were cut. Ruled out: the entries' schedules themselves (starts fit together for one source). Change: notices within 5 ms make a group with one plan over the links and memory of all sources and targets; each run goes to where its copy ends first.

--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -6,11 +6,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
@@ -33,6 +34,9 @@
 	// releaseTimeout bounds the release of a copy that isn't used; the engines
 	// forget it by themselves some seconds later.
 	releaseTimeout = 500 * time.Millisecond
+	// gatherFor is how long notices are waited for that come together: those of one
+	// change of the store come within a millisecond.
+	gatherFor = 5 * time.Millisecond
 	// passPause is the wait before an engine is looked at again that something could
 	// not be moved off: a target may have room by then.
 	passPause = 150 * time.Millisecond
@@ -88,11 +92,13 @@
 	active map[string]bool
 	// leaving holds the engines that are about to end, with the time of the notice.
 	leaving map[string]time.Time
+	// groups gather the engines whose notices come together, by their target.
+	groups map[string][]fleet.Endpoint
 }
 
 // New makes an evacuator.
 func New(cfg Config) *Evacuator {
-	return &Evacuator{cfg: cfg, active: map[string]bool{}, leaving: map[string]time.Time{}}
+	return &Evacuator{cfg: cfg, active: map[string]bool{}, leaving: map[string]time.Time{}, groups: map[string][]fleet.Endpoint{}}
 }
 
 // Leaving starts the evacuation of an engine, unless it is under way. It doesn't
@@ -104,8 +110,10 @@
 		return
 	}
 	e.forget()
-	e.leaving[source.ID] = time.Now()
-	e.start(ctx, source)
+	if _, known := e.leaving[source.ID]; !known {
+		e.leaving[source.ID] = time.Now()
+	}
+	e.join(ctx, source)
 }
 
 // Begun tells that a generation has begun at an engine. One that was sent there
@@ -114,7 +122,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, leaving := e.leaving[source.ID]; leaving {
-		e.start(ctx, source)
+		e.join(ctx, source)
 	}
 }
 
@@ -127,35 +135,49 @@
 	}
 }
 
-// start begins an evacuation unless one is under way. The caller holds the lock.
-func (e *Evacuator) start(ctx context.Context, source fleet.Endpoint) {
-	if e.active[source.ID] {
+// join puts an engine into the group that is being gathered, unless it is being
+// evacuated. The caller holds the lock.
+func (e *Evacuator) join(ctx context.Context, source fleet.Endpoint) {
+	if e.active[source.ID] || !e.movable(source) {
 		return
 	}
 	e.active[source.ID] = true
-	go func() {
-		e.run(ctx, source)
-		e.mu.Lock()
-		defer e.mu.Unlock()
+	target := source.Targets[0]
+	e.groups[target] = append(e.groups[target], source)
+	if len(e.groups[target]) == 1 {
+		time.AfterFunc(gatherFor, func() { e.evacuate(ctx, target) })
+	}
+}
+
+func (e *Evacuator) movable(source fleet.Endpoint) bool {
+	service, ok := e.cfg.Service(source.Targets[0])
+	return ok && service.Engine != nil && service.Engine.CanMove
+}
+
+// evacuate takes the gathered group of a target and moves what runs there.
+func (e *Evacuator) evacuate(ctx context.Context, target string) {
+	e.mu.Lock()
+	group := e.groups[target]
+	delete(e.groups, target)
+	e.mu.Unlock()
+	e.run(ctx, group)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, source := range group {
 		delete(e.active, source.ID)
 		if len(e.begun(source)) > 0 && ctx.Err() == nil && time.Since(e.leaving[source.ID]) < leavingFor {
 			// One began after the last pass had looked.
-			e.start(ctx, source)
+			e.join(ctx, source)
 		}
-	}()
+	}
 }
 
-// run looks at an engine until none of this entry's generations runs there: they
-// were moved, or the engine has ended and their streams with it.
-func (e *Evacuator) run(ctx context.Context, source fleet.Endpoint) {
-	service, ok := e.cfg.Service(source.Targets[0])
-	if !ok || service.Engine == nil || !service.Engine.CanMove {
-		return
-	}
+// run looks at the engines until none of this entry's generations runs there: they
+// were moved, or the engines have ended and their streams with them.
+func (e *Evacuator) run(ctx context.Context, group []fleet.Endpoint) {
 	end := time.Now().Add(leavingFor)
 	for time.Now().Before(end) {
-		mine := e.begun(source)
-		if len(mine) == 0 || !e.pass(ctx, source, service.Engine, mine) || !pause.For(ctx, passPause) {
+		if !e.pass(ctx, group) || !pause.For(ctx, passPause) {
 			return
 		}
 	}
@@ -173,27 +195,73 @@
 	return out
 }
 
-// pass moves what is there; it returns false if the context has ended.
-func (e *Evacuator) pass(ctx context.Context, source fleet.Endpoint, engine *table.Engine, mine map[string]*relay.Session) bool {
+// pass moves what is there; it returns false if there was nothing, or if the
+// context has ended.
+func (e *Evacuator) pass(ctx context.Context, group []fleet.Endpoint) bool {
 	begun := time.Now()
-	report, err := e.report(ctx, source)
-	in := evacuation.Input{
-		Source:  source.ID,
-		Runs:    runs(report, mine, engine.TokensPerEvent),
-		Targets: e.targets(source),
-		Link:    link(engine),
-		Left:    left(report),
+	mine := map[string]*relay.Session{}
+	for _, source := range group {
+		maps.Copy(mine, e.begun(source))
 	}
-	steps := evacuation.Plan(in)
-	e.cfg.Log.Info("evacuation", "endpoint", source.ID, "mine", len(mine), "runs", len(in.Runs), "targets", len(in.Targets),
-		"steps", len(steps), "left_ms", in.Left.Milliseconds(), "report_error", err)
+	if len(mine) == 0 {
+		return false
+	}
+	steps := evacuation.Plan(e.input(ctx, group, mine))
+	var moves sync.WaitGroup
+	for _, source := range group {
+		moves.Go(func() { e.follow(ctx, source, steps, mine, begun) })
+	}
+	moves.Wait()
+	return ctx.Err() == nil
+}
+
+// follow takes the steps of one engine, one after the other.
+func (e *Evacuator) follow(ctx context.Context, source fleet.Endpoint, steps []evacuation.Step, mine map[string]*relay.Session, begun time.Time) {
 	for _, step := range steps {
+		if step.Source != source.ID {
+			continue
+		}
 		if !pause.For(ctx, time.Until(begun.Add(step.Start))) {
-			return false
+			return
 		}
 		e.cfg.OnMove(e.move(ctx, mine[step.RequestID], source, step.Target))
 	}
-	return true
+}
+
+// input asks the engines for their runs, all at the same time.
+func (e *Evacuator) input(ctx context.Context, group []fleet.Endpoint, mine map[string]*relay.Session) evacuation.Input {
+	in := evacuation.Input{Sources: make([]evacuation.Source, len(group)), Targets: e.targets(group)}
+	var reports sync.WaitGroup
+	for i, source := range group {
+		service, ok := e.cfg.Service(source.Targets[0])
+		if !ok || service.Engine == nil {
+			continue
+		}
+		in.Link = link(service.Engine)
+		reports.Go(func() { in.Sources[i] = e.source(ctx, source, service.Engine, mine, len(in.Targets)) })
+	}
+	reports.Wait()
+	return in
+}
+
+// source describes a leaving engine.
+func (e *Evacuator) source(ctx context.Context, at fleet.Endpoint, engine *table.Engine, mine map[string]*relay.Session, targets int) evacuation.Source {
+	report, err := e.report(ctx, at)
+	out := evacuation.Source{
+		ID:         at.ID,
+		DataCenter: at.DataCenter,
+		Runs:       runs(report, mine, at.ID, engine.TokensPerEvent),
+		Left:       left(report),
+	}
+	own := 0
+	for _, r := range out.Runs {
+		if r.Mine {
+			own++
+		}
+	}
+	e.cfg.Log.Info("evacuation", "endpoint", at.ID, "mine", own, "runs", len(out.Runs), "targets", targets,
+		"left_ms", out.Left.Milliseconds(), "report_error", err)
+	return out
 }
 
 func (e *Evacuator) report(ctx context.Context, source fleet.Endpoint) (engines.Report, error) {
@@ -202,8 +270,8 @@
 	return e.cfg.Engines.Report(ctx, source)
 }
 
-// runs joins the engine's list with the streams that it doesn't show yet.
-func runs(report engines.Report, mine map[string]*relay.Session, perEvent int) []evacuation.Run {
+// runs joins an engine's list with the streams that it doesn't show yet.
+func runs(report engines.Report, mine map[string]*relay.Session, at string, perEvent int) []evacuation.Run {
 	var out []evacuation.Run
 	listed := map[string]bool{}
 	for _, r := range report.Runs {
@@ -212,7 +280,7 @@
 		out = append(out, evacuation.Run{RequestID: r.RequestID, Tokens: r.Tokens, Made: made, Mine: mine[r.RequestID] != nil})
 	}
 	for id, s := range mine {
-		if !listed[id] {
+		if !listed[id] && s.Endpoint().ID == at {
 			out = append(out, evacuation.Run{RequestID: id, Tokens: s.Tokens(perEvent), Mine: true, Unlisted: true})
 		}
 	}
@@ -236,8 +304,8 @@
 	}
 }
 
-// targets lists the engines that may take generations of a source.
-func (e *Evacuator) targets(source fleet.Endpoint) []evacuation.Target {
+// targets lists the engines that may take generations of a group.
+func (e *Evacuator) targets(group []fleet.Endpoint) []evacuation.Target {
 	var out []evacuation.Target
 	e.cfg.Dispatcher.View(func(now time.Time, p scheduler.Policy) {
 		s, ok := p.(*scheduler.Scheduler)
@@ -246,74 +314,19 @@
 		}
 		for _, st := range s.Status(now) {
 			at, known := e.cfg.Endpoint(st.ID)
-			if !known || st.ID == source.ID || st.Leaving || st.Breaker != retry.Closed || at.Targets[0] != source.Targets[0] {
+			if !known || st.Leaving || st.Breaker != retry.Closed || at.Targets[0] != group[0].Targets[0] || contains(group, st.ID) {
 				continue
 			}
 			out = append(out, evacuation.Target{
 				ID:         st.ID,
+				DataCenter: at.DataCenter,
 				FreeTokens: int(usableShare*float64(st.Capacity)) - int(st.Projected[growth]) - st.Unexplained,
-				Far:        at.DataCenter != source.DataCenter,
 			})
 		}
 	})
 	return out
 }
 
-// move copies one generation, stops it, copies the rest and hands it over.
-func (e *Evacuator) move(ctx context.Context, s *relay.Session, source fleet.Endpoint, targetID string) string {
-	target, ok := e.cfg.Endpoint(targetID)
-	if !ok {
-		return e.failed(s, source, targetID, errors.New("the target has gone"))
-	}
-	first, err := e.copy(ctx, source, s, target, false)
-	switch {
-	case errors.Is(err, engines.ErrNoRun):
-		return ResultEnded
-	case errors.Is(err, engines.ErrNoRoom):
-		e.failed(s, source, targetID, err)
-		return ResultNoRoom
-	case err != nil:
-		return e.failed(s, source, targetID, err)
-	}
-	if !s.Begin(target, first) {
-		e.release(ctx, target, first)
-		return ResultEnded
-	}
-	last, err := e.copy(ctx, source, s, target, true)
-	switch {
-	case err == nil:
-		s.Finish(target, &last)
-		return ResultMoved
-	case errors.Is(err, engines.ErrNoRun):
-		s.Finish(target, nil)
-		return ResultEnded
-	case errors.Is(err, engines.ErrNoRoom):
-		// The generation has stopped, and its memory is still at the source.
-		s.Finish(source, &last)
-		return ResultReturn
-	default:
-		// If the stream breaks off, the first copy is all there is.
-		s.Finish(target, nil)
-		e.failed(s, source, targetID, err)
-		return ResultTooLate
-	}
-}
-
-func (e *Evacuator) copy(ctx context.Context, source fleet.Endpoint, s *relay.Session, target fleet.Endpoint, stop bool) (engines.Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	return e.cfg.Engines.Copy(ctx, source, s.RequestID(), target, stop)
-}
-
-func (e *Evacuator) release(ctx context.Context, at fleet.Endpoint, c engines.Copy) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	if err := e.cfg.Engines.Release(ctx, at, c); err != nil {
-		e.cfg.Log.Debug("copy not released", "endpoint", at.ID, "error", err)
-	}
-}
-
-func (e *Evacuator) failed(s *relay.Session, source fleet.Endpoint, target string, err error) string {
-	e.cfg.Log.Warn("move failed", "request", s.RequestID(), "from", source.ID, "to", target, "error", err)
-	return ResultFailed
+func contains(group []fleet.Endpoint, id string) bool {
+	return slices.ContainsFunc(group, func(e fleet.Endpoint) bool { return e.ID == id })
 }
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -1,27 +1,35 @@
-// Package evacuation plans how running generations leave an engine that is about
+// Package evacuation plans how running generations leave engines that are about
 // to end.
 //
 // # Design
 //
 // Copying the memory of a generation takes a good part of a second, and the
-// copies out of one engine go one after the other over its link. Each generation
-// is copied twice: first while it runs, then once more after it was stopped, for
-// the little that is new. The pause that the caller sees is that of the second
-// copy, so it must not wait behind the first copy of another generation.
+// copies over the link of one engine, out of it or into it, go one after the
+// other. Each generation is copied twice: first while it runs, then once more
+// after it was stopped, for the little that is new. The pause that the caller sees
+// is that of the second copy, so it must not wait behind the first copy of another
+// generation.
+//
+// Engines leave in groups: the platform takes several at the same moment, often of
+// one data centre, and their generations compete for the memory and the links of
+// those that stay. So one plan is made for all engines of a group.
 //
 // The generations of one engine belong to several entries, which don't talk about
-// it. They all know the engine's own list of its runs, so each computes the same
+// it. They all know the engines' own lists of their runs, so each computes the same
 // order and the time that each copy takes, and starts its own when those before
 // are done: a schedule without coordination.
 //
 // Ways that were weighed: one copy after a stop makes every caller wait for the
 // whole copy; copying all at once makes the second copies queue; a lock or a
-// leader per engine costs round trips that the notice doesn't leave time for.
+// leader per engine costs round trips that the notice doesn't leave time for; a
+// plan for each engine alone sends the runs of both to the same target, over the
+// same link.
 //
 // What goes first is what is worth most for the time that its copy takes: the worth
 // of a generation grows with its size, that of the copy with the memory it holds
 // now. So short prompts and long answers go before long prompts that have just
-// begun. Plan does no I/O and reads no clock.
+// begun. Each goes to the target at which its copy ends first. Plan does no I/O and
+// reads no clock.
 package evacuation
 
 import (
@@ -32,7 +40,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Run is one generation at the leaving engine.
+// Run is one generation at a leaving engine.
 type Run struct {
 	RequestID string
 	// Tokens that it holds in memory.
@@ -61,13 +69,21 @@
 	return float64(baseWorth+prompt+answerWorth*(r.Made+expectedRest)) / float64(max(r.Tokens, 1))
 }
 
+// Source is an engine that is about to end.
+type Source struct {
+	ID         string
+	DataCenter string
+	Runs       []Run
+	// Left is how long it still runs; zero is unknown.
+	Left time.Duration
+}
+
 // Target is an engine that may take generations over.
 type Target struct {
-	ID string
+	ID         string
+	DataCenter string
 	// FreeTokens that it has room for, as far as is known.
 	FreeTokens int
-	// Far says that it is in another data centre than the source.
-	Far bool
 }
 
 // Link describes how fast memory is copied.
@@ -93,86 +109,106 @@
 	return l.Overhead + time.Duration(s*float64(time.Second))
 }
 
-// Input is what a plan is made from. Entries with the same source, runs and targets
-// make plans that fit together.
+// Input is what a plan is made from. Entries with the same sources, runs and
+// targets make plans that fit together.
 type Input struct {
-	// Source is the id of the leaving engine.
-	Source  string
-	Runs    []Run
+	Sources []Source
 	Targets []Target
 	Link    Link
-	// Left is how long the source still runs; zero is unknown.
-	Left time.Duration
 }
 
 // Step moves one generation of the planning entry.
 type Step struct {
 	RequestID string
+	Source    string
 	Target    string
 	// Start is when to begin, counted from the notice.
 	Start time.Duration
 }
 
-// Plan returns the steps of the planning entry in their order. Generations that
-// no target has room for, or that can't be moved in time, have none.
+// Plan returns the steps of the planning entry in the order of their starts.
+// Generations that no target has room for, or that can't be moved in time, have
+// none.
 func Plan(in Input) []Step {
-	runs := slices.Clone(in.Runs)
-	slices.SortFunc(runs, func(a, b Run) int {
-		return cmp.Or(
-			compareBool(a.Unlisted, b.Unlisted),
-			cmp.Compare(b.worth(), a.worth()),
-			cmp.Compare(a.RequestID, b.RequestID),
-		)
-	})
-	targets := ordered(in)
+	p := planner{link: in.Link, busy: map[string]time.Duration{}}
+	for _, t := range in.Targets {
+		p.targets = append(p.targets, &place{Target: t})
+	}
+	slices.SortFunc(p.targets, func(a, b *place) int { return cmp.Compare(a.ID, b.ID) })
 	var steps []Step
-	at := time.Duration(0)
-	for i, r := range runs {
-		t := pick(targets, i, r.Tokens)
-		if t == nil {
-			continue
+	for _, c := range queue(in.Sources) {
+		if s, ok := p.plan(c.source, c.run); ok && c.run.Mine {
+			steps = append(steps, s)
 		}
-		took := in.Link.Time(r.Tokens, t.Far)
-		if in.Left > 0 && at+took > in.Left {
-			continue
-		}
-		t.FreeTokens -= r.Tokens
-		if r.Mine {
-			steps = append(steps, Step{RequestID: r.RequestID, Target: t.ID, Start: at})
-		}
-		at += took
 	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Start, b.Start) })
 	return steps
 }
 
-// ordered puts the near targets first, and each group into an order that depends
-// on the source, so that two engines that leave together use different ones.
-func ordered(in Input) []Target {
-	targets := slices.Clone(in.Targets)
-	rank := func(id string) uint64 { return xxhash.Sum64String(in.Source + "\x00" + id) }
-	slices.SortFunc(targets, func(a, b Target) int {
-		return cmp.Or(compareBool(a.Far, b.Far), cmp.Compare(rank(a.ID), rank(b.ID)))
-	})
-	return targets
+// candidate is a run with its source.
+type candidate struct {
+	source *Source
+	run    Run
 }
 
-// pick returns the target for the i-th generation: the near ones in turn, then
-// the far ones.
-func pick(targets []Target, i, tokens int) *Target {
-	near := 0
-	for near < len(targets) && !targets[near].Far {
-		near++
+// queue lists all runs in the order in which they are planned.
+func queue(sources []Source) []candidate {
+	var out []candidate
+	for i := range sources {
+		for _, r := range sources[i].Runs {
+			out = append(out, candidate{&sources[i], r})
+		}
 	}
-	for _, group := range [][]Target{targets[:near], targets[near:]} {
-		for k := range group {
-			if t := &group[(i+k)%len(group)]; t.FreeTokens >= tokens {
-				return t
-			}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			compareBool(a.run.Unlisted, b.run.Unlisted),
+			cmp.Compare(b.run.worth(), a.run.worth()),
+			cmp.Compare(a.run.RequestID, b.run.RequestID),
+		)
+	})
+	return out
+}
+
+// place is a target with what the plan does to it.
+type place struct {
+	Target
+	// busy is until when its link copies what is planned so far.
+	busy time.Duration
+}
+
+type planner struct {
+	link    Link
+	targets []*place
+	// busy is until when the link of each source copies what is planned so far.
+	busy map[string]time.Duration
+}
+
+// plan finds the target at which the copy of a run ends first.
+func (p *planner) plan(source *Source, r Run) (Step, bool) {
+	var best *place
+	var start, end time.Duration
+	for _, t := range p.targets {
+		if t.FreeTokens < r.Tokens {
+			continue
 		}
+		s := max(p.busy[source.ID], t.busy)
+		e := s + p.link.Time(r.Tokens, t.DataCenter != source.DataCenter)
+		if best == nil || e < end || e == end && rank(source.ID, t.ID) < rank(source.ID, best.ID) {
+			best, start, end = t, s, e
+		}
+	}
+	if best == nil || source.Left > 0 && end > source.Left {
+		return Step{}, false
 	}
-	return nil
+	best.FreeTokens -= r.Tokens
+	best.busy = end
+	p.busy[source.ID] = end
+	return Step{RequestID: r.RequestID, Source: source.ID, Target: best.ID, Start: start}, true
 }
 
+// rank orders equal targets in a way that depends on the source.
+func rank(source, target string) uint64 { return xxhash.Sum64String(source + "\x00" + target) }
+
 // compareBool puts false before true.
 func compareBool(a, b bool) int {
 	switch {
