--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -206,7 +206,9 @@
 	if len(mine) == 0 {
 		return false
 	}
-	steps := evacuation.Plan(e.input(ctx, group, mine))
+	in := e.input(ctx, group, mine)
+	steps := evacuation.Plan(in)
+	e.logPlan(in, steps)
 	var moves sync.WaitGroup
 	for _, source := range group {
 		moves.Go(func() { e.follow(ctx, source, steps, mine, begun) })
@@ -238,30 +240,43 @@
 			continue
 		}
 		in.Link = link(service.Engine)
-		reports.Go(func() { in.Sources[i] = e.source(ctx, source, service.Engine, mine, len(in.Targets)) })
+		reports.Go(func() { in.Sources[i] = e.source(ctx, source, service.Engine, mine) })
 	}
 	reports.Wait()
 	return in
 }
 
 // source describes a leaving engine.
-func (e *Evacuator) source(ctx context.Context, at fleet.Endpoint, engine *table.Engine, mine map[string]*relay.Session, targets int) evacuation.Source {
+func (e *Evacuator) source(ctx context.Context, at fleet.Endpoint, engine *table.Engine, mine map[string]*relay.Session) evacuation.Source {
 	report, err := e.report(ctx, at)
-	out := evacuation.Source{
+	if err != nil {
+		e.cfg.Log.Warn("no list of runs, the plan is made of the own ones", "endpoint", at.ID, "error", err)
+	}
+	return evacuation.Source{
 		ID:         at.ID,
 		DataCenter: at.DataCenter,
 		Runs:       runs(report, mine, at.ID, engine.TokensPerEvent),
 		Left:       left(report),
 	}
-	own := 0
-	for _, r := range out.Runs {
-		if r.Mine {
-			own++
+}
+
+// logPlan logs what is known of each leaving engine and how much of it is moved.
+func (e *Evacuator) logPlan(in evacuation.Input, steps []evacuation.Step) {
+	for _, source := range in.Sources {
+		mine, planned := 0, 0
+		for _, r := range source.Runs {
+			if r.Mine {
+				mine++
+			}
 		}
+		for _, s := range steps {
+			if s.Source == source.ID {
+				planned++
+			}
+		}
+		e.cfg.Log.Info("evacuation", "endpoint", source.ID, "mine", mine, "runs", len(source.Runs),
+			"targets", len(in.Targets), "steps", planned, "left_ms", source.Left.Milliseconds())
 	}
-	e.cfg.Log.Info("evacuation", "endpoint", at.ID, "mine", own, "runs", len(out.Runs), "targets", targets,
-		"left_ms", out.Left.Milliseconds(), "report_error", err)
-	return out
 }
 
 func (e *Evacuator) report(ctx context.Context, source fleet.Endpoint) (engines.Report, error) {
