Changes of the store that come in quick succession are read by one call

Change: after news the next watch begins 250 ms later on average, jittered; the watches of the others are waiting meanwhile.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -31,6 +31,11 @@
 	Beliefs *peering.Beliefs
 	// Wait is how long one watch waits.
 	Wait time.Duration
+	// Spacing is the mean time between news and the next watch. Changes that come in
+	// quick succession are then read by one call; those of the first moment are not
+	// held up, as the watch is waiting by then, and another watcher's is waiting
+	// most of the time.
+	Spacing time.Duration
 	// LookIn is how often one of the entries of a data centre that aren't watchers
 	// reads the platform.
 	LookIn time.Duration
@@ -41,6 +46,8 @@
 	OnState func(up bool, away time.Duration, err error)
 
 	lostAt time.Time
+	// news says that the last read brought some.
+	news bool
 }
 
 // Source names the platform where values come from.
@@ -69,14 +76,22 @@
 		if watcher && c.lostAt.IsZero() {
 			// The jitter keeps the watches of all entries from ending together: one that
 			// has gone deaf without being cut is then covered by another's.
-			wait = time.Duration((0.5 + rand.Float64()) * float64(c.Wait))
+			wait = jittered(c.Wait)
 		}
-		if !c.Read(ctx, wait) {
-			pause.For(ctx, time.Duration((0.5+rand.Float64())*float64(failurePause)))
+		switch {
+		case !c.Read(ctx, wait):
+			pause.For(ctx, jittered(failurePause))
+		case c.news:
+			pause.For(ctx, jittered(c.Spacing))
 		}
 	}
 }
 
+// jittered spreads a time evenly from half of it to one and a half.
+func jittered(mean time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(mean))
+}
+
 // lookIn stretches the interval with the size of the data centre, so that its
 // entries together look in once in LookIn, however many they are.
 func (c *Config) lookIn(now time.Time) time.Duration {
@@ -95,6 +110,7 @@
 		return false
 	}
 	c.regained()
+	c.news = len(values) > 0
 	now := time.Now()
 	for _, v := range inOrder(values) {
 		c.Store.Offer(now, v, Source)
--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -56,7 +56,7 @@
 	return nil, ctx.Err()
 }
 
-func follow(t *testing.T, p *silent, runFor time.Duration, onState func(bool, time.Duration, error)) {
+func follow(t *testing.T, p controllers.Reader, runFor time.Duration, onState func(bool, time.Duration, error)) {
 	ctx, cancel := context.WithTimeout(t.Context(), runFor)
 	defer cancel()
 	view := membership.New(membership.Config{VM: "vm", DataCenter: "dc"})
@@ -65,6 +65,7 @@
 		Store:   published.New(published.OwnParsers(), func(published.Event) {}, func(*fleet.List) {}),
 		Beliefs: peering.NewBeliefs(view, dispatch.New(scheduler.NewRoundRobin()), 1, func(drain.Leave, string) {}),
 		Wait:    3 * time.Second,
+		Spacing: 250 * time.Millisecond,
 		LookIn:  time.Minute,
 		OnError: func(error) {},
 		OnState: onState,
@@ -95,6 +96,28 @@
 	})
 }
 
+// busy is a platform that has news for each watch at once.
+type busy struct{ at []time.Time }
+
+func (b *busy) Read(context.Context, time.Duration) ([]published.Value, error) {
+	b.at = append(b.at, time.Now())
+	return []published.Value{{Name: published.Fleet, Revision: uint64(len(b.at))}}, nil
+}
+
+// TestChangesInQuickSuccessionAreReadTogether: each call is priced.
+func TestChangesInQuickSuccessionAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := &busy{}
+		follow(t, p, time.Minute, nil)
+		g.Expect(len(p.at)).To(BeNumerically(">", 120), "no news waits long")
+		g.Expect(len(p.at)).To(BeNumerically("<", 480))
+		for i := 1; i < len(p.at); i++ {
+			g.Expect(p.at[i].Sub(p.at[i-1])).To(BeNumerically("<=", 375*time.Millisecond))
+		}
+	})
+}
+
 // TestWatchesDoNotEndTogether: their waits are spread, so that an entry whose
 // watch has gone deaf is covered by others. (Found on the users' bench: CONFIG on a
 // day on which the store forgot its history.)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -19,6 +19,7 @@
 	ExchangeEvery time.Duration
 	PollEvery     time.Duration
 	WatchWait     time.Duration
+	WatchSpacing  time.Duration
 	LookIn        time.Duration
 	DrainDelay    time.Duration
 	LapseHold     time.Duration
@@ -34,6 +35,7 @@
 	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", 500*time.Millisecond, "interval of the exchange with other entries")
 	s.DurationVar(&c.PollEvery, "poll-every", 600*time.Millisecond, "interval of reading engines' states")
+	s.DurationVar(&c.WatchSpacing, "watch-spacing", 250*time.Millisecond, "mean time between news of the store and the next watch, so that one call reads several changes")
 	s.DurationVar(&c.WatchWait, "watch-wait", 3*time.Second, "how long one watch of the store waits")
 	s.DurationVar(&c.LookIn, "look-in", 20*time.Second, "how often one of the entries of a data centre that do not watch reads the store")
 	s.DurationVar(&c.DrainDelay, "drain-delay", 3*time.Second, "time between unready and closing the listener, for the balancer")
@@ -51,6 +53,7 @@
 	s.NeedDuration("idle-timeout", c.IdleTimeout, time.Second, time.Hour)
 	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("poll-every", c.PollEvery, 10*time.Millisecond, time.Minute)
+	s.NeedDuration("watch-spacing", c.WatchSpacing, 0, 5*time.Second)
 	s.NeedDuration("watch-wait", c.WatchWait, 100*time.Millisecond, 30*time.Second)
 	s.NeedDuration("look-in", c.LookIn, time.Second, time.Hour)
 	s.NeedDuration("drain-delay", c.DrainDelay, 0, time.Minute)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 		Store:   g.store,
 		Beliefs: g.beliefs,
 		Wait:    g.cfg.WatchWait,
+		Spacing: g.cfg.WatchSpacing,
 		LookIn:  g.cfg.LookIn,
 		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
 		OnState: g.onStoreState,
