Restarted entries settle before they read engines and watch the store

Change: four rounds of the exchange pass before an entry reads engines or watches; groups of leaving engines are made by data centre.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -36,6 +36,8 @@
 	// held up, as the watch is waiting by then, and another watcher's is waiting
 	// most of the time.
 	Spacing time.Duration
+	// Settle is the time after the start in which nothing is watched, as in Load.
+	Settle time.Duration
 	// LookIn is how often one of the entries of a data centre that aren't watchers
 	// reads the platform.
 	LookIn time.Duration
@@ -61,6 +63,9 @@
 
 // Run implements Controller.
 func (c *Config) Run(ctx context.Context) {
+	if !pause.For(ctx, c.Settle) {
+		return
+	}
 	lookedIn := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -26,10 +27,17 @@
 	Beliefs  *peering.Beliefs
 	Read     LoadReader
 	Interval time.Duration
+	// Settle is the time after the start in which nothing is read. An entry that has
+	// just started knows few others yet, and takes itself for a home entry of
+	// everything; after a failure of many, all of them would read everything.
+	Settle time.Duration
 }
 
 // Run implements Controller.
 func (c *Load) Run(ctx context.Context) {
+	if !pause.For(ctx, c.Settle) {
+		return
+	}
 	every(ctx, c.Interval, func() { c.poll(ctx) })
 }
 
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -92,13 +92,18 @@
 	active map[string]bool
 	// leaving holds the engines that are about to end, with the time of the notice.
 	leaving map[string]time.Time
-	// groups gather the engines whose notices come together, by their target.
-	groups map[string][]fleet.Endpoint
+	// groups gather the engines whose notices come together.
+	groups map[groupKey][]fleet.Endpoint
 }
 
+// groupKey tells groups apart. Engines of different data centres move their
+// generations to different ones as a rule, and each engine more in a group costs
+// its entries a priced read.
+type groupKey struct{ target, dataCenter string }
+
 // New makes an evacuator.
 func New(cfg Config) *Evacuator {
-	return &Evacuator{cfg: cfg, active: map[string]bool{}, leaving: map[string]time.Time{}, groups: map[string][]fleet.Endpoint{}}
+	return &Evacuator{cfg: cfg, active: map[string]bool{}, leaving: map[string]time.Time{}, groups: map[groupKey][]fleet.Endpoint{}}
 }
 
 // Leaving starts the evacuation of an engine, unless it is under way. It doesn't
@@ -142,10 +147,10 @@
 		return
 	}
 	e.active[source.ID] = true
-	target := source.Targets[0]
-	e.groups[target] = append(e.groups[target], source)
-	if len(e.groups[target]) == 1 {
-		time.AfterFunc(gatherFor, func() { e.evacuate(ctx, target) })
+	key := groupKey{source.Targets[0], source.DataCenter}
+	e.groups[key] = append(e.groups[key], source)
+	if len(e.groups[key]) == 1 {
+		time.AfterFunc(gatherFor, func() { e.evacuate(ctx, key) })
 	}
 }
 
@@ -154,11 +159,11 @@
 	return ok && service.Engine != nil && service.Engine.CanMove
 }
 
-// evacuate takes the gathered group of a target and moves what runs there.
-func (e *Evacuator) evacuate(ctx context.Context, target string) {
+// evacuate takes a gathered group and moves what runs there.
+func (e *Evacuator) evacuate(ctx context.Context, key groupKey) {
 	e.mu.Lock()
-	group := e.groups[target]
-	delete(e.groups, target)
+	group := e.groups[key]
+	delete(e.groups, key)
 	e.mu.Unlock()
 	e.run(ctx, group)
 	e.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// bench with 6, 9, 62 and 85 entries.
 	choicesOfFew  = 2
 	choicesOfMany = 1
+	// settleRounds is after how many rounds of the exchange an entry knows the others
+	// well enough to take its share of the work on the store and the engines.
+	settleRounds = 4
 	// catchUpPause is the wait before the store and the seeds are asked again at
 	// the start.
 	catchUpPause = 200 * time.Millisecond
@@ -156,6 +159,7 @@
 		Beliefs: g.beliefs,
 		Wait:    g.cfg.WatchWait,
 		Spacing: g.cfg.WatchSpacing,
+		Settle:  settleRounds * g.cfg.ExchangeEvery,
 		LookIn:  g.cfg.LookIn,
 		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
 		OnState: g.onStoreState,
@@ -291,7 +295,7 @@
 	g.caughtUp.Store(true)
 	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
-	load := &controllers.Load{Beliefs: g.beliefs, Read: g.readLoad, Interval: g.cfg.PollEvery}
+	load := &controllers.Load{Beliefs: g.beliefs, Read: g.readLoad, Interval: g.cfg.PollEvery, Settle: settleRounds * g.cfg.ExchangeEvery}
 	for _, c := range []controllers.Controller{g.exchange, g.config, load} {
 		loops.Go(func() { c.Run(ctx) })
 	}
