Runs of leaving engines are spread over targets; faster engines preferred more

Cause: a plan sent all runs of a source to one target if copies to several ended at the same time, and the plans of two data centres chose the same, emptiest one. Change: such targets are drawn by the memory they have left and the run's id; weight of speed in the choice of an engine 0.5 to 1.

--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -34,6 +34,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -193,7 +194,7 @@
 		}
 		s := max(p.busy[source.ID], t.busy)
 		e := s + p.link.Time(r.Tokens, t.DataCenter != source.DataCenter)
-		if best == nil || e < end || e == end && rank(source.ID, t.ID) < rank(source.ID, best.ID) {
+		if best == nil || e < end || e == end && t.weight(r) > best.weight(r) {
 			best, start, end = t, s, e
 		}
 	}
@@ -206,8 +207,14 @@
 	return Step{RequestID: r.RequestID, Source: source.ID, Target: best.ID, Start: start}, true
 }
 
-// rank orders equal targets in a way that depends on the source.
-func rank(source, target string) uint64 { return xxhash.Sum64String(source + "\x00" + target) }
+// weight orders targets at which a copy ends at the same time. It spreads the runs
+// over them by the memory that they have left, and by the run's id, so that entries
+// and groups that plan apart don't all choose the emptiest.
+func (t *place) weight(r Run) float64 {
+	const top = 1 << 53
+	draw := float64(xxhash.Sum64String(r.RequestID+"\x00"+t.ID)>>11) / top
+	return math.Pow(draw, 1/float64(max(t.FreeTokens, 1)))
+}
 
 // compareBool puts false before true.
 func compareBool(a, b bool) int {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -135,7 +135,7 @@
 // data centre may be fuller by nearWeight. Measured on the users' bench.
 const (
 	nearWeight   = 0.5
-	speedWeight  = 0.5
+	speedWeight  = 1.0
 	promptTokens = 8000
 	spreadJitter = 0.05
 )
