--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -165,10 +165,7 @@
 func (g *Gateway) onRound(answered, asked int) {
 	g.metrics.PeersAsked.Add(float64(asked))
 	g.metrics.PeersAnswered.Add(float64(answered))
-	g.adaptChoices()
-	if g.notices != nil {
-		g.notices.SetPeers(g.beliefs.NoticeAddresses(time.Now()))
-	}
+	g.adaptToSize()
 }
 
 // tellPrompt tells the entries of an engine's data centre that a prompt goes there.
@@ -178,13 +175,17 @@
 	}
 }
 
-// adaptChoices fits the scheduler to the number of entries.
-func (g *Gateway) adaptChoices() {
+// adaptToSize fits the scheduler and the notices to the number of entries.
+func (g *Gateway) adaptToSize() {
 	entries := 1
 	g.beliefs.View(func(v *membership.View) { entries += len(v.Members(time.Now())) })
-	choices := choicesOfFew
-	if entries > smallView {
-		choices = choicesOfMany
+	small := entries <= smallView
+	if g.notices != nil {
+		g.notices.SetPeers(g.beliefs.NoticeAddresses(time.Now()), small)
+	}
+	choices := choicesOfMany
+	if small {
+		choices = choicesOfFew
 	}
 	g.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
 		if s, ok := p.(*scheduler.Scheduler); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	// choicesOfFew and choicesOfMany are how many endpoints of the own data centre a
 	// decision compares, up to smallView entries and beyond; measured on the users'
 	// bench with 6, 9, 62 and 85 entries.
-	choicesOfFew  = 2
+	choicesOfFew  = 4
 	choicesOfMany = 3
 	// settleRounds is after how many rounds of the exchange an entry knows the others
 	// well enough to take its share of the work on the store and the engines.
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -10,8 +10,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +54,8 @@
 	mu sync.Mutex
 	// peers are the notice addresses of the other entries by data centre.
 	peers map[string][]netip.AddrPort
+	// tellAll says that the entries of all data centres are told of everything.
+	tellAll bool
 	// second and sent count the datagrams of the running second.
 	second int64
 	sent   int
@@ -75,11 +79,14 @@
 	return n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// SetPeers replaces the addresses of the other entries, by data centre.
-func (n *Notifier) SetPeers(peers map[string][]netip.AddrPort) {
+// SetPeers replaces the addresses of the other entries, by data centre. With tellAll
+// every entry is told of every prompt, which a small fleet can afford: its entries
+// send to the engines of all data centres.
+func (n *Notifier) SetPeers(peers map[string][]netip.AddrPort, tellAll bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers = peers
+	n.tellAll = tellAll
 }
 
 // Sent tells the entries of an engine's data centre that a prompt was sent to it. It
@@ -109,6 +116,9 @@
 		n.second, n.sent = now, 0
 	}
 	peers := n.peers[dataCenter]
+	if n.tellAll {
+		peers = slices.Concat(slices.Collect(maps.Values(n.peers))...)
+	}
 	peers = peers[:min(len(peers), maxPerSecond-n.sent)]
 	n.sent += len(peers)
 	return peers
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -53,12 +53,16 @@
 	one, _, _ := listen(t)
 	_, near, nearHears := listen(t)
 	_, far, farHears := listen(t)
-	one.SetPeers(map[string][]netip.AddrPort{"near": {near}, "far": {far}})
+	one.SetPeers(map[string][]netip.AddrPort{"near": {near}, "far": {far}}, false)
 	one.Sent("near", 7, 3000)
 	g.Eventually(nearHears, eventually).Should(Receive(Equal(heard{7, 3000})))
 	one.Sent("far", 8, 10)
 	g.Eventually(farHears, eventually).Should(Receive(Equal(heard{8, 10})))
 	g.Expect(nearHears).To(BeEmpty())
+	one.SetPeers(map[string][]netip.AddrPort{"near": {near}, "far": {far}}, true)
+	one.Sent("near", 9, 10)
+	g.Eventually(nearHears, eventually).Should(Receive(Equal(heard{9, 10})))
+	g.Eventually(farHears, eventually).Should(Receive(Equal(heard{9, 10})))
 }
 
 // TestNonsenseIsLeftOut: whoever reaches the port can send; a notice counts for a
@@ -72,7 +76,7 @@
 	_, err = conn.Write([]byte("not a notice at all, and longer than any"))
 	g.Expect(err).NotTo(HaveOccurred())
 	one, _, _ := listen(t)
-	one.SetPeers(map[string][]netip.AddrPort{"dc": {at}})
+	one.SetPeers(map[string][]netip.AddrPort{"dc": {at}}, false)
 	one.Sent("dc", 9, 1<<30)
 	g.Eventually(hears, eventually).Should(Receive(Equal(heard{9, 1 << 17})))
 }
@@ -85,7 +89,7 @@
 	one := listenAt(t, func() time.Time { return now })
 	_, a, _ := listen(t)
 	_, b, _ := listen(t)
-	one.SetPeers(map[string][]netip.AddrPort{"dc": {a, b}})
+	one.SetPeers(map[string][]netip.AddrPort{"dc": {a, b}}, false)
 	burst := func() (told int) {
 		for range 1000 {
 			told += one.Sent("dc", 1, 1)
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -48,7 +48,7 @@
 		c.KeepHopeless = true
 		c.ReadRate = DefaultReadRate
 		c.LocalChoices = 2
-		c.RemoteChoices = 1
+		c.RemoteChoices = 3
 	}},
 }
 
