--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -183,13 +183,13 @@
 	if g.notices != nil {
 		g.notices.SetPeers(g.beliefs.NoticeAddresses(time.Now()), small)
 	}
-	choices := choicesOfMany
+	local, remote := localOfMany, remoteOfMany
 	if small {
-		choices = choicesOfFew
+		local, remote = localOfFew, remoteOfFew
 	}
 	g.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
 		if s, ok := p.(*scheduler.Scheduler); ok {
-			s.SetLocalChoices(choices)
+			s.SetChoices(local, remote)
 		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,11 +54,13 @@
 	// smallView is up to how many entries all tell each other all; see package
 	// membership.
 	smallView = 24
-	// choicesOfFew and choicesOfMany are how many endpoints of the own data centre a
-	// decision compares, up to smallView entries and beyond; measured on the users'
-	// bench with 6, 9, 62 and 85 entries.
-	choicesOfFew  = 4
-	choicesOfMany = 3
+	// How many endpoints of the own and of other data centres a decision compares, up
+	// to smallView entries and beyond. A large fleet is told of the prompts in its own
+	// data centre only. Measured on the users' bench with 6, 9, 62 and 85 entries.
+	localOfFew   = 4
+	remoteOfFew  = 3
+	localOfMany  = 6
+	remoteOfMany = 1
 	// settleRounds is after how many rounds of the exchange an entry knows the others
 	// well enough to take its share of the work on the store and the engines.
 	settleRounds = 4
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -185,7 +185,7 @@
 		top := 0
 		for n := range 60 {
 			s := forwarding("dc0", uint64(n))
-			s.SetLocalChoices(choices)
+			s.SetChoices(choices, 1)
 			s.SetEndpoints(now, endpoints)
 			for i, e := range endpoints {
 				s.Report(now, scheduler.Report{Endpoint: e.ID, Incarnation: 1, At: now, UsedTokens: 1500 * i, CapacityTokens: 34000})
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -101,10 +101,13 @@
 	}
 }
 
-// SetLocalChoices changes how many endpoints of the own data centre one decision
-// compares. The more entries share the endpoints, the less each one's news of their
-// load is worth, and the more harm it does that all have the same.
-func (s *Scheduler) SetLocalChoices(n int) { s.cfg.LocalChoices = max(n, 1) }
+// SetChoices changes how many endpoints of the own and of other data centres one
+// decision compares. It does harm to compare many that little is known of: entries
+// with the same late news all choose the same.
+func (s *Scheduler) SetChoices(local, remote int) {
+	s.cfg.LocalChoices = max(local, 1)
+	s.cfg.RemoteChoices = max(remote, 1)
+}
 
 // SetHome says that the entry is one of so many home entries of an endpoint, or
 // with zero that it is none. Home entries split the endpoint's memory in equal
