--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -106,3 +106,26 @@
 	told, _ = burst()
 	g.Expect(told).To(Equal(100))
 }
+
+// BenchmarkNotice is one datagram from one entry to another, over loopback.
+func BenchmarkNotice(b *testing.B) {
+	quiet := log.New(io.Discard)
+	now := time.Unix(0, 0)
+	// Each call is a second later, so that the bound isn't reached.
+	clock := func() time.Time { now = now.Add(time.Second); return now }
+	one, err := notices.New(notices.Config{Listen: "127.0.0.1:0", OnPrompt: func(uint32, int) {}, Now: clock, Log: quiet})
+	if err != nil {
+		b.Fatal(err)
+	}
+	other, err := notices.New(notices.Config{Listen: "127.0.0.1:0", OnPrompt: func(uint32, int) {}, Now: time.Now, Log: quiet})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go other.Run(ctx)
+	one.SetPeers(map[string][]netip.AddrPort{"dc": {other.Address()}}, false)
+	for b.Loop() {
+		one.Sent("dc", 1, 3000)
+	}
+}
