--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -53,6 +53,9 @@
 	_ = g.Wait()
 }
 
+// ReadNow reads the load of one engine out of turn.
+func (c *Load) ReadNow(ctx context.Context, e fleet.Endpoint) { c.read(ctx, e) }
+
 func (c *Load) read(ctx context.Context, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -34,7 +34,7 @@
 	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
 	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", 500*time.Millisecond, "interval of the exchange with other entries")
-	s.DurationVar(&c.PollEvery, "poll-every", 600*time.Millisecond, "interval of reading engines' states")
+	s.DurationVar(&c.PollEvery, "poll-every", 1200*time.Millisecond, "interval of reading engines' states")
 	s.DurationVar(&c.WatchSpacing, "watch-spacing", 250*time.Millisecond, "mean time between news of the store and the next watch, so that one call reads several changes")
 	s.DurationVar(&c.WatchWait, "watch-wait", 3*time.Second, "how long one watch of the store waits")
 	s.DurationVar(&c.LookIn, "look-in", 20*time.Second, "how often one of the entries of a data centre that do not watch reads the store")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	inForce  atomic.Pointer[fleet.List]
 	work     context.Context
 	exchange *controllers.Exchange
+	load     *controllers.Load
 	// notices is nil if the platform leaves no port for them.
 	notices *notices.Notifier
 	config  *controllers.Config
@@ -102,6 +103,8 @@
 	// grace and its timer are guarded by mu.
 	mu    sync.Mutex
 	grace fleet.Grace
+	// checking holds the engines whose state is being read out of turn.
+	checking map[string]bool
 	// noticed is since when the newest list of endpoints is known to any entry.
 	noticed  time.Time
 	graceEnd *time.Timer
@@ -110,13 +113,14 @@
 // New makes a gateway from checked settings and those of the platform.
 func New(cfg Config, vm platform.Settings, logger *log.Logger) *Gateway {
 	g := &Gateway{
-		cfg:     cfg,
-		vm:      vm,
-		log:     logger,
-		started: time.Now(),
-		metrics: metrics.New(),
-		traffic: &peering.Traffic{},
-		grace:   fleet.Grace{Hold: cfg.LapseHold},
+		cfg:      cfg,
+		vm:       vm,
+		log:      logger,
+		started:  time.Now(),
+		metrics:  metrics.New(),
+		traffic:  &peering.Traffic{},
+		checking: map[string]bool{},
+		grace:    fleet.Grace{Hold: cfg.LapseHold},
 	}
 	policy := scheduler.Version(scheduler.Forwarding)
 	policy.DataCenter = vm.DataCenter
@@ -172,6 +176,12 @@
 		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
 		OnState: g.onStoreState,
 	}
+	g.load = &controllers.Load{
+		Beliefs:  g.beliefs,
+		Read:     g.readLoad,
+		Interval: g.cfg.PollEvery,
+		Settle:   settleRounds * g.cfg.ExchangeEvery,
+	}
 }
 
 func (g *Gateway) seeds() []string {
@@ -191,6 +201,7 @@
 		TokensPerEvent: g.tokensPerEvent,
 		OnSend:         g.tellPrompt,
 		OnBegin:        func(at fleet.Endpoint) { g.evacuator.Begun(g.work, at) },
+		OnClosing:      g.onClosing,
 		OnHandoff:      g.onHandoff,
 	})
 	g.engines = platform.NewEngines(g.pool)
@@ -307,8 +318,7 @@
 	g.caughtUp.Store(true)
 	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
-	load := &controllers.Load{Beliefs: g.beliefs, Read: g.readLoad, Interval: g.cfg.PollEvery, Settle: settleRounds * g.cfg.ExchangeEvery}
-	for _, c := range []controllers.Controller{g.exchange, g.config, load} {
+	for _, c := range []controllers.Controller{g.exchange, g.config, g.load} {
 		loops.Go(func() { c.Run(ctx) })
 	}
 	loops.Wait()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,6 +159,22 @@
 	w.g.Expect(copies[len(copies)-1]).To(BeTrue())
 }
 
+// TestAnEngineThatClosesAConnectionIsLookedAt: engines that end without an announcement
+// are found by their answers, without regular reads.
+func TestAnEngineThatClosesAConnectionIsLookedAt(t *testing.T) {
+	w := newWorld(t)
+	first := w.endpoint("engine-1", "engine")
+	w.endpoint("engine-2", "engine")
+	e := w.start(w.settings("vm-1"), "-poll-every", "1m").waitReady()
+	first.SetLeaving(2 * time.Second)
+	sent := 0
+	w.g.Eventually(func() []string {
+		sent++
+		w.g.Expect(e.stream(fmt.Sprintf("r%d", sent)).err).NotTo(HaveOccurred())
+		return w.logs.with("endpoint leaving", "endpoint=engine-1", "source=endpoint")
+	}, eventually).Should(HaveLen(1))
+}
+
 func TestLeavingEndpointsGetNothingNew(t *testing.T) {
 	w := newWorld(t)
 	one := w.endpoint("desk-1", "desk")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,9 @@
 	OnSend func(to fleet.Endpoint, promptTokens int)
 	// OnBegin, if set, is told of each stream whose first event has come.
 	OnBegin func(at fleet.Endpoint)
+	// OnClosing, if set, is told of each engine whose answer says that the connection
+	// closes.
+	OnClosing func(at fleet.Endpoint)
 	// OnHandoff, if set, is told of each stream that went on at another endpoint,
 	// or failed to.
 	OnHandoff func(HandoffEvent)
@@ -86,6 +89,9 @@
 	if failure != nil {
 		return attempt.Ending{Failure: failure}
 	}
+	if resp.Closing && grant.Endpoint.Type == fleet.Engine && f.cfg.OnClosing != nil {
+		f.cfg.OnClosing(grant.Endpoint)
+	}
 	if failure := refused(resp); failure != nil {
 		drop(resp)
 		return attempt.Ending{Failure: failure}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,6 +92,8 @@
 	Status int
 	// Length of the body, or -1 if it isn't known.
 	Length int64
+	// Closing says that the endpoint closes the connection after the answer.
+	Closing bool
 	// Framed says that the end of the body can be told from a broken connection.
 	Framed bool
 
@@ -235,6 +237,7 @@
 			conn:     c,
 			body:     hr.Body,
 			Framed:   framed,
+			Closing:  hr.Close,
 			reusable: !hr.Close && framed,
 		}, nil
 	}
