--- a/internal/evacuate/move.go
+++ b/internal/evacuate/move.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// copyTimeout bounds one copy. An engine that was told to end lives for about
+	// two seconds.
+	copyTimeout = 2500 * time.Millisecond
+	// releaseTimeout bounds the release of a copy that isn't used; the engines
+	// forget it by themselves some seconds later.
+	releaseTimeout = 500 * time.Millisecond
 	// freeLink is how long a copy of what is new takes at most while no other copy
 	// goes over the link: some milliseconds for the calls, and one or two for the
 	// tokens of a quarter of a second.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,8 +15,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,13 +33,9 @@
 	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
-	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
-	"github.com/bridgehoist/bridgehoist/pkg/membership"
-	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
-	"github.com/bridgehoist/bridgehoist/pkg/table"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -133,139 +127,6 @@
 	return g
 }
 
-func (g *Gateway) makeExchange() {
-	incarnation := make([]byte, 16)
-	// rand.Read never fails.
-	_, _ = rand.Read(incarnation)
-	view := membership.New(membership.Config{
-		VM:            g.vm.VM,
-		DataCenter:    g.vm.DataCenter,
-		PeerAddress:   g.vm.Peers,
-		NoticeAddress: g.vm.Notices(),
-		Epoch:         uint64(g.started.UnixMilli()),
-		Incarnation:   incarnation,
-		SmallView:     smallView,
-	})
-	g.beliefs = peering.NewBeliefs(view, g.dispatcher, readersPerEngine, g.onLeave)
-	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
-	g.peers = peering.NewClient(peering.Config{
-		Beliefs: g.beliefs,
-		Store:   g.store,
-		HTTP:    &http.Client{Transport: peerTransport()},
-		Scheme:  "http",
-		Traffic: g.traffic,
-	})
-	g.exchange = &controllers.Exchange{
-		Beliefs:   g.beliefs,
-		Client:    g.peers,
-		Interval:  g.cfg.ExchangeEvery,
-		SeedPeers: g.seeds(),
-		Kicked:    make(chan struct{}, 1),
-		OnRound:   g.onRound,
-	}
-	source := platform.NewPublished(platform.NewStore(g.vm.Store, g.metrics.PlatformCalls.Inc))
-	g.reader = newReader(source, func() (published.Value, bool) { return g.store.Get(published.Fleet) })
-	g.config = &controllers.Config{
-		Reader:  g.reader,
-		Store:   g.store,
-		Beliefs: g.beliefs,
-		Wait:    g.cfg.WatchWait,
-		Spacing: g.cfg.WatchSpacing,
-		Settle:  settleRounds * g.cfg.ExchangeEvery,
-		LookIn:  g.cfg.LookIn,
-		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
-		OnState: g.onStoreState,
-	}
-	g.load = &controllers.Load{
-		Beliefs:  g.beliefs,
-		Read:     g.readLoad,
-		Interval: g.cfg.PollEvery,
-		Settle:   settleRounds * g.cfg.ExchangeEvery,
-	}
-}
-
-func (g *Gateway) seeds() []string {
-	var out []string
-	for _, s := range g.vm.Seeds {
-		if s != g.vm.Peers {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func (g *Gateway) makeRunner() {
-	g.forwarder = relay.New(relay.Config{
-		Dispatcher:     g.dispatcher,
-		Pool:           g.pool,
-		TokensPerEvent: g.tokensPerEvent,
-		OnSend:         g.tellPrompt,
-		OnBegin:        func(at fleet.Endpoint) { g.evacuator.Begun(g.work, at) },
-		OnClosing:      g.onClosing,
-		OnHandoff:      g.onHandoff,
-	})
-	g.engines = platform.NewEngines(g.pool)
-	g.evacuator = evacuate.New(evacuate.Config{
-		Forwarder:  g.forwarder,
-		Engines:    g.engines,
-		Dispatcher: g.dispatcher,
-		Service:    g.service,
-		Endpoint:   g.endpoint,
-		Log:        g.log,
-		OnMove:     func(result string) { g.metrics.Moves.WithLabelValues(result).Inc() },
-	})
-	g.runner = runner.New(runner.Config{
-		Dispatcher: g.dispatcher,
-		Performer:  g.forwarder,
-		Budget:     g.retryBudget(),
-		OnLeave: func(id string, incarnation uint64) {
-			g.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, peering.SourceEndpoint)
-		},
-		OnFailure: g.metrics.ObserveFailure,
-		OnStep:    g.metrics.ObserveStep,
-		OnAttempt: g.onAttempt,
-	})
-}
-
-// presumedEntries is among how many entries the slack of the retry budget is
-// split while their number isn't known.
-const presumedEntries = 24
-
-// retryBudget is this entry's part of the budget of a target. All entries share
-// it without talking: each has half of the ratio, since requests are counted by
-// window, and a small part of the slack.
-func (g *Gateway) retryBudget() retry.Budget {
-	const half = 0.5
-	return retry.Budget{
-		Share: g.vm.Bounds.RetryRatio * half,
-		Burst: max(g.vm.Bounds.RetrySlack*half/presumedEntries, 1),
-	}
-}
-
-func (g *Gateway) tokensPerEvent(target string) int {
-	if s, ok := g.service(target); ok && s.Engine != nil {
-		return s.Engine.TokensPerEvent
-	}
-	return 1
-}
-
-func (g *Gateway) service(target string) (table.Service, bool) {
-	held := g.store.Table()
-	if held == nil {
-		return table.Service{}, false
-	}
-	return held.Value.Service(target)
-}
-
-// endpoint finds an endpoint in force.
-func (g *Gateway) endpoint(id string) (fleet.Endpoint, bool) {
-	list := g.inForce.Load()
-	if list == nil {
-		return fleet.Endpoint{}, false
-	}
-	return list.Endpoint(id)
-}
-
 func (g *Gateway) ready() bool {
 	return g.caughtUp.Load() && g.store.Ready() && !g.stopping.Load()
 }
