--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -153,8 +153,10 @@
 			Store:   published.New(published.OwnParsers(), func(published.Event) {}, func(*fleet.List, time.Time) {}),
 			OnError: func(error) {},
 		}
-		go config.Run(ctx)
-		load.Run(ctx)
+		var loops sync.WaitGroup
+		loops.Go(func() { config.Run(ctx) })
+		loops.Go(func() { load.Run(ctx) })
+		loops.Wait()
 		g.Expect(reads).NotTo(BeEmpty())
 		g.Expect(reads[0]).To(BeNumerically(">=", settle))
 		g.Expect(p.at).NotTo(BeEmpty())
