The test of an entry without a table waits until the store is lost

Cause: an entry takes requests before its first read of the store; the test ended the outage between the two, so no store was lost and none regained. The assertion stays; one is added. Ruled out: a fault of the entry, which answered 503 and became ready as it should.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -264,6 +264,8 @@
 	e := w.start(w.settings("vm-1"))
 	w.g.Eventually(func() int { return e.call("r1", http.MethodPost, "/plain/", nil).status }, eventually).Should(Equal(http.StatusServiceUnavailable))
 	w.g.Expect(e.ready()).To(BeFalse())
+	// It answers before it has read the store for the first time.
+	w.g.Eventually(func() []string { return w.logs.with("store lost") }, eventually).ShouldNot(BeEmpty())
 	w.endpoint("desk-1", "desk")
 	w.store.SetMode(standin.Mode{})
 	e.waitReady()
