--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -48,8 +48,6 @@
 	OnState func(up bool, away time.Duration, err error)
 
 	lostAt time.Time
-	// news says that the last read brought some.
-	news bool
 }
 
 // Source names the platform where values come from.
@@ -83,10 +81,11 @@
 			// has gone deaf without being cut is then covered by another's.
 			wait = jittered(c.Wait)
 		}
+		news, err := c.Read(ctx, wait)
 		switch {
-		case !c.Read(ctx, wait):
+		case err != nil:
 			pause.For(ctx, jittered(failurePause))
-		case c.news:
+		case news:
 			pause.For(ctx, jittered(c.Spacing))
 		}
 	}
@@ -104,23 +103,23 @@
 	return c.LookIn * time.Duration(max(others, 1))
 }
 
-// Read asks the platform once; it returns false if that failed.
-func (c *Config) Read(ctx context.Context, wait time.Duration) bool {
+// Read asks the platform once and reports whether there was news. A failure has been
+// told to OnError and OnState.
+func (c *Config) Read(ctx context.Context, wait time.Duration) (news bool, err error) {
 	values, err := c.Reader.Read(ctx, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.OnError(err)
 			c.lost(err)
 		}
-		return false
+		return false, err
 	}
 	c.regained()
-	c.news = len(values) > 0
 	now := time.Now()
 	for _, v := range inOrder(values) {
 		c.Store.Offer(now, v, Source)
 	}
-	return true
+	return len(values) > 0, nil
 }
 
 func (c *Config) lost(err error) {
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -46,17 +46,15 @@
 	g.SetLimit(maxPollsAtOnce)
 	for _, e := range c.Beliefs.ToPoll(time.Now()) {
 		g.Go(func() error {
-			c.read(ctx, e)
+			c.ReadOne(ctx, e)
 			return nil
 		})
 	}
 	_ = g.Wait()
 }
 
-// ReadNow reads the load of one engine out of turn.
-func (c *Load) ReadNow(ctx context.Context, e fleet.Endpoint) { c.read(ctx, e) }
-
-func (c *Load) read(ctx context.Context, e fleet.Endpoint) {
+// ReadOne reads the load of one engine, now.
+func (c *Load) ReadOne(ctx context.Context, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	// A report that can't be had is missed by its age.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	work     context.Context
 	exchange *controllers.Exchange
 	load     *controllers.Load
+	// checking holds the ids of the engines whose state is being read out of turn.
+	checking sync.Map
 	// notices is nil if the platform leaves no port for them.
 	notices *notices.Notifier
 	config  *controllers.Config
@@ -97,8 +99,6 @@
 	// grace and its timer are guarded by mu.
 	mu    sync.Mutex
 	grace fleet.Grace
-	// checking holds the engines whose state is being read out of turn.
-	checking map[string]bool
 	// noticed is since when the newest list of endpoints is known to any entry.
 	noticed  time.Time
 	graceEnd *time.Timer
@@ -107,14 +107,13 @@
 // New makes a gateway from checked settings and those of the platform.
 func New(cfg Config, vm platform.Settings, logger *log.Logger) *Gateway {
 	g := &Gateway{
-		cfg:      cfg,
-		vm:       vm,
-		log:      logger,
-		started:  time.Now(),
-		metrics:  metrics.New(),
-		traffic:  &peering.Traffic{},
-		checking: map[string]bool{},
-		grace:    fleet.Grace{Hold: cfg.LapseHold},
+		cfg:     cfg,
+		vm:      vm,
+		log:     logger,
+		started: time.Now(),
+		metrics: metrics.New(),
+		traffic: &peering.Traffic{},
+		grace:   fleet.Grace{Hold: cfg.LapseHold},
 	}
 	policy := scheduler.Version(scheduler.Forwarding)
 	policy.DataCenter = vm.DataCenter
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -86,8 +86,7 @@
 			first := w.endpoint("engine-1", "engine")
 			first.Events, first.Every = 200, 10*time.Millisecond
 			e := w.start(w.settings("vm-1")).waitReady()
-			got := make(chan answer, 1)
-			go func() { got <- e.stream("r1") }()
+			got := e.begin("r1")
 			w.g.Eventually(first.Running, eventually).Should(Equal(1))
 			second := w.endpoint("engine-2", "engine")
 			second.Events, second.Every = 200, time.Millisecond
@@ -117,8 +116,7 @@
 	first := w.endpoint("engine-1", "engine")
 	first.Events, first.Every, first.Prefill = 200, 10*time.Millisecond, time.Second
 	e := w.start(w.settings("vm-1")).waitReady()
-	got := make(chan answer, 1)
-	go func() { got <- e.stream("r1") }()
+	got := e.begin("r1")
 	w.g.Eventually(first.Reading, eventually).Should(Equal(1))
 	second := w.endpoint("engine-2", "engine")
 	second.Events, second.Every = 200, time.Millisecond
@@ -143,8 +141,7 @@
 	queued := 60 * time.Millisecond
 	first.CopyTakes = []time.Duration{queued, queued, queued}
 	e := w.start(w.settings("vm-1")).waitReady()
-	got := make(chan answer, 1)
-	go func() { got <- e.stream("r1") }()
+	got := e.begin("r1")
 	w.g.Eventually(first.Running, eventually).Should(Equal(1))
 	second := w.endpoint("engine-2", "engine")
 	second.Events, second.Every = 400, time.Millisecond
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -61,7 +60,7 @@
 	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness()); err != nil {
 		return nil, err
 	}
-	if address := g.vm.Notices(); address != "" {
+	if address := noticeAddress(g.vm); address != "" {
 		g.notices, err = notices.New(notices.Config{Listen: address, OnPrompt: g.onPrompt, Now: time.Now, Log: g.log})
 		if err != nil {
 			return nil, err
@@ -71,9 +70,7 @@
 		return nil, err
 	}
 	if g.cfg.MetricsPort != 0 {
-		host, _, _ := net.SplitHostPort(g.vm.Peers)
-		address := net.JoinHostPort(host, strconv.Itoa(g.cfg.MetricsPort))
-		if s.metrics, err = g.serve(address, g.metricsHandler()); err != nil {
+		if s.metrics, err = g.serve(addressOn(g.vm, g.cfg.MetricsPort), g.metricsHandler()); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/rand"
+	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
@@ -26,7 +28,7 @@
 		VM:            g.vm.VM,
 		DataCenter:    g.vm.DataCenter,
 		PeerAddress:   g.vm.Peers,
-		NoticeAddress: g.vm.Notices(),
+		NoticeAddress: noticeAddress(g.vm),
 		Epoch:         uint64(g.started.UnixMilli()),
 		Incarnation:   incarnation,
 		SmallView:     smallView,
@@ -69,6 +71,21 @@
 	}
 }
 
+// noticeAddress is the IP and UDP port for notices, the first of the free ports; empty
+// if there is none.
+func noticeAddress(vm platform.Settings) string {
+	if vm.PortLow == 0 || vm.Peers == "" {
+		return ""
+	}
+	return addressOn(vm, vm.PortLow)
+}
+
+// addressOn joins the VM's own IP and a port.
+func addressOn(vm platform.Settings, port int) string {
+	host, _, _ := net.SplitHostPort(vm.Peers)
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
 func (g *Gateway) seeds() []string {
 	var out []string
 	for _, s := range g.vm.Seeds {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -228,6 +228,13 @@
 	return e.call(id, http.MethodPost, "/stream/x", map[string]string{platform.HeaderTokens: "100,50", "Model": "m"})
 }
 
+// begin sends a streaming request and gives its answer when it has ended.
+func (e *entry) begin(id string) <-chan answer {
+	got := make(chan answer, 1)
+	go func() { got <- e.stream(id) }()
+	return got
+}
+
 // events is the whole stream of a request.
 func events(id string, count int) string {
 	var b strings.Builder
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -54,8 +54,8 @@
 	mu sync.Mutex
 	// peers are the notice addresses of the other entries by data centre.
 	peers map[string][]netip.AddrPort
-	// tellAll says that the entries of all data centres are told of everything.
-	tellAll bool
+	// everyone lists them all if all are told of everything.
+	everyone []netip.AddrPort
 	// second and sent count the datagrams of the running second.
 	second int64
 	sent   int
@@ -86,7 +86,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers = peers
-	n.tellAll = tellAll
+	n.everyone = nil
+	if tellAll {
+		n.everyone = slices.Concat(slices.Collect(maps.Values(peers))...)
+	}
 }
 
 // Sent tells the entries of an engine's data centre that a prompt was sent to it. It
@@ -116,9 +119,9 @@
 	if now := n.cfg.Now().Unix(); now != n.second {
 		n.second, n.sent = now, 0
 	}
-	peers = n.peers[dataCenter]
-	if n.tellAll {
-		peers = slices.Concat(slices.Collect(maps.Values(n.peers))...)
+	peers = n.everyone
+	if peers == nil {
+		peers = n.peers[dataCenter]
 	}
 	count := min(len(peers), maxPerSecond-n.sent)
 	n.sent += count
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -277,6 +277,13 @@
 	read(b.view)
 }
 
+// Leaving reports whether an endpoint is known to take no new work.
+func (b *Beliefs) Leaving(e fleet.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.drains.Leaving(e.ID, e.Incarnation)
+}
+
 // Leaves lists the leaves known.
 func (b *Beliefs) Leaves() []drain.Leave {
 	b.mu.Lock()
--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -107,8 +107,12 @@
 	return max(e.prompts-readRate*now.Sub(e.promptsAt).Seconds(), 0)
 }
 
-// sent counts a prompt that was sent to the engine.
+// sent counts a prompt that was sent to the engine; without a rate nothing would ever
+// be taken off again.
 func (e *endpoint) sent(now time.Time, tokens int, readRate float64) {
+	if readRate <= 0 {
+		return
+	}
 	e.prompts = e.promptsLeft(now, readRate) + float64(tokens)
 	e.promptsAt = now
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -225,7 +225,7 @@
 // engine. The engine is taken to read ReadRate tokens a second, so that nobody has
 // to tell when it is done; without a rate nothing is recorded.
 func (s *Scheduler) PromptSent(now time.Time, endpoint string, tokens int) {
-	if e := s.byID[endpoint]; e != nil && s.cfg.ReadRate > 0 {
+	if e := s.byID[endpoint]; e != nil {
 		e.sent(now, tokens, s.cfg.ReadRate)
 	}
 }
--- a/pkg/scheduler/serve.go
+++ b/pkg/scheduler/serve.go
@@ -138,7 +138,7 @@
 	e.ownRunning++
 	it.unread = true
 	e.unread += float64(it.req.PromptTokens)
-	s.PromptSent(now, e.spec.ID, it.req.PromptTokens)
+	e.sent(now, it.req.PromptTokens, s.cfg.ReadRate)
 	e.breaker.Sent(now)
 	s.running[it.req.ID] = it
 	s.refreshCandidate(now, e)
