Streams of resumable routes can be resumed, by their caller and within one answer

Change: routes with resumption are idempotent; the caller's id is checked (no number or below zero: 400, nothing runs) and passed on; a stream that breaks off goes on at another endpoint within the same answer, within attempts and budget, after the last whole event. A caller that no longer reads is a failure of its own, so that nothing is run again for nobody.

--- a/internal/filters/route/route.go
+++ b/internal/filters/route/route.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -54,9 +55,26 @@
 	}
 	j.Kind = row.Kind
 	j.Row = row.Pick(rand.Float64())
+	if err := resume(j); err != nil {
+		return err
+	}
 	return identify(j, held.Value)
 }
 
+// resume notes from where on a caller wants the rest of a stream. On rows without
+// resumption what it sent is ignored.
+func resume(j *job.Job) *outcome.Error {
+	if !j.Row.Resumable || j.ResumeAfter == "" {
+		return nil
+	}
+	last, err := strconv.Atoi(j.ResumeAfter)
+	if err != nil || last < 0 {
+		return outcome.NotRunf(outcome.CodeBadRequest, "%q is not the id of an event", j.ResumeAfter)
+	}
+	j.Delivered.Events.ResumeAfter(last)
+	return nil
+}
+
 func identify(j *job.Job, t *table.Table) *outcome.Error {
 	j.Rank = rank(j.Row.Priority)
 	if !t.HasWorkspaces() || j.Row.Anonymous {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/stream"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
@@ -56,6 +57,11 @@
 	// CallerWaits is how long the caller waits from its arrival on; zero if it
 	// didn't say.
 	CallerWaits time.Duration
+	// ResumeAfter is what the caller sent as the id of the last event that it has; it
+	// counts on resumable rows only.
+	ResumeAfter string
+	// Stream is what the caller has of a stream, over all attempts.
+	Delivered StreamState
 	// Rank of the request among those at an endpoint, from 0, which goes first.
 	Rank int
 	// Ticket is what the caller sent to make the request non-repeatable.
@@ -117,6 +123,16 @@
 	return now
 }
 
+// StreamState is what a caller has got of a stream.
+type StreamState struct {
+	// Events finds the whole events that are new to the caller.
+	Events stream.Splitter
+	// Begun says that the head of the answer has gone out.
+	Begun bool
+	// LastAt is when the last event went out.
+	LastAt time.Time
+}
+
 // PromptPart is a part of a prompt that other requests may share.
 type PromptPart struct {
 	ID     string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,7 +85,7 @@
 		f.cfg.OnSend(grant.Endpoint, j.PromptTokens)
 	}
 	start := time.Now()
-	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant))
+	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant.Endpoint))
 	if failure != nil {
 		return attempt.Ending{Failure: failure}
 	}
@@ -101,6 +101,10 @@
 		return f.passStream(ctx, j, out, grant, resp, start)
 	}
 	defer resp.Close()
+	if j.Delivered.Begun {
+		err := errors.Errorf("status %d in place of the rest of the stream", resp.Status)
+		return attempt.Ending{Failure: &attempt.Failure{Kind: retry.LinkLost, Err: err}}
+	}
 	return passWhole(j, out, resp, start)
 }
 
@@ -115,8 +119,16 @@
 	return &upstream.Request{ID: j.RequestID, Method: j.Method, URI: j.Path, Host: j.Host, Header: j.Header, Body: j.Body}
 }
 
-func sending(ctx context.Context, j *job.Job, grant dispatch.Grant) upstream.Sending {
-	return upstream.Sending{Endpoint: grant.Endpoint.ID, Workspace: j.Workspace, Left: j.Left(ctx), Rank: j.Rank}
+func sending(ctx context.Context, j *job.Job, to fleet.Endpoint) upstream.Sending {
+	last, resume := j.Delivered.Events.LastID()
+	return upstream.Sending{
+		Endpoint:  to.ID,
+		Workspace: j.Workspace,
+		Left:      j.Left(ctx),
+		Rank:      j.Rank,
+		Resume:    resume,
+		LastEvent: last,
+	}
 }
 
 // refused looks for answers that aren't passed on: refusals, and those that the
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,17 +31,18 @@
 	// Continue is nil unless the request goes on with a generation that ran
 	// elsewhere.
 	Continue *Continuation
+	// Resume says that the answer is to go on after LastEvent, the id of the last event
+	// that the caller has.
+	Resume    bool
+	LastEvent int
 }
 
-// Continuation says where the memory of a generation is, and how far its caller
-// has come.
+// Continuation says where the memory of a generation is.
 type Continuation struct {
 	// Source is the address of the endpoint that it ran at, and Handle what the
 	// source calls the copy.
 	Source string
 	Handle string
-	// LastEvent is the id of the last event that the caller has.
-	LastEvent int
 }
 
 // Answer is what the head of an endpoint's answer says.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -30,17 +30,21 @@
 	// AnsweredError: the endpoint ran the request and answered with an error of its
 	// own, which the caller can have.
 	AnsweredError
+	// CallerGone: nobody reads the answer any more.
+	CallerGone
 )
 
 // String names the failure for metrics and logs.
 func (f Failure) String() string {
-	return [...]string{"not_sent", "refused_before_execution", "link_lost", "generation_lost", "protocol", "answered_error"}[f]
+	return [...]string{"not_sent", "refused_before_execution", "link_lost", "generation_lost", "protocol", "answered_error", "caller_gone"}[f]
 }
 
 // Attempt is what is known when an attempt has failed.
 type Attempt struct {
 	Failure    Failure
 	Idempotent bool
+	// Resumable says that another run may go on after what was released.
+	Resumable bool
 	// Bound says that a generation is known that could be resumed.
 	Bound bool
 	// Released counts the tokens that the caller has received.
@@ -104,7 +108,10 @@
 }
 
 func canRunAgain(a Attempt) bool {
-	if a.Released > 0 || a.Runs >= MaxRuns || a.TimeLeft <= 0 {
+	if a.Released > 0 && !a.Resumable || a.Failure == CallerGone {
+		return false
+	}
+	if a.Runs >= MaxRuns || a.TimeLeft <= 0 {
 		return false
 	}
 	if a.MaxSent > 0 && a.Sent >= a.MaxSent {
--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -76,6 +76,12 @@
 	return true, nil
 }
 
+// ResumeAfter says that the caller has all events up to one already.
+func (s *Splitter) ResumeAfter(id int) {
+	s.last = id
+	s.seen = true
+}
+
 // Reset forgets an event that has begun, since the stream goes on elsewhere.
 func (s *Splitter) Reset() { s.rest = nil }
 
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -79,6 +79,9 @@
 	MaxGap time.Duration
 	// Streaming says that the answer is a stream of events.
 	Streaming bool
+	// Resumable says that a stream may go on after an event that its caller has, in
+	// another run; such a request is idempotent.
+	Resumable bool
 	// Anonymous says that requests need no API key.
 	Anonymous bool
 }
