A data centre that can't be reached is avoided as a whole; what nobody serves is refused at once

Ruled out: too few places (the endpoints were idle), the drain rate. Change, policy v9: a breaker for each other data centre, opened by two unreachable endpoints in a row; a request whose endpoints have all failed a probe is refused before it waits, with the time of the next probe. Tests were red first: TestACutDataCentreIsAvoidedAsAWhole, TestWhatNoEndpointCanServeIsRefusedAtOnce.

--- a/pkg/retry/breaker.go
+++ b/pkg/retry/breaker.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // BreakerState is the state of a circuit breaker.
 type BreakerState int
@@ -33,6 +36,9 @@
 // Breaker keeps work away from an endpoint that fails. The zero value is
 // closed. The caller serialises calls.
 type Breaker struct {
+	// Threshold is how many failures in a row open it; zero is failuresToOpen.
+	Threshold int
+
 	failures int
 	open     bool
 	since    time.Time
@@ -52,6 +58,9 @@
 	return HalfOpen
 }
 
+// Opened reports whether the breaker has opened and not been closed by a success since.
+func (b *Breaker) Opened() bool { return b.open }
+
 // Allow reports whether a request may go to the endpoint. In the half-open
 // state it allows one probe at a time.
 func (b *Breaker) Allow(now time.Time) bool {
@@ -65,6 +74,27 @@
 	}
 }
 
+// Believed reports whether requests had better not wait for the endpoint: it has
+// failed a probe since the breaker opened, and no other probe may go out now.
+func (b *Breaker) Believed(now time.Time) bool {
+	return b.open && b.coolDown > coolDownFirst && !b.Allow(now)
+}
+
+// ProbeIn is how long it takes until the next probe may go out; zero is now.
+func (b *Breaker) ProbeIn(now time.Time) time.Duration {
+	switch b.State(now) {
+	case Closed:
+		return 0
+	case Open:
+		return b.since.Add(b.coolDown).Sub(now)
+	default:
+		if b.Allow(now) {
+			return 0
+		}
+		return b.probe.Add(probeForgetTime).Sub(now)
+	}
+}
+
 // Sent records that a request goes to the endpoint.
 func (b *Breaker) Sent(now time.Time) {
 	if b.State(now) == HalfOpen {
@@ -75,12 +105,12 @@
 
 // Trip opens the breaker at once: the endpoint can't be reached.
 func (b *Breaker) Trip(now time.Time) {
-	b.failures = failuresToOpen - 1
+	b.failures = b.threshold() - 1
 	b.Failure(now)
 }
 
 // Success closes the breaker.
-func (b *Breaker) Success() { *b = Breaker{} }
+func (b *Breaker) Success() { *b = Breaker{Threshold: b.Threshold} }
 
 // Failure counts a failure and opens the breaker after enough in a row.
 func (b *Breaker) Failure(now time.Time) {
@@ -90,13 +120,15 @@
 		b.reopen(now)
 		return
 	}
-	if b.failures >= failuresToOpen {
+	if b.failures >= b.threshold() {
 		b.open = true
 		b.since = now
 		b.coolDown = coolDownFirst
 	}
 }
 
+func (b *Breaker) threshold() int { return cmp.Or(b.Threshold, failuresToOpen) }
+
 func (b *Breaker) reopen(now time.Time) {
 	if now.Sub(b.since) < b.coolDown {
 		return
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -54,6 +54,11 @@
 	// ReadRate is how many prompt tokens an engine reads a second beside its other
 	// work; zero doesn't estimate what it has left.
 	ReadRate float64
+	// ReachByDataCenter keeps requests away from a data centre of which several
+	// endpoints in a row could not be reached.
+	ReachByDataCenter bool
+	// RefuseUnservable refuses at once what no endpoint is expected to serve soon.
+	RefuseUnservable bool
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// ServicePipeline chooses among plain services.
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
@@ -25,6 +26,18 @@
 	return scheduler.New(cfg)
 }
 
+func service(id, dataCenter string) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Type: fleet.Service, DataCenter: dataCenter, Targets: []string{"desk"}, Incarnation: 1,
+		State: fleet.Live, MaxRunning: 6}
+}
+
+func plainRequest(id int, now time.Time) scheduler.Request {
+	return scheduler.Request{
+		ID: scheduler.ID(id), Kind: "plain", Arrived: now,
+		Row: table.Row{Target: "desk", Weight: 1, Priority: 3, MaxInFlight: 1000, MaxQueued: 1000, MaxQueueTime: time.Second, Timeout: time.Second},
+	}
+}
+
 func longRequest(id int, now time.Time) scheduler.Request {
 	return scheduler.Request{
 		ID: scheduler.ID(id), Kind: "k", PromptTokens: 3000, MaxTokens: 1000, Arrived: now,
@@ -126,6 +139,80 @@
 	}
 }
 
+// TestACutDataCentreIsAvoidedAsAWhole: after two endpoints of a data centre could not
+// be reached in a row, the others there get nothing but single probes, until one
+// answers.
+func TestACutDataCentreIsAvoidedAsAWhole(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	endpoints := []fleet.Endpoint{service("near", "dc0")}
+	for i := range 6 {
+		endpoints = append(endpoints, service(fmt.Sprintf("far%d", i), "dc1"))
+	}
+	s.SetEndpoints(now, endpoints)
+	id := 0
+	send := func() string {
+		id++
+		g.Expect(s.Submit(now, plainRequest(id, now))).To(BeNil())
+		sent := s.Next(now).Dispatches
+		g.Expect(sent).To(HaveLen(1))
+		return sent[0].Endpoint.ID
+	}
+	s.SetLeaving("near", true)
+	for range 2 {
+		g.Expect(send()).To(HavePrefix("far"))
+		s.Finish(now, scheduler.ID(id), scheduler.Result{Failed: true, Unreachable: true})
+	}
+	s.SetLeaving("near", false)
+	for range 6 {
+		g.Expect(send()).To(Equal("near"))
+		s.Finish(now, scheduler.ID(id), scheduler.Result{Complete: true})
+	}
+	// Probes go out one at a time; an answer opens the data centre again.
+	g.Expect(s.CutOff()).To(BeTrue())
+	now = now.Add(time.Minute)
+	s.SetLeaving("near", true)
+	g.Expect(send()).To(HavePrefix("far"))
+	probe := scheduler.ID(id)
+	id++
+	g.Expect(s.Submit(now, plainRequest(id, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(BeEmpty(), "a second probe has to wait for the first")
+	s.Finish(now, probe, scheduler.Result{Complete: true})
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+	g.Expect(s.CutOff()).To(BeFalse())
+}
+
+// TestWhatNoEndpointCanServeIsRefusedAtOnce: once a probe has failed, requests are
+// refused without a wait, as not run and with the time of the next probe; those that
+// waited for the probe are refused with it.
+func TestWhatNoEndpointCanServeIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{service("near", "dc0"), service("far", "dc1")})
+	s.SetLeaving("near", true)
+	unreachable := func(id int) {
+		g.Expect(s.Submit(now, plainRequest(id, now))).To(BeNil())
+		g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+		s.Finish(now, scheduler.ID(id), scheduler.Result{Failed: true, Unreachable: true})
+	}
+	unreachable(1)
+	g.Expect(s.Submit(now, plainRequest(2, now))).To(BeNil(), "the first failure may be a matter of moments")
+	g.Expect(s.Next(now).Refusals).To(BeEmpty())
+	now = now.Add(600 * time.Millisecond)
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1), "the waiting one is the probe")
+	g.Expect(s.Submit(now, plainRequest(3, now))).To(BeNil())
+	s.Finish(now, 2, scheduler.Result{Failed: true, Unreachable: true})
+	refused := s.Next(now).Refusals
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].ID).To(Equal(scheduler.ID(3)))
+	err := s.Submit(now, plainRequest(4, now))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+	g.Expect(err.RetryAfter).To(BeNumerically("~", time.Second, 300*time.Millisecond), "the next probe is a second away")
+}
+
 // TestAMovedGenerationCountsWhereItIs keeps the believed load true.
 func TestAMovedGenerationCountsWhereItIs(t *testing.T) {
 	g := NewWithT(t)
--- /dev/null
+++ b/pkg/scheduler/reach.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+)
+
+// The load that this file answers: a data centre is cut off, and most endpoints that
+// its entries know lie beyond the cut. Learning that of each endpoint alone costs a
+// request the time of a vain connection per endpoint and probe, which is most of the
+// objective of a plain request. And what no endpoint can serve is refused before it
+// has waited, since a caller can still be served through another data centre.
+
+// dataCenterFailures is how many endpoints of a data centre in a row can't be reached
+// before it counts as cut off. Each has a breaker of its own that opens at once, so
+// these are different ones; of endpoints that fail together some answer in between.
+// With three in place of two, entries that were cut off found out a second later.
+const dataCenterFailures = 2
+
+// dataCenterBreaker returns the breaker of an endpoint's data centre, or nil for the
+// own one and if data centres aren't looked at.
+func (s *Scheduler) dataCenterBreaker(e *endpoint) *retry.Breaker {
+	if !s.cfg.ReachByDataCenter || e.spec.DataCenter == s.cfg.DataCenter {
+		return nil
+	}
+	b := s.dataCenters[e.spec.DataCenter]
+	if b == nil {
+		b = &retry.Breaker{Threshold: dataCenterFailures}
+		s.dataCenters[e.spec.DataCenter] = b
+	}
+	return b
+}
+
+// allowed reports whether the breakers of an endpoint and of its data centre let a
+// request pass.
+func (s *Scheduler) allowed(now time.Time, e *endpoint) bool {
+	if b := s.dataCenterBreaker(e); b != nil && !b.Allow(now) {
+		return false
+	}
+	return e.breaker.Allow(now)
+}
+
+// sentTo records that a request goes to an endpoint.
+func (s *Scheduler) sentTo(now time.Time, e *endpoint) {
+	e.breaker.Sent(now)
+	if b := s.dataCenterBreaker(e); b != nil {
+		b.Sent(now)
+	}
+}
+
+// ended records how a request ended at an endpoint. Any answer shows that its data
+// centre can be reached, an error of the endpoint too.
+func (s *Scheduler) ended(now time.Time, e *endpoint, res Result) {
+	b := s.dataCenterBreaker(e)
+	switch {
+	case res.Unreachable:
+		e.breaker.Trip(now)
+		if b != nil {
+			b.Failure(now)
+		}
+	case res.Failed:
+		e.breaker.Failure(now)
+	case res.Complete:
+		e.breaker.Success()
+		if b != nil {
+			b.Success()
+		}
+	}
+}
+
+// CutOff reports whether there are other data centres, and none of them can be reached.
+func (s *Scheduler) CutOff() bool {
+	known := false
+	for _, e := range s.endpoints {
+		b := s.dataCenterBreaker(e)
+		if b == nil {
+			continue
+		}
+		known = true
+		if !b.Opened() {
+			return false
+		}
+	}
+	return known
+}
+
+// InReach reports whether a target has an endpoint that has answered since it last
+// failed, or that nothing bad is known of. It doesn't change from one probe to the next.
+func (s *Scheduler) InReach(target string) bool {
+	return s.any(target, func(e *endpoint) bool {
+		b := s.dataCenterBreaker(e)
+		return !e.breaker.Opened() && (b == nil || !b.Opened())
+	})
+}
+
+// servable reports whether a request for a target could be sent to any endpoint now or
+// within moments.
+func (s *Scheduler) servable(now time.Time, target string) bool {
+	return s.any(target, func(e *endpoint) bool { return !s.believedGone(now, e) })
+}
+
+// any reports whether a condition holds for an endpoint of a target that stays.
+func (s *Scheduler) any(target string, holds func(*endpoint) bool) bool {
+	for _, list := range s.target(target).all() {
+		for _, e := range list {
+			if !e.leaving && holds(e) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// believedGone reports whether requests had better not wait for an endpoint.
+func (s *Scheduler) believedGone(now time.Time, e *endpoint) bool {
+	if b := s.dataCenterBreaker(e); b != nil && b.Believed(now) {
+		return true
+	}
+	return e.breaker.Believed(now)
+}
+
+// unservable refuses a request for a target that no endpoint can serve.
+func (s *Scheduler) unservable(now time.Time, target string) *outcome.Error {
+	if !s.cfg.RefuseUnservable || s.servable(now, target) {
+		return nil
+	}
+	return s.refusal(outcome.CodeNoEndpoint, s.nextProbe(now, target), "no endpoint of %q can be reached", target)
+}
+
+// nextProbe is when the first endpoint of a target is tried again.
+func (s *Scheduler) nextProbe(now time.Time, target string) time.Duration {
+	first := maxRetryAfter
+	for _, list := range s.target(target).all() {
+		for _, e := range list {
+			if e.leaving {
+				continue
+			}
+			wait := e.breaker.ProbeIn(now)
+			if b := s.dataCenterBreaker(e); b != nil {
+				wait = max(wait, b.ProbeIn(now))
+			}
+			first = min(first, wait)
+		}
+	}
+	return first
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/lengths"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/routing"
 )
 
@@ -25,6 +26,8 @@
 	leaving   map[string]bool
 	homes     map[string]int
 	targets   map[string]*target
+	// dataCenters holds a breaker for each other data centre.
+	dataCenters map[string]*retry.Breaker
 	// reported are engines of other data centres with a fresh report.
 	reported []*endpoint
 	gap      float64
@@ -43,17 +46,18 @@
 func New(cfg Config) *Scheduler {
 	cfg = cfg.withDefaults()
 	return &Scheduler{
-		cfg:       cfg,
-		byID:      map[string]*endpoint{},
-		homes:     map[string]int{},
-		targets:   map[string]*target{},
-		estimator: lengths.New(cfg.PriorHazard),
-		queues:    map[string]*queue{},
-		running:   map[ID]*item{},
-		inFlight:  limits.New(),
-		queued:    limits.New(),
-		shares:    map[string][]Share{},
-		leaving:   map[string]bool{},
+		cfg:         cfg,
+		byID:        map[string]*endpoint{},
+		homes:       map[string]int{},
+		targets:     map[string]*target{},
+		dataCenters: map[string]*retry.Breaker{},
+		estimator:   lengths.New(cfg.PriorHazard),
+		queues:      map[string]*queue{},
+		running:     map[ID]*item{},
+		inFlight:    limits.New(),
+		queued:      limits.New(),
+		shares:      map[string][]Share{},
+		leaving:     map[string]bool{},
 	}
 }
 
@@ -194,14 +198,7 @@
 	if res.Complete && it.req.PromptTokens > 0 {
 		it.run.End(res.Generated)
 	}
-	switch {
-	case res.Unreachable:
-		e.breaker.Trip(now)
-	case res.Failed:
-		e.breaker.Failure(now)
-	case res.Complete:
-		e.breaker.Success()
-	}
+	s.ended(now, e, res)
 	s.release(it)
 }
 
--- a/pkg/scheduler/serve.go
+++ b/pkg/scheduler/serve.go
@@ -38,6 +38,12 @@
 // serve goes through one queue in order. A request that doesn't fit holds back
 // those behind it that are not urgent; one over its own limit holds back none.
 func (s *Scheduler) serve(now time.Time, target string, q *queue) {
+	if err := s.unservable(now, target); err != nil {
+		for len(q.items) > 0 {
+			s.drop(q, 0, err)
+		}
+		return
+	}
 	s.snapshot(now, target)
 	held := false
 	for i := 0; i < len(q.items); {
@@ -139,19 +145,20 @@
 	it.unread = true
 	e.unread += float64(it.req.PromptTokens)
 	e.sent(now, it.req.PromptTokens, s.cfg.ReadRate)
-	e.breaker.Sent(now)
+	s.sentTo(now, e)
 	s.running[it.req.ID] = it
 	s.refreshCandidate(now, e)
 	s.actions.Dispatches = append(s.actions.Dispatches, Dispatch{it.req.ID, e.spec})
 }
 
-// refreshCandidate keeps a half-open breaker from letting a second probe
-// through in the same round.
+// refreshCandidate keeps a half-open breaker, of the endpoint or of its data centre,
+// from letting a second probe through in the same round.
 func (s *Scheduler) refreshCandidate(now time.Time, e *endpoint) {
 	for i := range s.candidates {
-		if s.candidates[i].Index == e.index {
-			s.candidates[i].Broken = !e.breaker.Allow(now)
-			s.candidates[i].Backlog = e.backlog(now, s.cfg.ReadRate)
+		c := &s.candidates[i]
+		c.Broken = !s.allowed(now, s.endpoints[c.Index])
+		if c.Index == e.index {
+			c.Backlog = e.backlog(now, s.cfg.ReadRate)
 		}
 	}
 }
--- a/pkg/scheduler/submit.go
+++ b/pkg/scheduler/submit.go
@@ -14,6 +14,9 @@
 	if s.target(r.Row.Target).size() == 0 {
 		return s.refusal(outcome.CodeNoEndpoint, minRetryAfter, "no endpoint answers for %q", r.Row.Target)
 	}
+	if err := s.unservable(now, r.Row.Target); err != nil {
+		return err
+	}
 	if !s.queued.Allows(limitKey(&r), max(r.Row.MaxQueued, 1)) {
 		wait, _ := q.wait(q.cost)
 		return s.refusal(outcome.CodeQueueFull, wait, "%d requests of this kind wait already", r.Row.MaxQueued)
--- a/pkg/scheduler/target.go
+++ b/pkg/scheduler/target.go
@@ -20,6 +20,11 @@
 	remoteServices []*endpoint
 }
 
+// all lists the groups of endpoints, the nearest first.
+func (t *target) all() [4][]*endpoint {
+	return [...][]*endpoint{t.homes, t.local, t.remoteServices, t.remoteEngines}
+}
+
 func (t *target) size() int {
 	return len(t.homes) + len(t.local) + len(t.remoteEngines) + len(t.remoteServices)
 }
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -12,7 +12,7 @@
 
 // Forwarding is the name of the version for entries whose endpoints take requests
 // as they come, and which read no load reports.
-const Forwarding = "v8"
+const Forwarding = "v9"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
@@ -50,6 +50,10 @@
 		c.LocalChoices = 2
 		c.RemoteChoices = 3
 	}},
+	{"v9", func(c *Config) {
+		c.ReachByDataCenter = true
+		c.RefuseUnservable = true
+	}},
 }
 
 // Versions lists the names of the versions, the oldest first.
