Entries that are cut off from what they are asked for are not ready

Cause: the callers of a cut-off data centre reach the others, but their new connections went on to entries that could only refuse them. Change: package readiness; an entry is stranded while no endpoint of some target is in reach and no other data centre answers. Then it is not ready, and its answers close callers' connections.

--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -25,8 +25,7 @@
 func (g *Gateway) fill(w http.ResponseWriter, r *http.Request, j *job.Job) {
 	g.protocol.ReadCaller(j, r.Header)
 	j.ExactRetryAfter = true
-	if g.stopping.Load() {
-		// The caller's next request goes to another entry.
+	if g.sendsAway() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	started  time.Time
 	caughtUp atomic.Bool
 	stopping atomic.Bool
+	// lastState is the readiness.State that the balancer was told last.
+	lastState atomic.Int32
 
 	protocol   platform.Protocol
 	metrics    *metrics.Metrics
@@ -126,10 +128,6 @@
 	return g
 }
 
-func (g *Gateway) ready() bool {
-	return g.caughtUp.Load() && g.store.Ready() && !g.stopping.Load()
-}
-
 // Run serves until the context ends, then stops without cutting any request.
 func (g *Gateway) Run(ctx context.Context, reload <-chan platform.Settings) error {
 	work, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
-	"github.com/bridgehoist/bridgehoist/platform"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 )
@@ -100,18 +98,6 @@
 	return s, nil
 }
 
-func (g *Gateway) readiness() http.Handler {
-	r := chi.NewRouter()
-	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintln(w, "ready")
-	})
-	return r
-}
-
 func (g *Gateway) metricsHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, operatorapi.PathMetrics, promhttp.HandlerFor(g.metrics.Registry, promhttp.HandlerOpts{}))
--- /dev/null
+++ b/internal/gateway/readiness.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/bridgehoist/bridgehoist/pkg/readiness"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/platform"
+)
+
+// readiness serves the balancer's questions.
+func (g *Gateway) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if state := g.state(); state != readiness.Ready {
+			http.Error(w, state.String(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, readiness.Ready)
+	})
+	return r
+}
+
+// state decides whether new connections had better come here, and logs each change.
+func (g *Gateway) state() readiness.State {
+	b := readiness.Beliefs{CaughtUp: g.caughtUp.Load(), HasValues: g.store.Ready(), Stopping: g.stopping.Load()}
+	if b.HasValues {
+		b.Unservable, b.CutOff = g.reach()
+	}
+	now := readiness.Decide(b)
+	if before := readiness.State(g.lastState.Swap(int32(now))); before != now {
+		g.log.Info("readiness", "state", now, "before", before, "unservable", b.Unservable, "cut_off", b.CutOff, "fleet", g.fleetRevision())
+	}
+	return now
+}
+
+// reach asks the scheduler which targets of the table can't be served, and whether
+// any other data centre can be reached.
+func (g *Gateway) reach() (unservable []string, cutOff bool) {
+	var targets []string
+	for _, row := range g.store.Table().Value.Rows() {
+		if !slices.Contains(targets, row.Target) {
+			targets = append(targets, row.Target)
+		}
+	}
+	g.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
+		s, ok := p.(*scheduler.Scheduler)
+		if !ok {
+			return
+		}
+		for _, target := range targets {
+			if !s.InReach(target) {
+				unservable = append(unservable, target)
+			}
+		}
+		cutOff = s.CutOff()
+	})
+	return unservable, cutOff
+}
+
+// sendsAway reports whether callers had better bring their next request on a new
+// connection, which the balancer gives to another entry.
+func (g *Gateway) sendsAway() bool {
+	return g.stopping.Load() || readiness.State(g.lastState.Load()) == readiness.Stranded
+}
