Mechanisms can be switched off by a setting, for measurements

-without names those of the scheduler (scheduler.Mechanisms) and of the gateway; a name that isn't known is a finding.

--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -49,10 +49,25 @@
 	// Endpoint finds an endpoint in force by its id.
 	Endpoint func(id string) (fleet.Endpoint, bool)
 	Log      *log.Logger
+	// Off switches parts off, to measure what they are worth.
+	Off Off
 	// OnMove is told the result of each move, for metrics.
 	OnMove func(result string)
 }
 
+// Off are the parts that are switched off.
+type Off struct {
+	// Moves leaves generations where they are.
+	Moves bool
+	// CopyRefresh stops a generation after its first copy, whether or not the link is
+	// free.
+	CopyRefresh bool
+	// CopySlack plans copies one right after the other.
+	CopySlack bool
+	// GroupPlans plans for each engine alone.
+	GroupPlans bool
+}
+
 // Results of moves, for metrics.
 const (
 	ResultMoved   = "moved"
--- a/internal/evacuate/groups.go
+++ b/internal/evacuate/groups.go
@@ -14,7 +14,7 @@
 // groupKey tells groups apart. Engines of different data centres move their
 // generations to different ones as a rule, and each engine more in a group costs
 // its entries a priced read.
-type groupKey struct{ target, dataCenter string }
+type groupKey struct{ target, dataCenter, alone string }
 
 // forget drops engines that have ended long ago.
 func (e *Evacuator) forget() {
@@ -32,7 +32,10 @@
 		return
 	}
 	e.active[source.ID] = true
-	key := groupKey{source.Targets[0], source.DataCenter}
+	key := groupKey{target: source.Targets[0], dataCenter: source.DataCenter}
+	if e.cfg.Off.GroupPlans {
+		key.alone = source.ID
+	}
 	e.groups[key] = append(e.groups[key], source)
 	if len(e.groups[key]) == 1 {
 		time.AfterFunc(gatherFor, func() { e.evacuate(ctx, key) })
@@ -41,7 +44,7 @@
 
 func (e *Evacuator) movable(source fleet.Endpoint) bool {
 	service, ok := e.cfg.Service(source.Targets[0])
-	return ok && service.Engine != nil && service.Engine.CanMove
+	return !e.cfg.Off.Moves && ok && service.Engine != nil && service.Engine.CanMove
 }
 
 // evacuate takes a gathered group and moves what runs there.
--- a/internal/evacuate/input.go
+++ b/internal/evacuate/input.go
@@ -38,7 +38,7 @@
 
 // input asks the engines for their runs, all at the same time.
 func (e *Evacuator) input(ctx context.Context, group []fleet.Endpoint, mine map[string]*relay.Session) evacuation.Input {
-	in := evacuation.Input{Sources: make([]evacuation.Source, len(group)), Targets: e.targets(group)}
+	in := evacuation.Input{Sources: make([]evacuation.Source, len(group)), Targets: e.targets(group), NoSlack: e.cfg.Off.CopySlack}
 	var reports sync.WaitGroup
 	for i, source := range group {
 		service, ok := e.cfg.Service(source.Targets[0])
--- a/internal/evacuate/move.go
+++ b/internal/evacuate/move.go
@@ -46,7 +46,9 @@
 		e.release(ctx, target, first)
 		return ResultEnded
 	}
-	e.refresh(ctx, source, s, target)
+	if !e.cfg.Off.CopyRefresh {
+		e.refresh(ctx, source, s, target)
+	}
 	last, err := e.copy(ctx, source, s, target, true)
 	switch {
 	case err == nil:
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -170,7 +170,7 @@
 
 // tellPrompt tells the entries of an engine's data centre that a prompt goes there.
 func (g *Gateway) tellPrompt(to fleet.Endpoint, promptTokens int) {
-	if g.notices == nil {
+	if g.notices == nil || g.cfg.Without.has(mechNotices) {
 		return
 	}
 	told, left := g.notices.Sent(to.DataCenter, peering.EndpointHash(to.ID), promptTokens)
--- a/internal/gateway/closing.go
+++ b/internal/gateway/closing.go
@@ -19,7 +19,7 @@
 // Engines that are reclaimed do, and others at times. While the store is away nothing
 // else tells of them but the regular reads, which are rare because each is priced.
 func (g *Gateway) onClosing(at fleet.Endpoint) {
-	if g.beliefs.Leaving(at) {
+	if g.beliefs.Leaving(at) || g.cfg.Without.has(mechClosingReads) {
 		return
 	}
 	if _, busy := g.checking.LoadOrStore(at.ID, true); busy {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -24,6 +24,8 @@
 	DrainDelay    time.Duration
 	LapseHold     time.Duration
 	LogLines      int
+	// Without are the mechanisms that are switched off.
+	Without mechanisms
 }
 
 // Register adds the settings to a set.
@@ -40,6 +42,7 @@
 	s.DurationVar(&c.LookIn, "look-in", 20*time.Second, "how often one of the entries of a data centre that do not watch reads the store")
 	s.DurationVar(&c.DrainDelay, "drain-delay", 3*time.Second, "time between unready and closing the listener, for the balancer")
 	s.DurationVar(&c.LapseHold, "lapse-hold", 1800*time.Millisecond, "time for which endpoints are used that vanished together")
+	s.Var(&c.Without, "without", "mechanisms to switch off, for measurements; names separated by commas")
 	s.IntVar(&c.LogLines, "log-lines", 40, "lines of log a second")
 }
 
@@ -58,5 +61,6 @@
 	s.NeedDuration("look-in", c.LookIn, time.Second, time.Hour)
 	s.NeedDuration("drain-delay", c.DrainDelay, 0, time.Minute)
 	s.NeedDuration("lapse-hold", c.LapseHold, 0, time.Minute)
+	c.Without.check(s)
 	s.NeedInt("log-lines", c.LogLines, 1, 100_000)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,9 +115,9 @@
 		started: time.Now(),
 		metrics: metrics.New(),
 		traffic: &peering.Traffic{},
-		grace:   fleet.Grace{Hold: cfg.LapseHold},
+		grace:   fleet.Grace{Hold: cfg.lapseHold()},
 	}
-	policy := scheduler.Version(scheduler.Forwarding)
+	policy := scheduler.Version(scheduler.Forwarding).Without(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
 	g.pool = upstream.NewPool(g.protocol, g.metrics.Connections.Inc)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -33,7 +33,7 @@
 		Incarnation:   incarnation,
 		SmallView:     smallView,
 	})
-	g.beliefs = peering.NewBeliefs(view, g.dispatcher, readersPerEngine, g.onLeave)
+	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.cfg.readers(), g.onLeave)
 	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
 	g.peers = peering.NewClient(peering.Config{
 		Beliefs: g.beliefs,
@@ -58,7 +58,7 @@
 		Beliefs: g.beliefs,
 		Wait:    g.cfg.WatchWait,
 		Spacing: g.cfg.WatchSpacing,
-		Settle:  settleRounds * g.cfg.ExchangeEvery,
+		Settle:  g.cfg.settle(),
 		LookIn:  g.cfg.LookIn,
 		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
 		OnState: g.onStoreState,
@@ -67,7 +67,7 @@
 		Beliefs:  g.beliefs,
 		Read:     g.readLoad,
 		Interval: g.cfg.PollEvery,
-		Settle:   settleRounds * g.cfg.ExchangeEvery,
+		Settle:   g.cfg.settle(),
 	}
 }
 
@@ -114,7 +114,13 @@
 		Service:    g.service,
 		Endpoint:   g.endpoint,
 		Log:        g.log,
-		OnMove:     func(result string) { g.metrics.Moves.WithLabelValues(result).Inc() },
+		Off: evacuate.Off{
+			Moves:       g.cfg.Without.has(mechMoves),
+			CopyRefresh: g.cfg.Without.has(mechCopyRefresh),
+			CopySlack:   g.cfg.Without.has(mechCopySlack),
+			GroupPlans:  g.cfg.Without.has(mechGroupPlans),
+		},
+		OnMove: func(result string) { g.metrics.Moves.WithLabelValues(result).Inc() },
 	})
 	g.runner = runner.New(runner.Config{
 		Dispatcher: g.dispatcher,
@@ -137,6 +143,9 @@
 // it without talking: each has half of the ratio, since requests are counted by
 // window, and a small part of the slack.
 func (g *Gateway) retryBudget() retry.Budget {
+	if g.cfg.Without.has(mechRetryBudget) {
+		return retry.Budget{}
+	}
 	const half = 0.5
 	return retry.Budget{
 		Share: g.vm.Bounds.RetryRatio * half,
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -29,7 +29,7 @@
 // state decides whether new connections had better come here, and logs each change.
 func (g *Gateway) state() readiness.State {
 	b := readiness.Beliefs{CaughtUp: g.caughtUp.Load(), HasValues: g.store.Ready(), Stopping: g.stopping.Load()}
-	if b.HasValues {
+	if b.HasValues && !g.cfg.Without.has(mechStranded) {
 		b.Unservable, b.CutOff = g.reach()
 	}
 	now := readiness.Decide(b)
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -116,6 +116,8 @@
 	Sources []Source
 	Targets []Target
 	Link    Link
+	// NoSlack plans copies one right after the other.
+	NoSlack bool
 }
 
 // Step moves one generation of the planning entry.
@@ -133,7 +135,11 @@
 func Plan(in Input) []Step {
 	runs := queue(in.Sources)
 	var steps []Step
-	for _, slack := range slacks {
+	tried := slacks
+	if in.NoSlack {
+		tried = slacks[len(slacks)-1:]
+	}
+	for _, slack := range tried {
 		link := in.Link
 		link.Overhead += slack
 		var inTime bool
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -59,6 +59,15 @@
 	ReachByDataCenter bool
 	// RefuseUnservable refuses at once what no endpoint is expected to serve soon.
 	RefuseUnservable bool
+	// CompareAll looks at all endpoints a decision, whatever LocalChoices and
+	// RemoteChoices say.
+	CompareAll bool
+	// NoBreakers sends requests to endpoints however they have failed.
+	NoBreakers bool
+	// KeepLate queues requests that aren't expected to start in time.
+	KeepLate bool
+	// ForgetLengths learns no output lengths.
+	ForgetLengths bool
 	// Pipeline chooses endpoints.
 	Pipeline routing.Pipeline
 	// ServicePipeline chooses among plain services.
@@ -103,6 +112,9 @@
 	c.DisplaceRatio = cmp.Or(c.DisplaceRatio, DefaultDisplaceRatio)
 	c.LocalChoices = cmp.Or(c.LocalChoices, sampleLocal)
 	c.RemoteChoices = cmp.Or(c.RemoteChoices, sampleRemote)
+	if c.CompareAll {
+		c.LocalChoices, c.RemoteChoices = allEndpoints, allEndpoints
+	}
 	if c.Pipeline.Filters == nil {
 		c.Pipeline = routing.Default()
 	}
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -53,6 +53,9 @@
 // ended records how a request ended at an endpoint. Any answer shows that its data
 // centre can be reached, an error of the endpoint too.
 func (s *Scheduler) ended(now time.Time, e *endpoint, res Result) {
+	if s.cfg.NoBreakers {
+		return
+	}
 	b := s.dataCenterBreaker(e)
 	switch {
 	case res.Unreachable:
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -109,6 +109,9 @@
 // decision compares. It does harm to compare many that little is known of: entries
 // with the same late news all choose the same.
 func (s *Scheduler) SetChoices(local, remote int) {
+	if s.cfg.CompareAll {
+		return
+	}
 	s.cfg.LocalChoices = max(local, 1)
 	s.cfg.RemoteChoices = max(remote, 1)
 }
@@ -195,7 +198,7 @@
 	if e.ownRunning == 0 {
 		e.own = lengths.Projection{}
 	}
-	if res.Complete && it.req.PromptTokens > 0 {
+	if res.Complete && it.req.PromptTokens > 0 && !s.cfg.ForgetLengths {
 		it.run.End(res.Generated)
 	}
 	s.ended(now, e, res)
--- a/pkg/scheduler/submit.go
+++ b/pkg/scheduler/submit.go
@@ -84,7 +84,7 @@
 func (s *Scheduler) admitToQueue(now time.Time, q *queue, it *item) *outcome.Error {
 	left := it.startBy.Sub(now)
 	wait, known := q.wait(q.ahead(it))
-	if !known || wait <= left {
+	if !known || wait <= left || s.cfg.KeepLate {
 		return nil
 	}
 	if s.displace(q, it, left) {
