The backlog of an engine counts without a limit

Cause: beyond 8,000 tokens a longer backlog cost nothing more, so in a burst all urgent prompts went to the engine with the most free memory, the newest one, and waited there behind 20,000 tokens. Ruled out: late notices; the senders knew of the backlog (logged at each send).

--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -101,13 +101,16 @@
 
 // Prompt prefers candidates that can begin soon.
 type Prompt struct {
-	// Tokens of backlog at which the score is at its lowest.
+	// Tokens of backlog that cost one; more cost more, so that in a burst, when all
+	// engines have more, the shortest backlog still counts. (With a cost of one at most,
+	// urgent prompts all went to the emptiest engine: mean worth of 12 plays with bursts
+	// 0.599, without the limit 0.603.)
 	Tokens float64
 }
 
 // Score implements Scorer.
 func (p Prompt) Score(_ *Request, c *Candidate) float64 {
-	return 1 - min(c.Backlog/p.Tokens, 1)
+	return 1 - c.Backlog/p.Tokens
 }
 
 // Pipeline is a set of filters and scorers in their order.
