Breakers let an endpoint back within two seconds, and at its first token

Cool-downs doubled up to 15 s, and a probe that was a long answer kept its breaker half open until it ended. Ruled out: dead endpoints that take the probes (their own breakers keep them out). Change: cool-downs of 2 s at most; the first token of an answer closes the breakers of its endpoint and data centre.

--- a/pkg/retry/breaker.go
+++ b/pkg/retry/breaker.go
@@ -27,9 +27,12 @@
 
 // Breaker settings.
 const (
-	failuresToOpen  = 3
-	coolDownFirst   = 500 * time.Millisecond
-	coolDownMax     = 15 * time.Second
+	failuresToOpen = 3
+	coolDownFirst  = 500 * time.Millisecond
+	// coolDownMax bounds for how long an endpoint that is back stays without work. With
+	// 15 s an entry whose data centre had been cut off refused requests for 20 s after
+	// an endpoint of another one could be reached.
+	coolDownMax     = 2 * time.Second
 	probeForgetTime = 10 * time.Second
 )
 
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -183,6 +183,25 @@
 	g.Expect(s.CutOff()).To(BeFalse())
 }
 
+// TestTheFirstTokenEndsAProbe: a long answer shows with its first token that its endpoint
+// and its data centre are back; others don't wait for its end.
+func TestTheFirstTokenEndsAProbe(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{engine("a", "dc1")})
+	g.Expect(s.Submit(now, longRequest(1, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+	s.Finish(now, 1, scheduler.Result{Failed: true, Unreachable: true})
+	now = now.Add(time.Second)
+	g.Expect(s.Submit(now, longRequest(2, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1), "the probe")
+	g.Expect(s.Submit(now, longRequest(3, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(BeEmpty())
+	s.Progress(now, 2, 1)
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+}
+
 // TestWhatNoEndpointCanServeIsRefusedAtOnce: once a probe has failed, requests are
 // refused without a wait, as not run and with the time of the next probe; those that
 // waited for the probe are refused with it.
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -50,26 +50,33 @@
 	}
 }
 
-// ended records how a request ended at an endpoint. Any answer shows that its data
-// centre can be reached, an error of the endpoint too.
+// ended records how a request ended at an endpoint.
 func (s *Scheduler) ended(now time.Time, e *endpoint, res Result) {
 	if s.cfg.NoBreakers {
 		return
 	}
-	b := s.dataCenterBreaker(e)
 	switch {
 	case res.Unreachable:
 		e.breaker.Trip(now)
-		if b != nil {
+		if b := s.dataCenterBreaker(e); b != nil {
 			b.Failure(now)
 		}
 	case res.Failed:
 		e.breaker.Failure(now)
 	case res.Complete:
-		e.breaker.Success()
-		if b != nil {
-			b.Success()
-		}
+		s.answered(e)
+	}
+}
+
+// answered records that an endpoint has begun to answer, or has answered whole. A long
+// answer doesn't keep a breaker half open until it ends.
+func (s *Scheduler) answered(e *endpoint) {
+	if s.cfg.NoBreakers {
+		return
+	}
+	e.breaker.Success()
+	if b := s.dataCenterBreaker(e); b != nil {
+		b.Success()
 	}
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -156,6 +156,7 @@
 		it.endpoint.observeGap(now.Sub(it.lastToken) / time.Duration(generated-it.generated))
 	}
 	if it.generated == 0 {
+		s.answered(it.endpoint)
 		it.begun()
 	}
 	it.lastToken = now
