--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	started  time.Time
 	caughtUp atomic.Bool
 	stopping atomic.Bool
+	// lostDataCenters are those that the log said last were out of reach.
+	lostDataCenters atomic.Pointer[string]
 	// lastState is the readiness.State that the balancer was told last.
 	lastState atomic.Int32
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -30,7 +31,10 @@
 func (g *Gateway) state() readiness.State {
 	b := readiness.Beliefs{CaughtUp: g.caughtUp.Load(), HasValues: g.store.Ready(), Stopping: g.stopping.Load()}
 	if b.HasValues && !g.cfg.Without.has(mechStranded) {
-		b.Unservable, b.CutOff = g.reach()
+		var reach scheduler.Reach
+		b.Unservable, reach = g.reach()
+		b.CutOff = reach.CutOff
+		g.logReach(reach)
 	}
 	now := readiness.Decide(b)
 	if before := readiness.State(g.lastState.Swap(int32(now))); before != now {
@@ -39,9 +43,17 @@
 	return now
 }
 
-// reach asks the scheduler which targets of the table can't be served, and whether
-// any other data centre can be reached.
-func (g *Gateway) reach() (unservable []string, cutOff bool) {
+// logReach logs when other data centres are lost or reached again.
+func (g *Gateway) logReach(now scheduler.Reach) {
+	lost := strings.Join(now.Lost, ",")
+	if before := g.lostDataCenters.Swap(&lost); before == nil && lost != "" || before != nil && *before != lost {
+		g.log.Warn("reach of data centres", "lost", now.Lost, "cut_off", now.CutOff, "fleet", g.fleetRevision())
+	}
+}
+
+// reach asks the scheduler which targets of the table have no endpoint in reach, and
+// which other data centres can be reached.
+func (g *Gateway) reach() (unservable []string, reach scheduler.Reach) {
 	var targets []string
 	for _, row := range g.store.Table().Value.Rows() {
 		if !slices.Contains(targets, row.Target) {
@@ -58,9 +70,9 @@
 				unservable = append(unservable, target)
 			}
 		}
-		cutOff = s.CutOff()
+		reach = s.Reach()
 	})
-	return unservable, cutOff
+	return unservable, reach
 }
 
 // sendsAway reports whether callers had better bring their next request on a new
--- a/internal/gateway/stranded_test.go
+++ b/internal/gateway/stranded_test.go
@@ -32,6 +32,7 @@
 		return e.ready()
 	}, eventually).Should(BeFalse())
 	w.g.Expect(w.logs.with("readiness", "state=stranded", "unservable=[desk]", "cut_off=true")).NotTo(BeEmpty())
+	w.g.Expect(w.logs.with("reach of data centres", "lost=[far]", "cut_off=true")).NotTo(BeEmpty())
 	w.g.Eventually(func() []string {
 		sent++
 		e.call(fmt.Sprintf("r%d", sent), http.MethodPost, "/plain/", nil)
@@ -47,4 +48,5 @@
 		return e.call(fmt.Sprintf("r%d", sent), http.MethodPost, "/plain/", nil).status
 	}, eventually).Should(Equal(http.StatusOK))
 	w.g.Eventually(e.ready, eventually).Should(BeTrue())
+	w.g.Expect(w.logs.with("reach of data centres", "lost=[]", "cut_off=false")).NotTo(BeEmpty())
 }
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -170,7 +170,7 @@
 		s.Finish(now, scheduler.ID(id), scheduler.Result{Complete: true})
 	}
 	// Probes go out one at a time; an answer opens the data centre again.
-	g.Expect(s.CutOff()).To(BeTrue())
+	g.Expect(s.Reach()).To(Equal(scheduler.Reach{Lost: []string{"dc1"}, CutOff: true}))
 	now = now.Add(time.Minute)
 	s.SetLeaving("near", true)
 	g.Expect(send()).To(HavePrefix("far"))
@@ -180,7 +180,7 @@
 	g.Expect(s.Next(now).Dispatches).To(BeEmpty(), "a second probe has to wait for the first")
 	s.Finish(now, probe, scheduler.Result{Complete: true})
 	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
-	g.Expect(s.CutOff()).To(BeFalse())
+	g.Expect(s.Reach()).To(Equal(scheduler.Reach{}))
 }
 
 // TestTheFirstTokenEndsAProbe: a long answer shows with its first token that its endpoint
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -80,20 +81,33 @@
 	}
 }
 
-// CutOff reports whether there are other data centres, and none of them can be reached.
-func (s *Scheduler) CutOff() bool {
-	known := false
+// Reach is what an entry believes of the other data centres.
+type Reach struct {
+	// Lost are those of which several endpoints in a row could not be reached, and none
+	// since; sorted.
+	Lost []string
+	// CutOff says that there are others, and all of them are lost.
+	CutOff bool
+}
+
+// Reach tells which other data centres can be reached.
+func (s *Scheduler) Reach() Reach {
+	lost := map[string]bool{}
 	for _, e := range s.endpoints {
-		b := s.dataCenterBreaker(e)
-		if b == nil {
-			continue
+		if b := s.dataCenterBreaker(e); b != nil {
+			lost[e.spec.DataCenter] = b.Opened()
 		}
-		known = true
-		if !b.Opened() {
-			return false
+	}
+	r := Reach{CutOff: len(lost) > 0}
+	for name, isLost := range lost {
+		if isLost {
+			r.Lost = append(r.Lost, name)
+		} else {
+			r.CutOff = false
 		}
 	}
-	return known
+	slices.Sort(r.Lost)
+	return r
 }
 
 // InReach reports whether a target has an endpoint that has answered since it last
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -60,12 +60,22 @@
 mutant "urgent: no overcommit" pkg/scheduler/versions.go 's/c.UrgentOvercommit = true/c.UrgentOvercommit = false/' ./pkg/scheduler
 mutant "parts: news needed" pkg/scheduler/versions.go 's/c.Parts = true/c.Parts = false/' ./pkg/scheduler
 mutant "moves: nothing moved that begins late" internal/gateway/parts.go 's/g.evacuator.Begun(g.work, at)//' "./internal/gateway -run TestGenerations"
-mutant "moves: stopped while the link is busy" internal/evacuate/move.go 's/^\te.refresh(ctx, source, s, target)$//' "./internal/gateway -run TestAGeneration"
+mutant "moves: stopped while the link is busy" internal/evacuate/move.go 's/if !e.cfg.Off.CopyRefresh {/if false {/' "./internal/gateway -run TestAGeneration"
 mutant "moves: no slack between copies" pkg/evacuation/evacuation.go 's/{80 \* time.Millisecond, 40 \* time.Millisecond, 0}/{0}/' ./pkg/evacuation
 mutant "moves: links of targets not counted" pkg/evacuation/evacuation.go 's/^\tbest.busy = end$//' ./pkg/evacuation
 mutant "notices: others' prompts not counted" pkg/scheduler/versions.go 's/c.ReadRate = DefaultReadRate/c.ReadRate = 0/' ./pkg/scheduler
 mutant "notices: not sent" internal/gateway/beliefs.go 's/told, left := g.notices.Sent(.*/told, left := 0, 0/' "./internal/gateway -run TestEntriesTellOfPrompts"
 mutant "notices: not bounded" internal/notices/notices.go 's/count := min(len(peers), maxPerSecond-n.sent)/count := len(peers)/' ./internal/notices
 mutant "store: read while the view settles" internal/controllers/load.go 's/if !pause.For(ctx, c.Settle)/if !pause.For(ctx, 0)/' ./internal/controllers
-mutant "store: each change read alone" internal/controllers/config.go 's/pause.For(ctx, jittered(c.Spacing))/pause.For(ctx, time.Millisecond)/' ./internal/controllers
+mutant "store: each change read alone" internal/controllers/config.go 's/pause.For(ctx, jittered(c.spacing(now)))/pause.For(ctx, time.Millisecond)/' ./internal/controllers
+mutant "store: second watchers ask as often" internal/controllers/config.go 's/^\treturn c.SecondSpacing$/\treturn c.Spacing/' ./internal/controllers
+mutant "resume: the caller's event not passed on" platform/headers.go 's/if s.Resume {/if false {/' "./internal/gateway -run TestACallerResumes"
+mutant "resume: broken streams not gone on with" pkg/retry/retry.go 's/if a.Released > 0 \&\& !a.Resumable/if a.Released > 0/' "./internal/gateway -run TestAResumable"
+mutant "resume: run again for nobody" pkg/retry/retry.go 's/ || a.Failure == CallerGone {/ {/' ./pkg/retry
+mutant "refusals: held though nobody serves" pkg/scheduler/versions.go 's/c.RefuseUnservable = true/c.RefuseUnservable = false/' ./pkg/scheduler
+mutant "data centres: each endpoint learnt alone" pkg/scheduler/versions.go 's/c.ReachByDataCenter = true/c.ReachByDataCenter = false/' ./pkg/scheduler
+mutant "readiness: stranded entries ready" pkg/readiness/readiness.go 's/case b.CutOff \&\& len(b.Unservable) > 0:/case false:/' ./pkg/readiness
+mutant "bursts: prompts sent wherever" pkg/scheduler/versions.go 's/c.StartInTime = true/c.StartInTime = false/' ./pkg/scheduler
+mutant "bursts: others' work forgotten" pkg/scheduler/scheduler.go 's/if s.cfg.PeersFromReports || s.cfg.OthersFromReports {/if false {/' ./pkg/scheduler
+mutant "breakers: probes end with the answer" pkg/scheduler/scheduler.go 's/^\t\ts.answered(it.endpoint)$//' ./pkg/scheduler
 exit $green
