--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -92,3 +92,13 @@
 	b.Success()
 	g.Expect(b.State(now)).To(Equal(retry.Closed))
 }
+
+// TestNothingIsRunForNobody: the random attempts of TestDecide seldom have all that a
+// second run needs, so this one has it, but for a caller.
+func TestNothingIsRunForNobody(t *testing.T) {
+	g := NewWithT(t)
+	a := retry.Attempt{Failure: retry.LinkLost, Idempotent: true, Resumable: true, Released: 2, Runs: 1, BudgetLeft: true, TimeLeft: time.Second}
+	g.Expect(retry.Decide(a).Step).To(Equal(retry.Again))
+	a.Failure = retry.CallerGone
+	g.Expect(retry.Decide(a)).To(Equal(retry.Decision{Step: retry.GiveUp, Outcome: outcome.Incomplete}))
+}
