--- a/pkg/scheduler/others.go
+++ b/pkg/scheduler/others.go
@@ -28,9 +28,8 @@
 		e.told = append(e.told[:0], e.told[1:]...)
 	}
 	e.told = append(e.told, toldPrompt{now, float64(tokens)})
-	e.peers[0] += float64(tokens)
-	for i := 1; i < len(e.peers); i++ {
-		e.peers[i] += float64(tokens)
+	for horizon := range e.peers {
+		e.peers[horizon] += float64(tokens)
 	}
 	e.peersRunning++
 }
@@ -51,8 +50,8 @@
 		later += p.tokens
 	}
 	held := max(float64(r.UsedTokens)-(e.own.Mean[0]-e.unread), 0)
-	for i := range e.peers {
-		e.peers[i] = held*e.growth(i) + later
+	for horizon := range e.peers {
+		e.peers[horizon] = held*e.growth(horizon) + later
 	}
 	e.peersRunning = max(r.Running+r.Waiting-e.ownRunning, 0) + len(e.told)
 }
