Engines are read every 400 ms while requests wait or are refused

Cause: in a burst the room at engines is known from reports up to 1.7 s old. Tests: TestEnginesAreReadMoreOftenWhilePressed, TestALightLoadIsNeverRefused.

--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -163,6 +163,38 @@
 	return b
 }
 
+// TestEnginesAreReadMoreOftenWhilePressed: what is known of full engines has to be fresh,
+// and each read is priced.
+func TestEnginesAreReadMoreOftenWhilePressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 24*time.Second)
+		defer cancel()
+		beliefs := alone()
+		beliefs.ApplyFleet(&fleet.List{Endpoints: []fleet.Endpoint{{
+			ID: "e", Address: "127.0.0.1:1", DataCenter: "dc", Type: fleet.Engine, Targets: []string{"m"}, Incarnation: 1,
+			CapacityTokens: 1000, MaxRunning: 8, State: fleet.Live,
+		}}})
+		calm, pressed := 0, 0
+		isPressed := func() bool { return time.Since(begun) >= 12*time.Second }
+		load := &controllers.Load{
+			Beliefs: beliefs, Interval: 1200 * time.Millisecond, Pressed: isPressed, PressedInterval: 400 * time.Millisecond,
+			Read: func(context.Context, fleet.Endpoint) (scheduler.Report, bool, error) {
+				if isPressed() {
+					pressed++
+				} else {
+					calm++
+				}
+				return scheduler.Report{}, false, errors.New("no report")
+			},
+		}
+		load.Run(ctx)
+		g.Expect(calm).To(BeNumerically("~", 9, 2))
+		g.Expect(pressed).To(BeNumerically("~", 30, 3))
+	})
+}
+
 // TestNothingIsReadBeforeTheViewHasSettled: an entry that has just started takes itself
 // for the only one, and after a failure of many all would read everything. (85 entries
 // made 4,579 reads of engines in the four seconds after their restart.)
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -31,6 +31,12 @@
 	// just started knows few others yet, and takes itself for a home entry of
 	// everything; after a failure of many, all of them would read everything.
 	Settle time.Duration
+	// Pressed, if set, reports whether the engines are so full that requests wait or are
+	// refused. They are then read every PressedInterval. Over 12 plays of three days with
+	// bursts the mean worth was 0.614 with reads every 1.2 s throughout, and 0.617 to
+	// 0.618 with 600, 400 and 250 ms while pressed.
+	Pressed         func() bool
+	PressedInterval time.Duration
 }
 
 // Run implements Controller.
@@ -38,7 +44,18 @@
 	if !pause.For(ctx, c.Settle) {
 		return
 	}
-	every(ctx, c.Interval, func() { c.poll(ctx) })
+	if c.Pressed == nil {
+		every(ctx, c.Interval, func() { c.poll(ctx) })
+		return
+	}
+	read := time.Now()
+	every(ctx, c.PressedInterval, func() {
+		if time.Since(read) < c.Interval && !c.Pressed() {
+			return
+		}
+		read = time.Now()
+		c.poll(ctx)
+	})
 }
 
 func (c *Load) poll(ctx context.Context) {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -18,6 +18,7 @@
 	IdleTimeout   time.Duration
 	ExchangeEvery time.Duration
 	PollEvery     time.Duration
+	PollPressed   time.Duration
 	WatchWait     time.Duration
 	WatchSpacing  time.Duration
 	// WatchSecondSpacing is WatchSpacing of all but the first watcher of a data centre.
@@ -39,6 +40,7 @@
 	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", 500*time.Millisecond, "interval of the exchange with other entries")
 	s.DurationVar(&c.PollEvery, "poll-every", 1200*time.Millisecond, "interval of reading engines' states")
+	s.DurationVar(&c.PollPressed, "poll-pressed", 400*time.Millisecond, "the same while requests wait or are refused because engines are full")
 	s.DurationVar(&c.WatchSpacing, "watch-spacing", 250*time.Millisecond, "mean time between news of the store and the next watch, so that one call reads several changes")
 	s.DurationVar(&c.WatchSecondSpacing, "watch-second-spacing", time.Second, "the same for watchers that are not the first of their data centre")
 	s.DurationVar(&c.WatchWait, "watch-wait", 3*time.Second, "how long one watch of the store waits")
@@ -60,6 +62,7 @@
 	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("poll-every", c.PollEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("watch-spacing", c.WatchSpacing, 0, 5*time.Second)
+	s.NeedDuration("poll-pressed", c.PollPressed, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("watch-wait", c.WatchWait, 100*time.Millisecond, 30*time.Second)
 	s.NeedDuration("watch-second-spacing", c.WatchSecondSpacing, 0, 10*time.Second)
 	s.NeedDuration("look-in", c.LookIn, time.Second, time.Hour)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
@@ -16,6 +17,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
@@ -71,9 +73,23 @@
 		Read:     g.readLoad,
 		Interval: g.cfg.PollEvery,
 		Settle:   g.cfg.settle(),
+
+		Pressed:         g.pressed,
+		PressedInterval: g.cfg.PollPressed,
 	}
 }
 
+// pressed reports whether requests have waited or been refused lately, because engines
+// were full.
+func (g *Gateway) pressed() (yes bool) {
+	g.dispatcher.View(func(now time.Time, p scheduler.Policy) {
+		if s, ok := p.(*scheduler.Scheduler); ok {
+			yes = s.Pressed(now)
+		}
+	})
+	return yes
+}
+
 // noticeAddress is the IP and UDP port for notices, the first of the free ports; empty
 // if there is none.
 func noticeAddress(vm platform.Settings) string {
--- a/pkg/scheduler/burst_test.go
+++ b/pkg/scheduler/burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -248,7 +249,9 @@
 	for _, version := range []string{"v9", "v10"} {
 		for seed := range uint64(5) {
 			p := newPlayed(version, seed)
-			p.play(25*time.Second, burst)
+			p.play(12*time.Second, burst)
+			g.Expect(p.anyPressed()).To(Equal(version == "v10"), "v9 doesn't see the burst")
+			p.play(13*time.Second, func(at time.Duration) float64 { return burst(at + 12*time.Second) })
 			p.play(10*time.Second, func(time.Duration) float64 { return 0 })
 			long := p.got(false)
 			all := sum[version]
@@ -265,6 +268,10 @@
 	g.Expect(sum["v10"].late).To(BeNumerically("<=", sum["v10"].asked*5/100))
 }
 
+func (p *played) anyPressed() bool {
+	return slices.ContainsFunc(p.entries, func(s *scheduler.Scheduler) bool { return s.Pressed(p.now) })
+}
+
 // expectNobodyHeld checks that who is refused has not waited for it.
 func (p *played) expectNobodyHeld(g *WithT) {
 	for _, c := range p.calls {
@@ -281,6 +288,9 @@
 	for seed := range uint64(5) {
 		p := newPlayed(scheduler.Forwarding, seed)
 		p.play(20*time.Second, func(time.Duration) float64 { return 3 })
+		for _, s := range p.entries {
+			g.Expect(s.Pressed(p.now)).To(BeFalse())
+		}
 		p.play(10*time.Second, func(time.Duration) float64 { return 0 })
 		for _, urgent := range []bool{true, false} {
 			all := p.got(urgent)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -30,9 +30,11 @@
 	dataCenters map[string]*retry.Breaker
 	// reported are engines of other data centres with a fresh report.
 	reported []*endpoint
-	gap      float64
-	gapAt    time.Time
-	free     []*item
+	// pressedAt is when a request was last refused or had to wait for a full engine.
+	pressedAt time.Time
+	gap       float64
+	gapAt     time.Time
+	free      []*item
 
 	request    routing.Request
 	candidates []routing.Candidate
--- a/pkg/scheduler/serve.go
+++ b/pkg/scheduler/serve.go
@@ -67,6 +67,7 @@
 		}
 		e := s.choose(now, it)
 		if e == nil {
+			s.pressedAt = now
 			held = held || !it.req.Urgent()
 			i++
 			continue
--- a/pkg/scheduler/start.go
+++ b/pkg/scheduler/start.go
@@ -43,6 +43,16 @@
 	return now.Sub(it.req.Arrived)+s.startsIn(now, backlog, it)+startMargin <= it.req.Row.Objective
 }
 
+// pressedFor is for how long after a request was refused or had to wait its engines
+// count as full.
+const pressedFor = 2 * time.Second
+
+// Pressed reports whether requests have waited or been refused lately because engines
+// were full.
+func (s *Scheduler) Pressed(now time.Time) bool {
+	return !s.pressedAt.IsZero() && now.Sub(s.pressedAt) < pressedFor
+}
+
 // leastEvery is how often the least backlog of a target is looked for anew: often
 // enough to see the prompts of a burst, and so rarely that a decision before 1,200
 // endpoints takes 29 microseconds in place of 122 (BenchmarkEngineDecision).
@@ -75,6 +85,7 @@
 	if math.IsInf(least, 1) || s.beginsInTime(now, least, it) {
 		return nil
 	}
+	s.pressedAt = now
 	late := now.Sub(it.req.Arrived) + s.startsIn(now, least, it) + startMargin - it.req.Row.Objective
 	return s.refusal(outcome.CodeDeadline, late, "the first engine would begin %v after the objective of %v",
 		late.Round(time.Millisecond), it.req.Row.Objective)
