--- a/cmd/bridgehoist-experiment/main.go
+++ b/cmd/bridgehoist-experiment/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/experiment"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
 type config struct {
@@ -25,7 +26,7 @@
 	var cfg config
 	set := settings.New("bridgehoist-experiment")
 	set.StringVar(&cfg.scenarios, "scenarios", "", "names separated by commas; empty for all")
-	set.StringVar(&cfg.policies, "policies", "", "names separated by commas; empty for all")
+	set.StringVar(&cfg.policies, "policies", "", "names separated by commas, also such as "+scheduler.Forwarding+"-without-near; empty for all versions")
 	set.Uint64Var(&cfg.first, "first-seed", 1, "first seed")
 	set.IntVar(&cfg.seeds, "seeds", 10, "number of seeds")
 	set.StringVar(&cfg.out, "out", "", "directory for runs.csv and plot.svg; empty for none")
@@ -37,7 +38,12 @@
 	if err != nil {
 		return err
 	}
-	policies, err := choose(experiment.Policies(), cfg.policies, func(p experiment.NamedPolicy) string { return p.Name })
+	policies := experiment.Policies()
+	if cfg.policies != "" {
+		// Ablations are compared only when they are named.
+		policies = append(policies, experiment.Ablations()...)
+	}
+	policies, err = choose(policies, cfg.policies, func(p experiment.NamedPolicy) string { return p.Name })
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/experiment/entry.go
@@ -0,0 +1,140 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/load"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+)
+
+// entry is one entry with its policy.
+type entry struct {
+	sim      *sim
+	index    int
+	dc       string
+	policy   scheduler.Policy
+	nextID   scheduler.ID
+	requests map[scheduler.ID]*request
+	dead     bool
+	lastSeen map[int]time.Time
+}
+
+func (s *sim) nextEntry() *entry {
+	for {
+		s.turn++
+		if e := s.entries[s.turn%len(s.entries)]; !e.dead {
+			return e
+		}
+	}
+}
+
+func (e *entry) submit(r *request) {
+	e.nextID++
+	r.entry, r.id = e, e.nextID
+	r.engine, r.seq = nil, nil
+	row, _ := e.sim.sc.table().Lookup(r.arrival.Workspace, r.arrival.Kind.Name)
+	e.requests[r.id] = r
+	err := e.policy.Submit(e.sim.Now(), scheduler.Request{
+		ID:           r.id,
+		Workspace:    r.arrival.Workspace,
+		Kind:         r.arrival.Kind.Name,
+		Row:          row,
+		PromptTokens: r.arrival.PromptTokens,
+		Arrived:      r.arrived,
+	})
+	if err != nil {
+		e.refuse(r, err)
+		return
+	}
+	e.pump()
+}
+
+func (e *entry) refuse(r *request, _ *outcome.Error) { e.sim.end(r, load.NotRun) }
+
+// pump does what the policy wants done now.
+func (e *entry) pump() {
+	if e.dead {
+		return
+	}
+	actions := e.policy.Next(e.sim.Now())
+	for _, x := range actions.Refusals {
+		if r := e.requests[x.ID]; r != nil {
+			e.refuse(r, x.Err)
+		}
+	}
+	for _, x := range actions.Dispatches {
+		if r := e.requests[x.ID]; r != nil {
+			e.dispatch(r, x.Endpoint)
+		}
+	}
+}
+
+func (e *entry) dispatch(r *request, spec fleet.Endpoint) {
+	s := e.sim
+	target := s.engineByID(spec.ID)
+	r.engine = target
+	delay := hop
+	if target.spec.DataCenter != e.dc {
+		delay = remoteHop
+	}
+	s.After(delay, func() {
+		if r.done {
+			return
+		}
+		if target.gone || s.cut && target.spec.DataCenter != e.dc {
+			e.notSent(r)
+			return
+		}
+		target.add(r)
+	})
+}
+
+// notSent puts a request back that could not be sent.
+func (e *entry) notSent(r *request) {
+	s := e.sim
+	e.policy.Finish(s.Now(), r.id, scheduler.Result{Failed: true})
+	delete(e.requests, r.id)
+	r.engine = nil
+	s.After(refuseHop+50*time.Millisecond, func() {
+		if !r.done && !e.dead {
+			e.submit(r)
+		}
+	})
+}
+
+// exchange tells every entry what each other has in flight, after a delay.
+func (s *sim) exchange() {
+	for _, from := range s.entries {
+		if from.dead {
+			continue
+		}
+		shares := append([]scheduler.Share{}, from.policy.Shares()...)
+		for _, to := range s.entries {
+			if to == from || to.dead || s.cut && to.dc != from.dc {
+				continue
+			}
+			late := time.Duration((0.2 + s.rng.Float64()) * float64(sharesEvery))
+			s.After(late, func() { to.hear(from, shares) })
+		}
+	}
+	for _, e := range s.entries {
+		e.forget()
+	}
+}
+
+func (e *entry) hear(from *entry, shares []scheduler.Share) {
+	e.lastSeen[from.index] = e.sim.Now()
+	e.policy.SetShares(e.sim.Now(), fmt.Sprint(from.index), shares)
+}
+
+func (e *entry) forget() {
+	for i, at := range e.lastSeen {
+		if e.sim.Now().Sub(at) > forgetShares {
+			e.policy.SetShares(e.sim.Now(), fmt.Sprint(i), nil)
+			delete(e.lastSeen, i)
+		}
+	}
+}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -15,7 +15,7 @@
 	g := NewWithT(t)
 	sc := Scenarios()[1]
 	sc.Duration = 10 * time.Second
-	for _, p := range Policies() {
+	for _, p := range append(Policies(), Ablations()...) {
 		a, b := newSim(sc, p, 7).run(7), newSim(sc, p, 7).run(7)
 		g.Expect(*a).To(Equal(*b), p.Name)
 		g.Expect(a.Sent).To(BeNumerically(">", 100))
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -28,20 +29,34 @@
 		{"least-in-flight", func(string, int, int, *rand.Rand) scheduler.Policy { return scheduler.NewLeastInFlight() }},
 	}
 	for _, name := range scheduler.Versions() {
-		out = append(out, NamedPolicy{name, func(dc string, _, entries int, rng *rand.Rand) scheduler.Policy {
-			cfg := scheduler.Version(name)
-			cfg.DataCenter = dc
-			cfg.Rand = rng
-			s := scheduler.New(cfg)
-			for i := range maxEngines {
-				s.SetHome(engineName(i), entries)
-			}
-			return s
-		}})
+		out = append(out, ours(name, scheduler.Version(name)))
+	}
+	return out
+}
+
+// Ablations lists the version of the gateways with one mechanism switched off each.
+func Ablations() []NamedPolicy {
+	var out []NamedPolicy
+	for _, off := range scheduler.Mechanisms() {
+		name := fmt.Sprintf("%s-without-%s", scheduler.Forwarding, off)
+		out = append(out, ours(name, scheduler.Version(scheduler.Forwarding).Without(off)))
 	}
 	return out
 }
 
+// ours is a policy of the entries.
+func ours(name string, cfg scheduler.Config) NamedPolicy {
+	return NamedPolicy{name, func(dc string, _, entries int, rng *rand.Rand) scheduler.Policy {
+		cfg.DataCenter = dc
+		cfg.Rand = rng
+		s := scheduler.New(cfg)
+		for i := range maxEngines {
+			s.SetHome(engineName(i), entries)
+		}
+		return s
+	}}
+}
+
 // Run is the outcome of one policy in one scenario with one seed.
 type Run struct {
 	Scenario string
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -5,7 +5,6 @@
 package experiment
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/load"
 	"github.com/bridgehoist/bridgehoist/internal/virtualtime"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
-	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
@@ -42,29 +40,6 @@
 	refuseHop    = 2 * time.Millisecond
 )
 
-// entry is one entry with its policy.
-type entry struct {
-	sim      *sim
-	index    int
-	dc       string
-	policy   scheduler.Policy
-	nextID   scheduler.ID
-	requests map[scheduler.ID]*request
-	dead     bool
-	lastSeen map[int]time.Time
-}
-
-// engine is one engine with its model.
-type engine struct {
-	sim      *sim
-	spec     fleet.Endpoint
-	model    *enginemodel.Engine
-	running  map[string]*request
-	busy     bool
-	gone     bool
-	slowdown float64
-}
-
 // request is one request of a caller.
 type request struct {
 	arrival   load.Arrival
@@ -105,30 +80,6 @@
 	return s
 }
 
-func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
-
-func dataCenter(i, count int) string { return fmt.Sprintf("dc-%d", i%max(count, 1)) }
-
-func (s *sim) newEngine(i int) *engine {
-	cfg := enginemodel.DefaultConfig()
-	return &engine{
-		sim:     s,
-		model:   enginemodel.New(cfg),
-		running: map[string]*request{},
-		spec: fleet.Endpoint{
-			ID:             engineName(i),
-			Type:           fleet.Engine,
-			DataCenter:     dataCenter(i, s.sc.DataCenters),
-			Targets:        []string{s.sc.Model},
-			Incarnation:    1,
-			State:          fleet.Live,
-			CapacityTokens: cfg.CapacityTokens,
-			MaxRunning:     cfg.MaxRunning,
-		},
-		slowdown: 1,
-	}
-}
-
 // run plays the arrivals and the scenario's disturbances to the end.
 func (s *sim) run(seed uint64) *Run {
 	rng := rand.New(rand.NewPCG(seed, 0))
@@ -175,15 +126,6 @@
 	e.submit(r)
 }
 
-func (s *sim) nextEntry() *entry {
-	for {
-		s.turn++
-		if e := s.entries[s.turn%len(s.entries)]; !e.dead {
-			return e
-		}
-	}
-}
-
 // timeout ends a request whose caller waits no longer.
 func (s *sim) timeout(r *request) {
 	if r.done {
@@ -218,221 +160,3 @@
 		r.record.Preemptions += r.seq.Preemptions()
 	}
 }
-
-func (e *entry) submit(r *request) {
-	e.nextID++
-	r.entry, r.id = e, e.nextID
-	r.engine, r.seq = nil, nil
-	row, _ := e.sim.sc.table().Lookup(r.arrival.Workspace, r.arrival.Kind.Name)
-	e.requests[r.id] = r
-	err := e.policy.Submit(e.sim.Now(), scheduler.Request{
-		ID:           r.id,
-		Workspace:    r.arrival.Workspace,
-		Kind:         r.arrival.Kind.Name,
-		Row:          row,
-		PromptTokens: r.arrival.PromptTokens,
-		Arrived:      r.arrived,
-	})
-	if err != nil {
-		e.refuse(r, err)
-		return
-	}
-	e.pump()
-}
-
-func (e *entry) refuse(r *request, _ *outcome.Error) { e.sim.end(r, load.NotRun) }
-
-// pump does what the policy wants done now.
-func (e *entry) pump() {
-	if e.dead {
-		return
-	}
-	actions := e.policy.Next(e.sim.Now())
-	for _, x := range actions.Refusals {
-		if r := e.requests[x.ID]; r != nil {
-			e.refuse(r, x.Err)
-		}
-	}
-	for _, x := range actions.Dispatches {
-		if r := e.requests[x.ID]; r != nil {
-			e.dispatch(r, x.Endpoint)
-		}
-	}
-}
-
-func (e *entry) dispatch(r *request, spec fleet.Endpoint) {
-	s := e.sim
-	target := s.engineByID(spec.ID)
-	r.engine = target
-	delay := hop
-	if target.spec.DataCenter != e.dc {
-		delay = remoteHop
-	}
-	s.After(delay, func() {
-		if r.done {
-			return
-		}
-		if target.gone || s.cut && target.spec.DataCenter != e.dc {
-			e.notSent(r)
-			return
-		}
-		target.add(r)
-	})
-}
-
-// notSent puts a request back that could not be sent.
-func (e *entry) notSent(r *request) {
-	s := e.sim
-	e.policy.Finish(s.Now(), r.id, scheduler.Result{Failed: true})
-	delete(e.requests, r.id)
-	r.engine = nil
-	s.After(refuseHop+50*time.Millisecond, func() {
-		if !r.done && !e.dead {
-			e.submit(r)
-		}
-	})
-}
-
-func (s *sim) engineByID(id string) *engine {
-	for _, e := range s.engines {
-		if e.spec.ID == id {
-			return e
-		}
-	}
-	return nil
-}
-
-func (g *engine) add(r *request) {
-	r.key = fmt.Sprintf("%d/%d", r.entry.index, r.id)
-	r.seq = &enginemodel.Sequence{
-		ID:           r.key,
-		Priority:     priority(g.sim, r),
-		PromptTokens: r.arrival.PromptTokens,
-		OutputTokens: r.arrival.OutputTokens,
-		Prefix:       r.prefix,
-		PrefixTokens: r.arrival.PromptTokens / 2,
-	}
-	g.running[r.key] = r
-	g.model.Add(r.seq)
-	g.wake()
-}
-
-func priority(s *sim, r *request) int {
-	row, _ := s.sc.table().Lookup(r.arrival.Workspace, r.arrival.Kind.Name)
-	return row.Priority
-}
-
-func (g *engine) drop(r *request) {
-	delete(g.running, r.key)
-	g.model.Remove(r.key)
-}
-
-func (g *engine) wake() {
-	if g.busy || g.gone {
-		return
-	}
-	g.busy = true
-	g.step()
-}
-
-func (g *engine) step() {
-	if g.gone || g.model.Idle() {
-		g.busy = false
-		return
-	}
-	st := g.model.Step()
-	took := time.Duration(float64(st.Duration) * g.slowdown)
-	g.sim.After(took, func() {
-		for _, q := range st.Progressed {
-			g.progress(q)
-		}
-		g.step()
-	})
-}
-
-// progress delivers one token to the entry and the caller.
-func (g *engine) progress(q *enginemodel.Sequence) {
-	r := g.running[q.ID]
-	if r == nil || r.done {
-		return
-	}
-	s := g.sim
-	gap := s.Now().Sub(r.lastToken)
-	r.lastToken = s.Now()
-	if r.record.FirstToken == 0 {
-		r.record.FirstToken = s.Now().Sub(r.arrived)
-	} else {
-		r.record.Gaps = append(r.record.Gaps, gap)
-	}
-	if gap > stallGap {
-		r.record.Stall += gap
-	}
-	r.entry.policy.Progress(s.Now(), r.id, q.Generated())
-	if q.Generated() < q.OutputTokens {
-		return
-	}
-	delete(g.running, q.ID)
-	r.entry.policy.Finish(s.Now(), r.id, scheduler.Result{Complete: true, Generated: q.Generated()})
-	s.end(r, load.Answered)
-	r.entry.pump()
-}
-
-// exchange tells every entry what each other has in flight, after a delay.
-func (s *sim) exchange() {
-	for _, from := range s.entries {
-		if from.dead {
-			continue
-		}
-		shares := append([]scheduler.Share{}, from.policy.Shares()...)
-		for _, to := range s.entries {
-			if to == from || to.dead || s.cut && to.dc != from.dc {
-				continue
-			}
-			late := time.Duration((0.2 + s.rng.Float64()) * float64(sharesEvery))
-			s.After(late, func() { to.hear(from, shares) })
-		}
-	}
-	for _, e := range s.entries {
-		e.forget()
-	}
-}
-
-func (e *entry) hear(from *entry, shares []scheduler.Share) {
-	e.lastSeen[from.index] = e.sim.Now()
-	e.policy.SetShares(e.sim.Now(), fmt.Sprint(from.index), shares)
-}
-
-func (e *entry) forget() {
-	for i, at := range e.lastSeen {
-		if e.sim.Now().Sub(at) > forgetShares {
-			e.policy.SetShares(e.sim.Now(), fmt.Sprint(i), nil)
-			delete(e.lastSeen, i)
-		}
-	}
-}
-
-// report passes the load of each engine on, with the scenario's lag.
-func (s *sim) report() {
-	for _, g := range s.engines {
-		if g.gone {
-			continue
-		}
-		l := g.model.Load()
-		if s.Now().Sub(s.start) < s.sc.Duration {
-			s.result.memory += float64(l.UsedTokens) / float64(g.spec.CapacityTokens)
-			s.result.memoryCount++
-		}
-		rep := scheduler.Report{
-			Endpoint: g.spec.ID, Incarnation: 1, At: s.Now(),
-			UsedTokens: l.UsedTokens, CapacityTokens: g.spec.CapacityTokens,
-			Running: l.Running, Waiting: l.Waiting, Preemptions: l.Preemptions,
-		}
-		s.After(s.sc.reportLag(), func() {
-			for _, e := range s.entries {
-				if !s.cut || e.dc == g.spec.DataCenter {
-					e.policy.Report(s.Now(), rep)
-				}
-			}
-		})
-	}
-}
--- a/pkg/scheduler/burst_test.go
+++ b/pkg/scheduler/burst_test.go
@@ -241,7 +241,7 @@
 
 // TestABurstIsAnsweredInTime plays 25 s of load with a burst of 10 s, at which the
 // prompts of a second need 1.35 s of all engines, over five seeds. Of the long answers
-// 270 of 735 begin in time without the bound on starts (v9) and 439 with it (v10):
+// 270 of 735 begin in time without the bound on starts (v9) and 442 with it (v10):
 // those beyond it are refused at the moment they come, and 4 begin late.
 func TestABurstIsAnsweredInTime(t *testing.T) {
 	g := NewWithT(t)
