Requests wait as long as they can still be answered (policy v11)

Cause: the adapter let every request wait for half of its timeout, a share that says nothing about the request, and a decision in the wrong place. Tests: TestWaitingLeavesTimeToRun (red with a half of the timeout).

--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -66,6 +66,9 @@
 	// other entries, until the next report, and adds the prompts that they have told of
 	// since.
 	OthersFromReports bool
+	// TimeToRun lets a request wait only as long as it can still be answered before its
+	// timeout, by how long requests of its kind have run.
+	TimeToRun bool
 	// CompareAll looks at all endpoints a decision, whatever LocalChoices and
 	// RemoteChoices say.
 	CompareAll bool
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -232,6 +232,30 @@
 	g.Expect(err.RetryAfter).To(BeNumerically("~", time.Second, 300*time.Millisecond), "the next probe is a second away")
 }
 
+// TestWaitingLeavesTimeToRun: a request waits as long as it can still be answered, and no
+// longer: with a timeout of 1 s and runs of 300 ms, 700 ms.
+func TestWaitingLeavesTimeToRun(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	one := service("near", "dc0")
+	one.MaxRunning = 1
+	s.SetEndpoints(now, []fleet.Endpoint{one})
+	for id := range 3 {
+		g.Expect(s.Submit(now, plainRequest(id+1, now))).To(BeNil())
+		g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+		now = now.Add(300 * time.Millisecond)
+		s.Finish(now, scheduler.ID(id+1), scheduler.Result{Complete: true})
+	}
+	g.Expect(s.Submit(now, plainRequest(4, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+	g.Expect(s.Submit(now, plainRequest(5, now))).To(BeNil())
+	now = now.Add(690 * time.Millisecond)
+	g.Expect(s.Next(now).Refusals).To(BeEmpty())
+	now = now.Add(20 * time.Millisecond)
+	g.Expect(s.Next(now).Refusals).To(HaveLen(1))
+}
+
 // TestAMovedGenerationCountsWhereItIs keeps the believed load true.
 func TestAMovedGenerationCountsWhereItIs(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -25,6 +25,8 @@
 	lastToken time.Time
 	// unread says that the endpoint has still to read the prompt.
 	unread bool
+	// sentAt is when it was sent.
+	sentAt time.Time
 }
 
 // begun records that the prompt has been read, or never will be.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	dataCenters map[string]*retry.Breaker
 	// reported are engines of other data centres with a fresh report.
 	reported []*endpoint
+	// runTimes holds how long requests of a kind run; see runtime.go.
+	runTimes map[string]time.Duration
 	// pressedAt is when a request was last refused or had to wait for a full engine.
 	pressedAt time.Time
 	gap       float64
@@ -53,6 +55,7 @@
 		homes:       map[string]int{},
 		targets:     map[string]*target{},
 		dataCenters: map[string]*retry.Breaker{},
+		runTimes:    map[string]time.Duration{},
 		estimator:   lengths.New(cfg.PriorHazard),
 		queues:      map[string]*queue{},
 		running:     map[ID]*item{},
@@ -204,6 +207,9 @@
 	if res.Complete && it.req.PromptTokens > 0 && !s.cfg.ForgetLengths {
 		it.run.End(res.Generated)
 	}
+	if res.Complete {
+		s.ran(now, it)
+	}
 	s.ended(now, e, res)
 	s.release(it)
 }
--- a/pkg/scheduler/serve.go
+++ b/pkg/scheduler/serve.go
@@ -139,6 +139,7 @@
 	s.queued.Release(limitKey(&it.req))
 	s.inFlight.Take(limitKey(&it.req), it.req.Row.MaxInFlight)
 	it.endpoint = e
+	it.sentAt = now
 	it.generated = 0
 	it.lastToken = time.Time{}
 	it.run = s.estimator.Start(lengthKey(&it.req))
--- a/pkg/scheduler/submit.go
+++ b/pkg/scheduler/submit.go
@@ -38,7 +38,7 @@
 
 func (s *Scheduler) newItem(r Request) *item {
 	it := s.take()
-	*it = item{req: r, startBy: r.Arrived.Add(r.Row.MaxQueueTime)}
+	*it = item{req: r, startBy: s.startBy(&r)}
 	if r.PromptTokens > 0 {
 		it.projection = s.estimator.Project(lengthKey(&r), r.PromptTokens, 0).Bound(0, r.MaxTokens)
 		it.cost = s.cost(&r)
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -12,7 +12,7 @@
 
 // Forwarding is the name of the version for entries whose endpoints take requests
 // as they come, and which read no load reports.
-const Forwarding = "v10"
+const Forwarding = "v11"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
 const priorOfV1 = 0.125
@@ -58,6 +58,7 @@
 		c.StartInTime = true
 		c.OthersFromReports = true
 	}},
+	{"v11", func(c *Config) { c.TimeToRun = true }},
 }
 
 // Versions lists the names of the versions, the oldest first.
