A service that nobody has announced strands no entry

Found in the site's incident: its table names a service without endpoints, which counted as out of reach, so that entries were not ready whenever they were cut off, although they served all they were asked for. Only targets whose endpoints are all out of reach count. Test, red before: TestATargetWithoutEndpointsIsNotOutOfReach.

--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// reach asks the scheduler which targets of the table have no endpoint in reach, and
+// reach asks the scheduler which targets of the table have endpoints but none in reach, and
 // which other data centres can be reached.
 func (g *Gateway) reach() (unservable []string, reach scheduler.Reach) {
 	var targets []string
@@ -66,7 +66,7 @@
 			return
 		}
 		for _, target := range targets {
-			if !s.InReach(target) {
+			if s.OutOfReach(target) {
 				unservable = append(unservable, target)
 			}
 		}
--- a/internal/gateway/stranded_test.go
+++ b/internal/gateway/stranded_test.go
@@ -17,6 +17,10 @@
 // another data centre ends that.
 func TestAnEntryThatIsCutOffSendsCallersElsewhere(t *testing.T) {
 	w := newWorld(t)
+	// A service that nobody has announced is no reason to send callers elsewhere.
+	w.config.Services = append(w.config.Services, "nowhere")
+	w.config.Routes = append(w.config.Routes, route("nowhere", "/nobody/", standin.Safe, "nowhere", 1))
+	w.publish()
 	w.endpoint("engine-1", "engine")
 	for i := range 2 {
 		dead := &standin.Endpoint{ID: fmt.Sprintf("far-%d", i), Address: freeportNobodyListensAt(t)}
--- a/pkg/readiness/readiness.go
+++ b/pkg/readiness/readiness.go
@@ -44,7 +44,7 @@
 	HasValues bool
 	// Stopping says that the process is being stopped.
 	Stopping bool
-	// Unservable are the targets that no endpoint is in reach for.
+	// Unservable are the targets that have endpoints, none of which is in reach.
 	Unservable []string
 	// CutOff says that no endpoint of any other data centre can be reached.
 	CutOff bool
--- a/pkg/scheduler/forwarding_test.go
+++ b/pkg/scheduler/forwarding_test.go
@@ -183,6 +183,20 @@
 	g.Expect(s.Reach()).To(Equal(scheduler.Reach{}))
 }
 
+// TestATargetWithoutEndpointsIsNotOutOfReach: nobody else serves it either.
+func TestATargetWithoutEndpointsIsNotOutOfReach(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := forwarding("dc0", 1)
+	s.SetEndpoints(now, []fleet.Endpoint{service("far", "dc1")})
+	g.Expect(s.OutOfReach("desk")).To(BeFalse())
+	g.Expect(s.Submit(now, plainRequest(1, now))).To(BeNil())
+	g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+	s.Finish(now, 1, scheduler.Result{Failed: true, Unreachable: true})
+	g.Expect(s.OutOfReach("desk")).To(BeTrue())
+	g.Expect(s.OutOfReach("nowhere")).To(BeFalse())
+}
+
 // TestTheFirstTokenEndsAProbe: a long answer shows with its first token that its endpoint
 // and its data centre are back; others don't wait for its end.
 func TestTheFirstTokenEndsAProbe(t *testing.T) {
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -110,10 +110,12 @@
 	return r
 }
 
-// InReach reports whether a target has an endpoint that has answered since it last
-// failed, or that nothing bad is known of. It doesn't change from one probe to the next.
-func (s *Scheduler) InReach(target string) bool {
-	return s.any(target, func(e *endpoint) bool {
+// OutOfReach reports whether a target has endpoints, but none that has answered since it
+// last failed or that nothing bad is known of. It doesn't change from one probe to the
+// next. A target without endpoints is served nowhere, and so not out of this entry's reach.
+func (s *Scheduler) OutOfReach(target string) bool {
+	known := s.any(target, func(*endpoint) bool { return true })
+	return known && !s.any(target, func(e *endpoint) bool {
 		b := s.dataCenterBreaker(e)
 		return !e.breaker.Opened() && (b == nil || !b.Opened())
 	})
