--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -17,9 +17,10 @@
 // drain rate, would exceed what its row allows is refused at once, or displaces
 // waiting ones that are worth less per token.
 //
-// Three loads are answered in files of their own, which say why each threshold is what
-// it is: others.go (several entries fill the same engines), start.go (more prompts than
-// the engines can read), reach.go (a data centre is cut off).
+// Loads are answered in files of their own, which say why each threshold is what it is:
+// others.go (several entries fill the same engines), start.go, inflow.go and readrate.go
+// (more prompts than the engines can read), runtime.go (requests that wait), reach.go (a
+// data centre is cut off).
 //
 //	Submit --> [queued] --Next--> [running] --Finish--> gone
 //	   |          |                   |
