--- a/internal/evacuate/groups.go
+++ b/internal/evacuate/groups.go
@@ -14,7 +14,11 @@
 // groupKey tells groups apart. Engines of different data centres move their
 // generations to different ones as a rule, and each engine more in a group costs
 // its entries a priced read.
-type groupKey struct{ target, dataCenter, alone string }
+type groupKey struct {
+	target, dataCenter string
+	// alone is the engine of a group of one, if plans for groups are switched off.
+	alone string
+}
 
 // forget drops engines that have ended long ago.
 func (e *Evacuator) forget() {
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -11,8 +11,9 @@
 // Current is the name of the version that the entries use.
 const Current = "v7"
 
-// Forwarding is the name of the version for entries whose endpoints take requests
-// as they come, and which read no load reports.
+// Forwarding is the name of the version for entries whose endpoints take requests as
+// they come: what they hold is known from their reports and from the other entries'
+// notices.
 const Forwarding = "v11"
 
 // priorOfV1 is the prior of output lengths that v1 started with.
