--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,15 +17,8 @@
 func (e *entry) leave(id, path string, header map[string]string) (leave func(), gone <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.w.t.Cleanup(cancel)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.vm.Callers+path, strings.NewReader("body"))
+	req, err := e.request(ctx, id, http.MethodPost, path, header)
 	e.w.g.Expect(err).NotTo(HaveOccurred())
-	req.Host = "h.example"
-	req.Header.Set(platform.HeaderRequestID, id)
-	req.Header.Set(platform.HeaderAPIKey, apiKey)
-	req.Header.Set(platform.HeaderWait, "20000")
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -208,11 +208,11 @@
 	err error
 }
 
-// call sends one request.
-func (e *entry) call(id, method, path string, header map[string]string) answer {
-	req, err := http.NewRequest(method, "http://"+e.vm.Callers+path, strings.NewReader("body"))
+// request makes a caller's request.
+func (e *entry) request(ctx context.Context, id, method, path string, header map[string]string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.vm.Callers+path, strings.NewReader("body"))
 	if err != nil {
-		return answer{err: err}
+		return nil, err
 	}
 	req.Host = "h.example"
 	req.Header.Set(platform.HeaderRequestID, id)
@@ -221,6 +221,15 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
+	return req, nil
+}
+
+// call sends one request.
+func (e *entry) call(id, method, path string, header map[string]string) answer {
+	req, err := e.request(context.Background(), id, method, path, header)
+	if err != nil {
+		return answer{err: err}
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{err: err}
