One walk over a target's endpoints, one way to the scheduler, estimates only where used

Read once more: nextProbe and leastBacklog walked the endpoints in their own ways beside any, which leastBacklog called for its side effect; the gateway unwrapped the scheduler in three places; versions that use neither paid for the inflow of prompts and for learnt run times on each dispatch; a test fixture stood twice.

--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -64,6 +64,16 @@
 	return peering.NewBeliefs(view, dispatch.New(scheduler.NewRoundRobin()), 1, func(drain.Leave, string) {})
 }
 
+// aloneWithEngine is the same of an entry before one engine.
+func aloneWithEngine() *peering.Beliefs {
+	b := alone()
+	b.ApplyFleet(&fleet.List{Endpoints: []fleet.Endpoint{{
+		ID: "e", Address: "127.0.0.1:1", DataCenter: "dc", Type: fleet.Engine, Targets: []string{"m"}, Incarnation: 1,
+		CapacityTokens: 1000, MaxRunning: 8, State: fleet.Live,
+	}}})
+	return b
+}
+
 func follow(t *testing.T, p controllers.Reader, runFor time.Duration, onState func(bool, time.Duration, error)) {
 	ctx, cancel := context.WithTimeout(t.Context(), runFor)
 	defer cancel()
@@ -171,11 +181,7 @@
 		begun := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 24*time.Second)
 		defer cancel()
-		beliefs := alone()
-		beliefs.ApplyFleet(&fleet.List{Endpoints: []fleet.Endpoint{{
-			ID: "e", Address: "127.0.0.1:1", DataCenter: "dc", Type: fleet.Engine, Targets: []string{"m"}, Incarnation: 1,
-			CapacityTokens: 1000, MaxRunning: 8, State: fleet.Live,
-		}}})
+		beliefs := aloneWithEngine()
 		calm, pressed := 0, 0
 		isPressed := func() bool { return time.Since(begun) >= 12*time.Second }
 		load := &controllers.Load{
@@ -205,11 +211,7 @@
 		begun := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		beliefs := alone()
-		beliefs.ApplyFleet(&fleet.List{Endpoints: []fleet.Endpoint{{
-			ID: "e", Address: "127.0.0.1:1", DataCenter: "dc", Type: fleet.Engine, Targets: []string{"m"}, Incarnation: 1,
-			CapacityTokens: 1000, MaxRunning: 8, State: fleet.Live,
-		}}})
+		beliefs := aloneWithEngine()
 		var reads []time.Duration
 		load := &controllers.Load{
 			Beliefs: beliefs, Interval: time.Second, Settle: settle,
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -196,11 +196,7 @@
 	if small {
 		local, remote = localOfFew, remoteOfFew
 	}
-	g.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
-		if s, ok := p.(*scheduler.Scheduler); ok {
-			s.SetChoices(local, remote)
-		}
-	})
+	g.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetChoices(local, remote) })
 }
 
 func (g *Gateway) onStoreState(up bool, since time.Duration, err error) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -82,11 +82,7 @@
 // pressed reports whether requests have waited or been refused lately, because engines
 // were full.
 func (g *Gateway) pressed() (yes bool) {
-	g.dispatcher.View(func(now time.Time, p scheduler.Policy) {
-		if s, ok := p.(*scheduler.Scheduler); ok {
-			yes = s.Pressed(now)
-		}
-	})
+	g.viewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Pressed(now) })
 	return yes
 }
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -60,11 +60,7 @@
 			targets = append(targets, row.Target)
 		}
 	}
-	g.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
-		s, ok := p.(*scheduler.Scheduler)
-		if !ok {
-			return
-		}
+	g.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
 		for _, target := range targets {
 			if s.OutOfReach(target) {
 				unservable = append(unservable, target)
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -127,13 +128,24 @@
 	return s.any(target, func(e *endpoint) bool { return !s.believedGone(now, e) })
 }
 
+// staying goes over the endpoints of a target that don't leave, the nearest first.
+func (s *Scheduler) staying(target string) iter.Seq[*endpoint] {
+	return func(yield func(*endpoint) bool) {
+		for _, list := range s.target(target).all() {
+			for _, e := range list {
+				if !e.leaving && !yield(e) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // any reports whether a condition holds for an endpoint of a target that stays.
 func (s *Scheduler) any(target string, holds func(*endpoint) bool) bool {
-	for _, list := range s.target(target).all() {
-		for _, e := range list {
-			if !e.leaving && holds(e) {
-				return true
-			}
+	for e := range s.staying(target) {
+		if holds(e) {
+			return true
 		}
 	}
 	return false
@@ -158,17 +170,12 @@
 // nextProbe is when the first endpoint of a target is tried again.
 func (s *Scheduler) nextProbe(now time.Time, target string) time.Duration {
 	first := maxRetryAfter
-	for _, list := range s.target(target).all() {
-		for _, e := range list {
-			if e.leaving {
-				continue
-			}
-			wait := e.breaker.ProbeIn(now)
-			if b := s.dataCenterBreaker(e); b != nil {
-				wait = max(wait, b.ProbeIn(now))
-			}
-			first = min(first, wait)
+	for e := range s.staying(target) {
+		wait := e.breaker.ProbeIn(now)
+		if b := s.dataCenterBreaker(e); b != nil {
+			wait = max(wait, b.ProbeIn(now))
 		}
+		first = min(first, wait)
 	}
 	return first
 }
--- a/pkg/scheduler/readrate.go
+++ b/pkg/scheduler/readrate.go
@@ -20,8 +20,12 @@
 
 // noteSend records a prompt that this entry sends.
 func (s *Scheduler) noteSend(now time.Time, it *item, e *endpoint) {
+	if s.cfg.ReadRate <= 0 || it.req.PromptTokens == 0 {
+		return
+	}
+	s.countOwnPrompt(now, e, it)
 	rate := s.readRate(it.req.Row.Target)
-	it.sentIdle = rate > 0 && s.idle(it.req.Row.Target, e.promptsLeft(now, rate))
+	it.sentIdle = s.idle(it.req.Row.Target, e.promptsLeft(now, rate))
 	e.sent(now, it.req.PromptTokens, rate)
 	it.sentMark = e.sentTotal
 }
--- a/pkg/scheduler/runtime.go
+++ b/pkg/scheduler/runtime.go
@@ -14,6 +14,9 @@
 
 // ran learns how long a request took from its sending to the end of its answer.
 func (s *Scheduler) ran(now time.Time, it *item) {
+	if !s.cfg.TimeToRun {
+		return
+	}
 	took := now.Sub(it.sentAt)
 	known, ok := s.runTimes[it.req.Kind]
 	if !ok {
--- a/pkg/scheduler/serve.go
+++ b/pkg/scheduler/serve.go
@@ -153,9 +153,6 @@
 	it.unread = true
 	e.unread += float64(it.req.PromptTokens)
 	s.noteSend(now, it, e)
-	if it.req.PromptTokens > 0 {
-		s.countOwnPrompt(now, e, it)
-	}
 	s.sentTo(now, e)
 	s.running[it.req.ID] = it
 	s.refreshCandidate(now, e)
--- a/pkg/scheduler/start.go
+++ b/pkg/scheduler/start.go
@@ -80,12 +80,11 @@
 	q.leastAt = now
 	q.leastBacklog = math.Inf(1)
 	rate := s.readRate(target)
-	s.any(target, func(e *endpoint) bool {
+	for e := range s.staying(target) {
 		if s.allowed(now, e) {
 			q.leastBacklog = min(q.leastBacklog, e.backlog(now, rate))
 		}
-		return false
-	})
+	}
 	return q.leastBacklog
 }
 
