--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -23,15 +23,11 @@
 )
 
 func (g *Gateway) parsers() published.Parsers {
-	return published.Parsers{
-		Table: platform.ParseConfiguration,
-		Fleet: func(b []byte) (*fleet.List, error) {
-			return platform.ParseEndpoints(b, func(f fleet.Findings) {
-				g.metrics.Values.WithLabelValues(published.Fleet, register.Rejected.String()).Inc()
-				g.log.Warn("endpoint records left out", "findings", f.Error())
-			})
-		},
-	}
+	endpoints := platform.NewEndpointParser(func(f fleet.Findings) {
+		g.metrics.Values.WithLabelValues(published.Fleet, register.Rejected.String()).Inc()
+		g.log.Warn("endpoint records left out", "findings", f.Error())
+	})
+	return published.Parsers{Table: platform.ParseConfiguration, Fleet: endpoints.Parse}
 }
 
 // onValue logs news of a published value.
