Entries that start ask the others, or read an old copy of the store

Ruled out: reading an old copy after every start; a key that was taken away would come back with a restart until an exchange or a watch tells otherwise. Change: when the whole system starts for the first time, the store is read as it was some seconds ago (a tenth of the price, outside the rate); the revision is that of the newest item, so that a watch from there misses nothing. Later starts ask the seeds, and the store only if none tells the values.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -117,7 +117,12 @@
 // Read asks the platform once and reports whether there was news. A failure has been
 // told to OnError and OnState.
 func (c *Config) Read(ctx context.Context, wait time.Duration) (news bool, err error) {
-	values, err := c.Reader.Read(ctx, wait)
+	return c.ReadBy(ctx, func(ctx context.Context) ([]published.Value, error) { return c.Reader.Read(ctx, wait) })
+}
+
+// ReadBy is Read by another way of asking the platform.
+func (c *Config) ReadBy(ctx context.Context, read func(context.Context) ([]published.Value, error)) (news bool, err error) {
+	values, err := read(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.OnError(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
-	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
@@ -40,8 +39,6 @@
 )
 
 const (
-	// catchUpTimeout bounds the first exchange with the seeds.
-	catchUpTimeout = time.Second
 	// readersPerEngine is how many entries of a data centre read the state of an
 	// engine; the others hear from them. Each read is priced.
 	readersPerEngine = 1
@@ -60,9 +57,6 @@
 	// settleRounds is after how many rounds of the exchange an entry knows the others
 	// well enough to take its share of the work on the store and the engines.
 	settleRounds = 4
-	// catchUpPause is the wait before the store and the seeds are asked again at
-	// the start.
-	catchUpPause = 200 * time.Millisecond
 )
 
 // Gateway is one entry process.
@@ -176,33 +170,3 @@
 		}
 	}
 }
-
-// start reads the store and asks the seeds until a table and the endpoints are
-// known; only then does the gateway become ready.
-func (g *Gateway) start(ctx context.Context) {
-	for {
-		g.catchUp(ctx)
-		if g.store.Ready() || !pause.For(ctx, catchUpPause) {
-			break
-		}
-	}
-	g.caughtUp.Store(true)
-	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
-	var loops sync.WaitGroup
-	for _, c := range []controllers.Controller{g.exchange, g.config, g.load} {
-		loops.Go(func() { c.Run(ctx) })
-	}
-	loops.Wait()
-}
-
-// catchUp asks the store and the peers at the same time: either may be away.
-func (g *Gateway) catchUp(ctx context.Context) {
-	var both sync.WaitGroup
-	both.Go(func() { g.config.Read(ctx, 0) })
-	both.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-		defer cancel()
-		g.exchange.Catchup(ctx, g.vm.DataCenter)
-	})
-	both.Wait()
-}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -39,11 +39,11 @@
 	since := r.since
 	r.mu.Unlock()
 	if wait == 0 || since == 0 {
-		return r.list(ctx)
+		return r.list(ctx, r.source.List)
 	}
 	news, err := r.source.Watch(ctx, since, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		return r.list(ctx)
+		return r.list(ctx, r.source.List)
 	}
 	if err != nil {
 		return nil, err
@@ -54,8 +54,13 @@
 	return r.values(news, func() bool { return r.registry.Apply(news.Endpoints) })
 }
 
-func (r *reader) list(ctx context.Context) ([]published.Value, error) {
-	all, err := r.source.List(ctx)
+// ReadStale returns all values as they were at most some seconds ago.
+func (r *reader) ReadStale(ctx context.Context) ([]published.Value, error) {
+	return r.list(ctx, r.source.ListStale)
+}
+
+func (r *reader) list(ctx context.Context, from func(context.Context) (platform.News, error)) ([]published.Value, error) {
+	all, err := from(ctx)
 	if err != nil {
 		return nil, err
 	}
