Generating code needs no compiler of its own

Cause: messages between entries could only be changed where protoc is installed. Change: scripts/protogen compiles the files with protocompile and runs the same plugins; its output differs from before in the comment on the compiler's version only. No behaviour changes, nothing measured.

--- a/Makefile
+++ b/Makefile
@@ -18,13 +18,10 @@
 	$(GO) tool staticcheck ./...
 	bash scripts/check-wire-names.sh
 
-# Needs protoc (Debian package protobuf-compiler); the plugins are Go tools of this module.
+# The compiler and the plugins are Go tools of this module.
 generate:
-	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
-	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I proto \
-	  --go_out=. --go_opt=module=github.com/bridgehoist/bridgehoist \
-	  --connect-go_out=. --connect-go_opt=module=github.com/bridgehoist/bridgehoist \
-	  bridgehoist/peer/v1/peer.proto
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go ./scripts/protogen
+	$(BIN)/tools/protogen proto . github.com/bridgehoist/bridgehoist $(BIN)/tools/protoc-gen-go $(BIN)/tools/protoc-gen-connect-go
 
 demo: build
 	bash scripts/demo.sh
