--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -42,9 +42,9 @@
 //
 // When the whole system starts for the first time nobody knows anything, and nothing was
 // taken back that an old answer of the store could bring again: the store is read as it
-// was some seconds ago. Later the others know the values. Only when none that is asked
-// tells them is the store read, then as it is: a key that was taken away must not come
-// back with a restart.
+// was some seconds ago. Later the others know the values. Only when none tells them soon
+// is the store read, then as it is: a key that was taken away must not come back with a
+// restart.
 func (g *Gateway) catchUp(ctx context.Context) {
 	if g.vm.FirstStart {
 		var both sync.WaitGroup
@@ -53,10 +53,8 @@
 		both.Wait()
 		return
 	}
-	g.askSeeds(ctx)
-	if !g.store.Ready() {
-		g.config.Read(ctx, 0)
-	}
+	late := controllers.CatchUp{AskPeers: g.askSeeds, ReadStore: func(ctx context.Context) { g.config.Read(ctx, 0) }, Ready: g.store.Ready}
+	late.Run(ctx)
 }
 
 // askSeeds exchanges with the seeds and with those they tell of.
