--- a/pkg/scheduler/burst_test.go
+++ b/pkg/scheduler/burst_test.go
@@ -337,6 +337,28 @@
 	}
 }
 
+// TestSlowEnginesAreSentWhatBeginsInTime: engines that read at 4,200 tokens a second in
+// place of the 7,000 expected, at a third more prompts than they can read for 20 s. By the
+// pace that was seen, prompts are refused at once that would begin late and keep others
+// waiting: over five seeds 19 of 641 long answers begin late in place of 42, and 341 in
+// place of 321 in time.
+func TestSlowEnginesAreSentWhatBeginsInTime(t *testing.T) {
+	g := NewWithT(t)
+	sum := map[string]got{}
+	for _, version := range []string{"v12", "v13"} {
+		for seed := range uint64(5) {
+			p := newPlayed(version, seed)
+			p.readRate = 0.6 * playedReadRate
+			p.play(20*time.Second, func(time.Duration) float64 { return 6.5 })
+			p.play(20*time.Second, func(time.Duration) float64 { return 0 })
+			long, all := p.got(false), sum[version]
+			sum[version] = got{all.asked + long.asked, all.inTime + long.inTime, all.late + long.late, all.refused + long.refused}
+		}
+	}
+	g.Expect(sum["v13"].inTime).To(BeNumerically(">=", sum["v12"].inTime*105/100))
+	g.Expect(sum["v13"].late).To(BeNumerically("<=", sum["v12"].late/2))
+}
+
 // TestWorkOfOthersOutlastsANewList: what a report has shown of the others' work is not
 // forgotten when the list of endpoints changes.
 func TestWorkOfOthersOutlastsANewList(t *testing.T) {
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -75,6 +75,8 @@
 	// ToldReads counts what engines have still to read by what entries tell of prompts that
 	// were sent and read, in place of estimating it by a rate.
 	ToldReads bool
+	// LearnPace learns how fast prompts that aren't urgent get through what is before them.
+	LearnPace bool
 	// CompareAll looks at all endpoints a decision, whatever LocalChoices and
 	// RemoteChoices say.
 	CompareAll bool
--- a/pkg/scheduler/inflow.go
+++ b/pkg/scheduler/inflow.go
@@ -72,5 +72,5 @@
 	engines := len(t.homes) + len(t.local)
 	urgent := s.queue(target).inflow.urgentRate(now, engines)
 	rate := s.readRate(target)
-	return rate - min(urgent, mostUrgent*rate)
+	return s.queue(target).paced(rate-min(urgent, mostUrgent*rate), rate)
 }
--- a/pkg/scheduler/mechanisms.go
+++ b/pkg/scheduler/mechanisms.go
@@ -31,6 +31,8 @@
 	RemoteNews Mechanism = "remote-news"
 	// ReadNews counts what engines have still to read in place of estimating it.
 	ReadNews Mechanism = "read-news"
+	// ReadPace learns how fast prompts that aren't urgent get through.
+	ReadPace Mechanism = "read-pace"
 	// LearntLengths projects memory by the lengths of earlier outputs.
 	LearntLengths Mechanism = "learnt-lengths"
 )
@@ -48,6 +50,7 @@
 	DeadlineRefusals:   func(c *Config) { c.KeepLate = true },
 	RemoteNews:         func(c *Config) { c.KnownRemotes = false },
 	ReadNews:           func(c *Config) { c.ToldReads = false },
+	ReadPace:           func(c *Config) { c.LearnPace = false },
 	LearntLengths:      func(c *Config) { c.ForgetLengths = true },
 }
 
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -31,6 +31,8 @@
 	sentMark float64
 	// sentIdle says that the engine had hardly anything to read then.
 	sentIdle bool
+	// sentBehind are the prompt tokens that the engine had to read before it.
+	sentBehind float64
 }
 
 // begun records that the prompt has been read, or never will be.
@@ -67,6 +69,9 @@
 	inflow  inflow
 	// learntRate is how many prompt tokens a second idle engines have read; see readrate.go.
 	learntRate float64
+	// pace is how many prompt tokens a second prompts that aren't urgent have got through;
+	// zero if unknown.
+	pace float64
 	// leastBacklog is the least backlog of the target's endpoints at leastAt.
 	leastBacklog float64
 	leastAt      time.Time
--- a/pkg/scheduler/readrate.go
+++ b/pkg/scheduler/readrate.go
@@ -4,11 +4,25 @@
 
 // The load that this file answers: engines that read faster than ReadRate. Taken to be
 // slower than they are, they would seem busy while they are idle, and requests would be
-// refused for nothing. So what is read beyond ReadRate is learnt. Slower engines need no
-// care: they are taken to be idle too early, as if nothing were estimated.
+// refused for nothing. So what is read beyond ReadRate is learnt.
+//
+// And engines that read slower, for prompts that aren't urgent: because the engine is slow,
+// its batch is full, its memory has no room yet, or urgent prompts overtake. Prompts were
+// sent that began late, and kept those behind them waiting. So it is learnt how fast the
+// own prompts have got through what was before them. On a third of the large fleet with two
+// fifths of the engines leaving the mean worth rose from 0.639 to 0.672 (3 plays each; late
+// 214 to 173 of 1,394 long answers), on three other loads it stayed level.
 
-// readRateSmoothing is the weight of one answer in the learnt rate.
-const readRateSmoothing = 0.1
+const (
+	// readRateSmoothing is the weight of one answer in the learnt rate.
+	readRateSmoothing = 0.1
+	// paceSmoothing is the weight of one answer in the learnt pace. An entry of a large
+	// fleet gets an answer every three seconds, and a burst lasts ten.
+	paceSmoothing = 0.2
+	// leastPace bounds the learnt pace, as a share of the rate: two or three answers that
+	// were held up, by a link or an engine that ends, must not have all refused.
+	leastPace = 0.25
+)
 
 // readRate is how many prompt tokens an engine of a target reads a second.
 func (s *Scheduler) readRate(target string) float64 {
@@ -30,6 +44,7 @@
 		before = s.unreadOf(now, e)
 	}
 	it.sentIdle = s.idle(it.req.Row.Target, before)
+	it.sentBehind = before
 	e.sent(now, it.req.PromptTokens, rate)
 	it.sentMark = e.sentTotal
 }
@@ -45,8 +60,34 @@
 		seen := float64(it.req.PromptTokens) / took
 		q.learntRate += readRateSmoothing * (seen - q.learntRate)
 	}
+	if s.learnsPace(it) {
+		q.notePace((it.sentBehind+float64(it.req.PromptTokens))/took, s.readRate(it.req.Row.Target))
+	}
 	if !it.req.Urgent() {
 		// Urgent prompts may have been read before others that came earlier.
 		it.endpoint.readUpTo(now, it.sentMark, s.readRate(it.req.Row.Target))
 	}
 }
+
+// learnsPace reports whether the start of an answer tells the pace. What was before a
+// prompt is known well in the own data centre only.
+func (s *Scheduler) learnsPace(it *item) bool {
+	return s.cfg.LearnPace && !it.req.Urgent() && it.endpoint.spec.DataCenter == s.cfg.DataCenter
+}
+
+// notePace learns from a prompt that got through so many tokens a second, its own included.
+func (q *queue) notePace(seen, rate float64) {
+	if q.pace == 0 {
+		q.pace = rate
+	}
+	q.pace += paceSmoothing * (min(seen, rate) - q.pace)
+}
+
+// paced bounds the rate that prompts which aren't urgent are expected to be read at by the
+// learnt pace.
+func (q *queue) paced(spare, rate float64) float64 {
+	if q.pace == 0 {
+		return spare
+	}
+	return min(spare, max(q.pace, leastPace*rate))
+}
