--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -239,13 +238,7 @@
 func TestEntriesTellOfPrompts(t *testing.T) {
 	w := newWorld(t)
 	w.endpoint("engine-1", "engine")
-	first := w.settings("vm-1")
-	first.PortLow = freeport.Port(t)
-	one := w.start(first).waitReady()
-	second := w.settings("vm-2", one.vm.Peers)
-	second.PortLow = freeport.Port(t)
-	metricsPort := freeport.Port(t)
-	w.start(second, "-metrics-port", strconv.Itoa(metricsPort)).waitReady()
+	one, metricsPort := w.neighbours()
 	sent := 0
 	w.g.Eventually(func() string {
 		sent++
--- a/internal/gateway/tell_test.go
+++ b/internal/gateway/tell_test.go
@@ -21,18 +21,25 @@
 	return n
 }
 
+// neighbours starts two entries that tell each other of prompts, and returns the first one
+// and the port of the other's metrics.
+func (w *world) neighbours() (one *entry, metricsPort int) {
+	first := w.settings("vm-1")
+	first.PortLow = freeport.Port(w.t)
+	one = w.start(first).waitReady()
+	second := w.settings("vm-2", one.vm.Peers)
+	second.PortLow = freeport.Port(w.t)
+	metricsPort = freeport.Port(w.t)
+	w.start(second, "-metrics-port", strconv.Itoa(metricsPort)).waitReady()
+	return one, metricsPort
+}
+
 // TestEntriesTellThatPromptsWereRead: each prompt that was told of is told to be read,
 // also if the engine refuses it; else it would count as waiting for seconds.
 func TestEntriesTellThatPromptsWereRead(t *testing.T) {
 	w := newWorld(t)
 	engine := w.endpoint("engine-1", "engine")
-	first := w.settings("vm-1")
-	first.PortLow = freeport.Port(t)
-	one := w.start(first).waitReady()
-	second := w.settings("vm-2", one.vm.Peers)
-	second.PortLow = freeport.Port(t)
-	metricsPort := freeport.Port(t)
-	w.start(second, "-metrics-port", strconv.Itoa(metricsPort)).waitReady()
+	one, metricsPort := w.neighbours()
 	sent := 0
 	for _, refuse := range []bool{false, true} {
 		engine.SetRefusing(refuse)
