--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,7 +9,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
