--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,7 +64,17 @@
 mutant "moves: no slack between copies" pkg/evacuation/evacuation.go 's/{80 \* time.Millisecond, 40 \* time.Millisecond, 0}/{0}/' ./pkg/evacuation
 mutant "moves: links of targets not counted" pkg/evacuation/evacuation.go 's/^\tbest.busy = end$//' ./pkg/evacuation
 mutant "notices: others' prompts not counted" pkg/scheduler/versions.go 's/c.ReadRate = DefaultReadRate/c.ReadRate = 0/' ./pkg/scheduler
-mutant "notices: not sent" internal/gateway/beliefs.go 's/told, left := g.notices.Sent(.*/told, left := 0, 0/' "./internal/gateway -run TestEntriesTellOfPrompts"
+mutant "notices: not sent" internal/gateway/tell.go 's/if g.notices == nil || g.cfg.Without.has(mechNotices) {/if true {/' "./internal/gateway -run TestEntriesTellOfPrompts"
+mutant "notices: refused prompts not told to be read" internal/relay/relay.go 's/^\tdefer read()$/\t_ = read/' "./internal/gateway -run TestEntriesTellThat"
+mutant "notices: reading estimated" pkg/scheduler/versions.go 's/c.ToldReads = true/c.ToldReads = false/' ./pkg/scheduler
+mutant "notices: unknown engines elsewhere used" pkg/scheduler/versions.go 's/c.KnownRemotes = true/c.KnownRemotes = false/' ./pkg/scheduler
+mutant "notices: requests that wait not told" internal/peering/loads.go 's/toByte(rep.Waiting)/0/' ./internal/peering
+mutant "notices: loads told to all" internal/notices/notices.go 's/to = append(to, peers\[pick(len(peers))\])/to = append(to, peers...)/' ./internal/notices
+mutant "exchange: answers compressed" internal/peering/client.go 's/connect.WithAcceptCompression(compressionName, nil, nil)/connect.WithReadMaxBytes(maxMessageBytes)/' ./internal/peering
+mutant "exchange: leaves repeated by all who hear" internal/peering/beliefs.go 's/if r.GetDataCenter() != b.view.Self().GetDataCenter() {/if true {/' ./internal/peering
+mutant "starts: silent peers awaited" internal/controllers/catchup.go 's/peersFirst = 150 \* time.Millisecond/peersFirst = time.Hour/' ./internal/controllers
+mutant "starts: store read though peers know" internal/controllers/catchup.go 's/if !c.Ready() {/if true {/' ./internal/controllers
+mutant "starts: old copy believed to be new" platform/store.go 's/^\tout.Revision = 0$//' "./internal/gateway -run TestTheFirstStart"
 mutant "notices: not bounded" internal/notices/notices.go 's/count := min(len(peers), maxPerSecond-n.sent)/count := len(peers)/' ./internal/notices
 mutant "store: read while the view settles" internal/controllers/load.go 's/if !pause.For(ctx, c.Settle)/if !pause.For(ctx, 0)/' ./internal/controllers
 mutant "store: each change read alone" internal/controllers/config.go 's/pause.For(ctx, jittered(c.spacing(now)))/pause.For(ctx, time.Millisecond)/' ./internal/controllers
@@ -78,5 +88,6 @@
 mutant "bursts: prompts sent wherever" pkg/scheduler/versions.go 's/c.StartInTime = true/c.StartInTime = false/' ./pkg/scheduler
 mutant "bursts: others' work forgotten" pkg/scheduler/scheduler.go 's/if s.cfg.PeersFromReports || s.cfg.OthersFromReports {/if false {/' ./pkg/scheduler
 mutant "bursts: read rates not learnt" pkg/scheduler/readrate.go 's/return max(s.cfg.ReadRate, s.queue(target).learntRate)/return s.cfg.ReadRate/' ./pkg/scheduler
+mutant "bursts: pace not learnt" pkg/scheduler/versions.go 's/c.LearnPace = true/c.LearnPace = false/' ./pkg/scheduler
 mutant "breakers: probes end with the answer" pkg/scheduler/scheduler.go 's/^\t\ts.answered(it.endpoint)$//' ./pkg/scheduler
 exit $green
