--- a/pkg/scheduler/endpoint.go
+++ b/pkg/scheduler/endpoint.go
@@ -41,8 +41,8 @@
 	// sentTotal counts all prompt tokens that are known to have been sent.
 	sentTotal float64
 
-	// others are the prompts of other entries that are still to be read.
-	others unreadPrompts
+	// othersUnread are the prompts of other entries that are still to be read.
+	othersUnread unreadPrompts
 	// told are the prompts of other entries that no report shows yet, the oldest first.
 	told []toldPrompt
 
--- a/pkg/scheduler/remote.go
+++ b/pkg/scheduler/remote.go
@@ -45,7 +45,7 @@
 		return
 	}
 	s.Report(now, l.Report)
-	e.others.replace(now, max(float64(l.Unread)-e.unread, 0))
+	e.othersUnread.replace(now, max(float64(l.Unread)-e.unread, 0))
 }
 
 // known reports whether the last report of an engine says how busy it is now.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -247,7 +247,7 @@
 			e.toldOf(now, tokens)
 		}
 		if s.cfg.ToldReads {
-			e.others.add(now, tokens)
+			e.othersUnread.add(now, tokens)
 		}
 	}
 }
@@ -255,7 +255,7 @@
 // PromptRead records that an engine has read a prompt of another entry.
 func (s *Scheduler) PromptRead(now time.Time, endpoint string, tokens int) {
 	if e := s.byID[endpoint]; e != nil {
-		e.others.remove(now, tokens)
+		e.othersUnread.remove(now, tokens)
 	}
 }
 
--- a/pkg/scheduler/unread.go
+++ b/pkg/scheduler/unread.go
@@ -72,7 +72,7 @@
 // unreadOf counts the prompt tokens that an engine has still to read.
 func (s *Scheduler) unreadOf(now time.Time, e *endpoint) float64 {
 	if s.cfg.ToldReads {
-		return e.unread + e.others.total(now)
+		return e.unread + e.othersUnread.total(now)
 	}
 	return max(e.unread, e.promptsLeft(now, s.readRate(e.spec.Targets[0])))
 }
