Loads of engines are walked in one place, the scheduler reached in one way

Read once more: what a record and what a datagram tell of loads were walked by a loop each, three methods of Beliefs unwrapped the scheduler by themselves, and a test fixture stood twice. Ruled out as twins: the tests' lists of engines, which differ in what they are about.

--- a/internal/peering/exchange_test.go
+++ b/internal/peering/exchange_test.go
@@ -12,11 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
-	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/published"
-	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
-	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
@@ -45,9 +42,8 @@
 
 // newPeer makes an entry that knows the others of a large data centre.
 func newPeer(tb testing.TB, vm string) *peer {
-	view := membership.New(membership.Config{VM: vm, DataCenter: "hall", PeerAddress: vm, Incarnation: []byte(vm)})
 	p := &peer{
-		beliefs: NewBeliefs(view, dispatch.New(scheduler.New(scheduler.Config{})), HomeEntries, func(drain.Leave, string) {}),
+		beliefs: beliefsOf(vm, "hall"),
 		store:   published.New(published.Parsers{Table: anyTable}, func(published.Event) {}, nil),
 	}
 	var others []*peerv1.NodeRecord
--- a/internal/peering/loads.go
+++ b/internal/peering/loads.go
@@ -77,16 +77,26 @@
 	}
 }
 
+// eachLoad gives the reports of complete loads about endpoints that are listed, with their
+// places.
+func (b *Beliefs) eachLoad(now time.Time, l *peerv1.Loads, take func(i int, r scheduler.Report)) {
+	for i, hash := range l.GetEndpoints() {
+		if e, known := b.byHash[hash]; known {
+			take(i, reportOf(now, e, l, i))
+		}
+	}
+}
+
 // applyLoads takes what a peer says of engines that this entry doesn't read itself.
 func (b *Beliefs) applyLoads(now time.Time, p scheduler.Policy, l *peerv1.Loads) {
 	if !complete(l) {
 		return
 	}
-	for i, hash := range l.GetEndpoints() {
-		if e, known := b.byHash[hash]; known && !b.homes[e.ID] {
-			p.Report(now, reportOf(now, e, l, i))
+	b.eachLoad(now, l, func(_ int, r scheduler.Report) {
+		if !b.homes[r.Endpoint] {
+			p.Report(now, r)
 		}
-	}
+	})
 }
 
 // maxTold bounds the engines of one message about a data centre's loads, so that it fits
@@ -97,11 +107,7 @@
 // pick, which gives a number below its argument, chooses a part if there are many.
 func (b *Beliefs) Loads(pick func(below int) int) *peerv1.Loads {
 	out := &peerv1.Loads{}
-	b.dispatcher.View(func(now time.Time, p scheduler.Policy) {
-		s, ok := p.(*scheduler.Scheduler)
-		if !ok {
-			return
-		}
+	b.viewScheduler(func(now time.Time, s *scheduler.Scheduler) {
 		for _, l := range part(s.Loads(now), pick) {
 			appendLoad(out, now, l.Report)
 			out.Unread = append(out.Unread, uint32(l.Unread))
@@ -126,15 +132,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.dispatcher.View(func(now time.Time, p scheduler.Policy) {
-		s, ok := p.(*scheduler.Scheduler)
-		if !ok {
-			return
-		}
-		for i, hash := range l.GetEndpoints() {
-			if e, known := b.byHash[hash]; known {
-				s.TakeLoad(now, scheduler.Load{Report: reportOf(now, e, l, i), Unread: int(l.GetUnread()[i])})
-			}
-		}
+	b.viewScheduler(func(now time.Time, s *scheduler.Scheduler) {
+		b.eachLoad(now, l, func(i int, r scheduler.Report) {
+			s.TakeLoad(now, scheduler.Load{Report: r, Unread: int(l.GetUnread()[i])})
+		})
 	})
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,7 +70,8 @@
 mutant "notices: unknown engines elsewhere used" pkg/scheduler/versions.go 's/c.KnownRemotes = true/c.KnownRemotes = false/' ./pkg/scheduler
 mutant "notices: requests that wait not told" internal/peering/loads.go 's/toByte(rep.Waiting)/0/' ./internal/peering
 mutant "notices: loads told to all" internal/notices/notices.go 's/to = append(to, peers\[pick(len(peers))\])/to = append(to, peers...)/' ./internal/notices
-mutant "exchange: answers compressed" internal/peering/client.go 's/connect.WithAcceptCompression(compressionName, nil, nil)/connect.WithReadMaxBytes(maxMessageBytes)/' ./internal/peering
+mutant "exchange: answers compressed" internal/peering/client.go 's/^const compressFrom = 64 << 10/const compressFrom = 1/' ./internal/peering
+mutant "exchange: large tables not compressed" internal/peering/client.go 's/^const compressFrom = 64 << 10/const compressFrom = 64 << 20/' ./internal/peering
 mutant "exchange: leaves repeated by all who hear" internal/peering/beliefs.go 's/if r.GetDataCenter() != b.view.Self().GetDataCenter() {/if true {/' ./internal/peering
 mutant "starts: silent peers awaited" internal/controllers/catchup.go 's/peersFirst = 150 \* time.Millisecond/peersFirst = time.Hour/' ./internal/controllers
 mutant "starts: store read though peers know" internal/controllers/catchup.go 's/if !c.Ready() {/if true {/' ./internal/controllers
