Logs tell what was asked and whether an endpoint ended under it

Cause: of the crashing request's incident the log couldn't tell whether the summaries under which engines ended were one request, since it named ids only, nor whether an engine had ended or a connection had broken, since 'unexpected EOF' is both. Ruled out as a means: the records of endpoints, which lapse 2 to 3 s after an end. Change: 'attempt failed' names workspace, kind and the request's identity (a digest of workspace, host, path and body); when a run breaks off unannounced, the entry looks whether the endpoint's process is there, over a kept connection or a new one, and logs 'endpoint ended under a request' (internal/crashwatch). Nothing is decided by it yet.

--- /dev/null
+++ b/internal/crashwatch/crashwatch.go
@@ -0,0 +1,157 @@
+// Package crashwatch finds out whether an endpoint ended while requests ran in it.
+//
+// A broken connection alone doesn't say so: links are cut, connections are reset, answers
+// are spoilt. So the first run that breaks off at a life of an endpoint opens a case, which
+// all others that break off there join, and the watcher looks whether the process is there:
+//
+//	a run broke off
+//	      |
+//	      v            refuses connections, or its next life is known
+//	  [open] ------------------------------------------------------> [ended]: told
+//	      |  \--still there, or nothing is heard of it: looks again    each run,
+//	      |                                                            late ones too
+//	      +--keepFor--> dropped; nothing was shown
+//
+// An end that was announced is none that a request brought about: runs at endpoints that
+// leave, or that are no longer listed, open no case.
+package crashwatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
+)
+
+const (
+	// settle is the time before the first look: a process that ends closes its connections
+	// one after the other, and one that still looks open would count as a sign of life.
+	settle = 30 * time.Millisecond
+	// lookEvery is the time between two looks, which at most opens a connection each.
+	// maxLooks bounds them for a life, since connections are priced: where a process is
+	// there, one look shows it.
+	lookEvery = 250 * time.Millisecond
+	maxLooks  = 4
+	// keepFor is for how long a case is kept: by then the next life of an endpoint that
+	// started again at once has been listed (its record takes up to a heartbeat, some
+	// seconds), and each caller has been told of its broken run.
+	keepFor = 6 * time.Second
+	// maxCases bounds the cases that are open at once, as each looks at an endpoint. More
+	// lives than that break off together when a network fails, not by requests.
+	maxCases = 64
+	// maxRuns bounds the runs of a case, above the requests that one engine runs at once.
+	maxRuns = 256
+)
+
+// Run is one request that broke off.
+type Run struct {
+	RequestID string
+	Identity  quarantine.Identity
+}
+
+// Config holds the parts that a Watcher asks.
+type Config struct {
+	// Look tells whether an endpoint's process is there.
+	Look func(context.Context, fleet.Endpoint) upstream.Presence
+	// Expected reports whether an endpoint's end is no surprise: it was known to leave, or
+	// is no longer listed.
+	Expected func(fleet.Endpoint) bool
+	// Over reports whether the next life of an endpoint is known.
+	Over func(fleet.Life) bool
+	// OnEnded is told of the runs under which a life ended. It may be called more than
+	// once for a life, with other runs.
+	OnEnded func(at fleet.Endpoint, under []Run)
+}
+
+// Watcher keeps the cases. It is safe for concurrent use.
+type Watcher struct {
+	cfg Config
+
+	mu    sync.Mutex
+	cases map[fleet.Life]*lifeCase
+}
+
+// lifeCase holds the runs that broke off in one life of an endpoint.
+type lifeCase struct {
+	at    fleet.Endpoint
+	runs  []Run
+	ended bool
+}
+
+// New makes a watcher without cases.
+func New(cfg Config) *Watcher { return &Watcher{cfg: cfg, cases: map[fleet.Life]*lifeCase{}} }
+
+// Broken takes the news that a run broke off at an endpoint. It doesn't block.
+func (w *Watcher) Broken(ctx context.Context, at fleet.Endpoint, run Run) {
+	if w.cfg.Expected(at) {
+		return
+	}
+	if w.join(ctx, at, run) {
+		w.cfg.OnEnded(at, []Run{run})
+	}
+}
+
+// join adds a run to its case, which it opens if there is none, and reports whether the
+// life is known to have ended.
+func (w *Watcher) join(ctx context.Context, at fleet.Endpoint, run Run) (ended bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.cases[at.Life()]
+	if c == nil {
+		if len(w.cases) >= maxCases {
+			return false
+		}
+		c = &lifeCase{at: at}
+		w.cases[at.Life()] = c
+		go w.watch(ctx, c)
+	}
+	if len(c.runs) < maxRuns {
+		c.runs = append(c.runs, run)
+	}
+	return c.ended
+}
+
+// watch looks at the endpoint of a case until it is known to have ended, and drops the case
+// when nothing more is to be learnt.
+func (w *Watcher) watch(ctx context.Context, c *lifeCase) {
+	opened := time.Now()
+	pause.For(ctx, settle)
+	for looks := 1; ctx.Err() == nil && time.Since(opened) < keepFor; looks++ {
+		if !w.isEnded(c) && w.hasEnded(ctx, c.at, looks) {
+			w.settle(c)
+		}
+		pause.For(ctx, lookEvery)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.cases, c.at.Life())
+}
+
+// hasEnded reports whether the life is known to have ended unannounced, by the list or by a
+// look. Once a look has shown an end, the news that it was announced may have come: it can
+// be slower than the end.
+func (w *Watcher) hasEnded(ctx context.Context, at fleet.Endpoint, looks int) bool {
+	if w.cfg.Over(at.Life()) {
+		return true
+	}
+	return looks <= maxLooks && w.cfg.Look(ctx, at) == upstream.Ended && !w.cfg.Expected(at)
+}
+
+func (w *Watcher) isEnded(c *lifeCase) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return c.ended
+}
+
+// settle tells of the runs of a life that has ended.
+func (w *Watcher) settle(c *lifeCase) {
+	w.mu.Lock()
+	c.ended = true
+	under := append([]Run(nil), c.runs...)
+	w.mu.Unlock()
+	w.cfg.OnEnded(c.at, under)
+}
--- /dev/null
+++ b/internal/crashwatch/crashwatch_test.go
@@ -0,0 +1,118 @@
+package crashwatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+)
+
+// scene is an endpoint as a watcher sees it, and what the watcher told.
+type scene struct {
+	mu       sync.Mutex
+	presence upstream.Presence
+	expected bool
+	over     bool
+	looks    int
+	told     []string
+}
+
+func (s *scene) look(context.Context, fleet.Endpoint) upstream.Presence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.looks++
+	return s.presence
+}
+
+func (s *scene) set(change func(*scene)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *scene) watcher() *crashwatch.Watcher {
+	read := func(b *bool) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return *b
+	}
+	return crashwatch.New(crashwatch.Config{
+		Look:     s.look,
+		Expected: func(fleet.Endpoint) bool { return read(&s.expected) },
+		Over:     func(fleet.Life) bool { return read(&s.over) },
+		OnEnded: func(_ fleet.Endpoint, under []crashwatch.Run) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, run := range under {
+				s.told = append(s.told, run.RequestID)
+			}
+		},
+	})
+}
+
+var engine = fleet.Endpoint{ID: "engine-1", Address: "127.0.0.1:1", Incarnation: 7}
+
+// longest is longer than a case is kept.
+const longest = 10 * time.Second
+
+func TestCases(t *testing.T) {
+	cases := map[string]struct {
+		scene scene
+		later func(*scene)
+		told  []string
+	}{
+		"the process is gone":                  {scene{presence: upstream.Ended}, nil, []string{"r1", "r2", "late"}},
+		"it can't be seen, then it is gone":    {scene{}, func(s *scene) { s.presence = upstream.Ended }, []string{"r1", "r2", "late"}},
+		"it started again at once":             {scene{presence: upstream.Listening}, func(s *scene) { s.over = true }, []string{"r1", "r2", "late"}},
+		"only the connection broke":            {scene{presence: upstream.Listening}, nil, nil},
+		"it is silent":                         {scene{}, nil, nil},
+		"it was known to leave":                {scene{presence: upstream.Ended, expected: true}, nil, nil},
+		"it ends, and its leave is told later": {scene{}, func(s *scene) { s.presence, s.expected = upstream.Ended, true }, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &c.scene
+				w := s.watcher()
+				w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "r1"})
+				w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "r2"})
+				time.Sleep(100 * time.Millisecond)
+				if c.later != nil {
+					s.set(c.later)
+				}
+				time.Sleep(time.Second)
+				w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "late"})
+				time.Sleep(longest)
+				g.Expect(s.told).To(Equal(c.told))
+				g.Expect(s.looks).To(BeNumerically("<=", 4), "looks are priced")
+			})
+		})
+	}
+}
+
+// TestManyCases: when a network fails, what looks at endpoints is bounded.
+func TestManyCases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &scene{presence: upstream.Ended}
+		w := s.watcher()
+		for i := range 500 {
+			e := engine
+			e.Incarnation = uint64(i)
+			w.Broken(t.Context(), e, crashwatch.Run{RequestID: "r"})
+		}
+		time.Sleep(longest)
+		g.Expect(s.looks).To(Equal(64))
+		w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "r"})
+		time.Sleep(longest)
+		g.Expect(s.looks).To(Equal(65), "cases that are over make room")
+	})
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -224,7 +224,7 @@
 
 // onAttempt logs an attempt that failed and what followed.
 func (g *Gateway) onAttempt(j *job.Job, grant dispatch.Grant, f *attempt.Failure, step retry.Step) {
-	g.log.Warn("attempt failed", "request", j.RequestID, "endpoint", grant.Endpoint.ID, "address", grant.Endpoint.Address,
+	g.log.Warn("attempt failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "identity", j.Identity(), "endpoint", grant.Endpoint.ID, "address", grant.Endpoint.Address,
 		"failure", f.Kind, "error", f.Err, "step", step, "elapsed_ms", time.Since(j.Arrived).Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
@@ -90,7 +91,9 @@
 	forwarder  *relay.Forwarder
 	engines    engines.Caller
 	evacuator  *evacuate.Evacuator
-	runner     *runner.Runner
+	// crashes finds out which requests endpoints ended under.
+	crashes *crashwatch.Watcher
+	runner  *runner.Runner
 	// inForce are the endpoints in force.
 	inForce  atomic.Pointer[fleet.List]
 	work     context.Context
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
@@ -113,6 +114,12 @@
 }
 
 func (g *Gateway) makeRunner() {
+	g.crashes = crashwatch.New(crashwatch.Config{
+		Look:     g.pool.Look,
+		Expected: g.endExpected,
+		Over:     g.over,
+		OnEnded:  g.onEnded,
+	})
 	g.forwarder = relay.New(relay.Config{
 		Dispatcher:     g.dispatcher,
 		Pool:           g.pool,
@@ -121,6 +128,7 @@
 		OnSend:         g.tellPrompt,
 		OnBegin:        func(at fleet.Endpoint) { g.evacuator.Begun(g.work, at) },
 		OnClosing:      g.onClosing,
+		OnBroken:       g.onBroken,
 		OnHandoff:      g.onHandoff,
 	})
 	g.engines = platform.NewEngines(g.pool)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
@@ -69,6 +70,9 @@
 	// OwnerAnswered says that an error comes from the ticket's owner.
 	OwnerAnswered bool
 
+	// identity is kept once it has been asked for; see Identity.
+	identity *quarantine.Identity
+
 	// Endpoint is where the request ran last, for logs.
 	Endpoint string
 	// Outcome and Code are set when the answer has been written, for accounting.
@@ -85,6 +89,16 @@
 	NotSent    func()
 }
 
+// Identity names what the caller asks for. It is computed when it is first asked for, since
+// most requests never need it: hashing a prompt of 16 KB takes some 20 us.
+func (j *Job) Identity() quarantine.Identity {
+	if j.identity == nil {
+		identity := quarantine.IdentityOf(j.Workspace, j.Host, j.Path, j.Body)
+		j.identity = &identity
+	}
+	return *j.identity
+}
+
 // Timings measures how a request progressed.
 type Timings struct {
 	Queued     time.Duration
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,9 @@
 	Values *prometheus.CounterVec
 	// Leaves counts news of leaving endpoints by source.
 	Leaves *prometheus.CounterVec
+	// EndedUnder counts the runs that broke off because their endpoint ended
+	// unannounced.
+	EndedUnder prometheus.Counter
 	// Connections counts new connections to endpoints.
 	Connections prometheus.Counter
 	// Moves counts generations that were to be moved to another engine, by result.
@@ -86,6 +89,7 @@
 	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
+	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
@@ -96,7 +100,7 @@
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
-		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected,
+		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected, m.EndedUnder,
 		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.Notices, m.HandoffPause,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -77,6 +77,9 @@
 		if errors.Is(err, errCaller) {
 			return err
 		}
+		if err != nil {
+			p.f.broken(ctx, p.j, p.session.Endpoint(), retry.LinkLost)
+		}
 		h := p.session.next(ctx)
 		if h == nil || err == nil && h.ended {
 			return err
@@ -118,6 +121,7 @@
 	s.Continue = &upstream.Continuation{Source: h.Copy.Source, Handle: h.Copy.Handle}
 	resp, failure := p.f.cfg.Pool.Do(ctx, h.Target, request(p.j), s)
 	if failure != nil {
+		p.f.broken(ctx, p.j, h.Target, failure.Kind)
 		return nil, failure
 	}
 	if failure := unfit(resp, true); failure != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,9 @@
 	// OnClosing, if set, is told of each engine whose answer says that the connection
 	// closes.
 	OnClosing func(at fleet.Endpoint)
+	// OnBroken, if set, is told of each request that may have run at an endpoint and whose
+	// connection broke before its answer was whole, while its caller was still there.
+	OnBroken func(j *job.Job, at fleet.Endpoint)
 	// OnHandoff, if set, is told of each stream that went on at another endpoint,
 	// or failed to.
 	OnHandoff func(HandoffEvent)
@@ -90,6 +93,7 @@
 	start := time.Now()
 	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant.Endpoint))
 	if failure != nil {
+		f.broken(ctx, j, grant.Endpoint, failure.Kind)
 		return attempt.Ending{Failure: failure}
 	}
 	if resp.Closing && grant.Endpoint.Type == fleet.Engine && f.cfg.OnClosing != nil {
@@ -104,7 +108,19 @@
 		return f.passStream(ctx, j, out, grant, resp, start, read)
 	}
 	defer resp.Close()
-	return passWhole(j, out, resp, start)
+	end := passWhole(j, out, resp, start)
+	if end.Failure != nil {
+		f.broken(ctx, j, grant.Endpoint, end.Failure.Kind)
+	}
+	return end
+}
+
+// broken tells of a run that broke off. When the caller has left or its time is up, the
+// connection was closed by this entry, which says nothing of the endpoint.
+func (f *Forwarder) broken(ctx context.Context, j *job.Job, at fleet.Endpoint, kind retry.Failure) {
+	if kind == retry.LinkLost && ctx.Err() == nil && f.cfg.OnBroken != nil {
+		f.cfg.OnBroken(j, at)
+	}
 }
 
 // tellSent tells of a prompt that is sent, and returns what tells, once, that it was read.
--- /dev/null
+++ b/internal/upstream/look.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+)
+
+// Presence is what a look at an endpoint's address shows.
+type Presence int
+
+// The presences.
+const (
+	// Unknown: nothing answered. The endpoint may be cut off, without power, or busy.
+	Unknown Presence = iota
+	// Listening: a process has the address. It may be the endpoint's next life.
+	Listening
+	// Ended: the address refuses connections, so that the process which had it has ended.
+	Ended
+)
+
+// String names the presence for logs.
+func (p Presence) String() string { return [...]string{"unknown", "listening", "ended"}[p] }
+
+// Look tells whether an endpoint's process is there. A kept connection that is open and
+// silent shows it for nothing; else one is opened, and kept if it comes up.
+func (p *Pool) Look(ctx context.Context, e fleet.Endpoint) Presence {
+	if c := p.take(e.Life()); c != nil {
+		p.put(e.Life(), c)
+		return Listening
+	}
+	c, err := dial(ctx, e.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Ended
+	}
+	if err != nil {
+		return Unknown
+	}
+	p.onDial()
+	p.put(e.Life(), c)
+	return Listening
+}
