Requests whose callers left lately are suspected too when their endpoint ends

Cause: a caller may leave just before its request ends the endpoint; then nothing of this entry breaks off there and nobody holds the end against the request. Change: crashwatch remembers such requests for half a second. They join a case that another broken run opens, and one is opened for them when the endpoint refuses a connection. A connection that this entry closed itself is told from one that broke by its error.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -12,12 +12,18 @@
 //	      |                                                            late ones too
 //	      +--keepFor--> dropped; nothing was shown
 //
+// A request whose caller leaves may crash its endpoint a moment later, which nobody sees who
+// runs nothing else there. Such requests are remembered for leftFor: they join a case that
+// opens in that time, and one is opened for them if the endpoint then refuses a connection
+// that is made for another request.
+//
 // An end that was announced is none that a request brought about: runs at endpoints that
 // leave, or that are no longer listed, open no case.
 package crashwatch
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +49,14 @@
 	// maxCases bounds the cases that are open at once, as each looks at an endpoint. More
 	// lives than that break off together when a network fails, not by requests.
 	maxCases = 64
-	// maxRuns bounds the runs of a case, above the requests that one engine runs at once.
+	// maxRuns bounds the runs of a case, above the requests that one engine runs at once, and
+	// maxLeft the requests remembered whose callers have left.
 	maxRuns = 256
+	maxLeft = 1024
+	// leftFor is for how long a request may work on at an endpoint whose caller has left. It
+	// is told to stop by its closed connection, and half a second is what it is given for
+	// that.
+	leftFor = 500 * time.Millisecond
 )
 
 // Run is one request that broke off.
@@ -75,6 +87,13 @@
 
 	mu    sync.Mutex
 	cases map[fleet.Life]*lifeCase
+	// left are the runs whose callers have left, in the order of their times.
+	left []leftRun
+}
+
+type leftRun struct {
+	Run
+	life fleet.Life
 }
 
 // lifeCase holds the runs that broke off in one life of an endpoint.
@@ -97,6 +116,55 @@
 	}
 }
 
+// Left takes the news that the caller of a request left while it ran at an endpoint.
+func (w *Watcher) Left(at fleet.Endpoint, run Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	recent := slices.IndexFunc(w.left, func(l leftRun) bool { return time.Since(l.At) < leftFor })
+	switch {
+	case recent < 0:
+		w.left = nil
+	case len(w.left)-recent >= maxLeft:
+		return
+	default:
+		w.left = w.left[recent:]
+	}
+	w.left = append(w.left, leftRun{run, at.Life()})
+}
+
+// Refused takes the news that an endpoint refused a connection.
+func (w *Watcher) Refused(ctx context.Context, at fleet.Endpoint) {
+	if w.cfg.Expected(at) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cases[at.Life()] == nil && len(w.leftAt(at.Life())) > 0 {
+		w.open(ctx, at)
+	}
+}
+
+// leftAt lists the runs whose callers left an endpoint lately. The caller holds the lock.
+func (w *Watcher) leftAt(life fleet.Life) (out []Run) {
+	for _, l := range w.left {
+		if l.life == life && time.Since(l.At) < leftFor {
+			out = append(out, l.Run)
+		}
+	}
+	return out
+}
+
+// open opens a case for an endpoint, unless there are too many. The caller holds the lock.
+func (w *Watcher) open(ctx context.Context, at fleet.Endpoint) *lifeCase {
+	if len(w.cases) >= maxCases {
+		return nil
+	}
+	c := &lifeCase{at: at, runs: w.leftAt(at.Life())}
+	w.cases[at.Life()] = c
+	go w.watch(ctx, c)
+	return c
+}
+
 // join adds a run to its case, which it opens if there is none, and reports whether the
 // life is known to have ended.
 func (w *Watcher) join(ctx context.Context, at fleet.Endpoint, run Run) (ended bool) {
@@ -104,12 +172,10 @@
 	defer w.mu.Unlock()
 	c := w.cases[at.Life()]
 	if c == nil {
-		if len(w.cases) >= maxCases {
-			return false
-		}
-		c = &lifeCase{at: at}
-		w.cases[at.Life()] = c
-		go w.watch(ctx, c)
+		c = w.open(ctx, at)
+	}
+	if c == nil {
+		return false
 	}
 	if len(c.runs) < maxRuns {
 		c.runs = append(c.runs, run)
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -116,3 +116,43 @@
 		g.Expect(s.looks).To(Equal(65), "cases that are over make room")
 	})
 }
+
+// TestCallersThatLeft: a request may end its endpoint just after its caller has left. It
+// counts if something else shows the end, and not if it left long before.
+func TestCallersThatLeft(t *testing.T) {
+	shows := map[string]func(*crashwatch.Watcher, context.Context){
+		"another run breaks off": func(w *crashwatch.Watcher, ctx context.Context) {
+			w.Broken(ctx, engine, crashwatch.Run{RequestID: "other"})
+		},
+		"another request is refused a connection": func(w *crashwatch.Watcher, ctx context.Context) { w.Refused(ctx, engine) },
+	}
+	for name, show := range shows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &scene{presence: upstream.Ended}
+				w := s.watcher()
+				for _, id := range []string{"long ago", "left"} {
+					w.Left(engine, crashwatch.Run{RequestID: id, At: time.Now()})
+					time.Sleep(400 * time.Millisecond)
+				}
+				show(w, t.Context())
+				time.Sleep(longest)
+				g.Expect(s.told).To(ContainElement("left"))
+				g.Expect(s.told).NotTo(ContainElement("long ago"))
+			})
+		})
+	}
+}
+
+// TestRefusedConnectionsAlone open no case: nothing ran there.
+func TestRefusedConnectionsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &scene{presence: upstream.Ended}
+		w := s.watcher()
+		w.Refused(t.Context(), engine)
+		time.Sleep(longest)
+		g.Expect(s.looks).To(BeZero())
+	})
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -224,6 +227,9 @@
 
 // onAttempt logs an attempt that failed and what followed.
 func (g *Gateway) onAttempt(j *job.Job, grant dispatch.Grant, f *attempt.Failure, step retry.Step) {
+	if f.Kind == retry.NotSent && errors.Is(f.Err, syscall.ECONNREFUSED) {
+		g.crashes.Refused(g.work, grant.Endpoint)
+	}
 	g.log.Warn("attempt failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "identity", j.Identity(), "endpoint", grant.Endpoint.ID, "address", grant.Endpoint.Address,
 		"failure", f.Kind, "error", f.Err, "step", step, "elapsed_ms", time.Since(j.Arrived).Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,6 +23,11 @@
 	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
 }
 
+// onLeft takes the news that a caller left while its request ran at an endpoint.
+func (g *Gateway) onLeft(j *job.Job, at fleet.Endpoint) {
+	g.crashes.Left(at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
+}
+
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
 func (g *Gateway) onEnded(at fleet.Endpoint, under []crashwatch.Run) {
 	g.metrics.EndedUnder.Add(float64(len(under)))
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -135,6 +135,7 @@
 		OnBegin:        func(at fleet.Endpoint) { g.evacuator.Begun(g.work, at) },
 		OnClosing:      g.onClosing,
 		OnBroken:       g.onBroken,
+		OnLeft:         g.onLeft,
 		OnWhole:        func(j *job.Job) { g.beliefs.Guard().Whole(j.Identity) },
 		Check:          g.checkHandoff,
 		OnHandoff:      g.onHandoff,
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -76,12 +76,12 @@
 		}
 		// The source must not work on: without an end its connection is closed.
 		resp.Close()
+		if err != nil {
+			p.f.broken(p.j, p.session.Endpoint(), &attempt.Failure{Kind: failureKind(err), Err: err})
+		}
 		if errors.Is(err, errCaller) {
 			return err
 		}
-		if err != nil {
-			p.f.broken(ctx, p.j, p.session.Endpoint(), retry.LinkLost)
-		}
 		h := p.session.next(ctx)
 		if h == nil || err == nil && h.ended {
 			return err
@@ -128,7 +128,7 @@
 	s.Continue = &upstream.Continuation{Source: h.Copy.Source, Handle: h.Copy.Handle}
 	resp, failure := p.f.cfg.Pool.Do(ctx, h.Target, request(p.j), s)
 	if failure != nil {
-		p.f.broken(ctx, p.j, h.Target, failure.Kind)
+		p.f.broken(p.j, h.Target, failure)
 		return nil, failure
 	}
 	if failure := unfit(resp, true); failure != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -53,8 +54,10 @@
 	// closes.
 	OnClosing func(at fleet.Endpoint)
 	// OnBroken, if set, is told of each request that may have run at an endpoint and whose
-	// connection broke before its answer was whole, while its caller was still there.
+	// connection broke before its answer was whole; OnLeft of each whose connection this
+	// entry closed, as its caller had left or its time was up.
 	OnBroken func(j *job.Job, at fleet.Endpoint)
+	OnLeft   func(j *job.Job, at fleet.Endpoint)
 	// OnWhole, if set, is told of each request whose answer is a success and came whole.
 	OnWhole func(j *job.Job)
 	// Check, if set, is asked whether a stream may go on at another endpoint.
@@ -97,7 +100,7 @@
 	start := time.Now()
 	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant.Endpoint))
 	if failure != nil {
-		f.broken(ctx, j, grant.Endpoint, failure.Kind)
+		f.broken(j, grant.Endpoint, failure)
 		return attempt.Ending{Failure: failure}
 	}
 	if resp.Closing && grant.Endpoint.Type == fleet.Engine && f.cfg.OnClosing != nil {
@@ -114,7 +117,7 @@
 	defer resp.Close()
 	end := passWhole(j, out, resp, start)
 	if end.Failure != nil {
-		f.broken(ctx, j, grant.Endpoint, end.Failure.Kind)
+		f.broken(j, grant.Endpoint, end.Failure)
 	} else if resp.Status < http.StatusMultipleChoices {
 		f.whole(j)
 	}
@@ -128,11 +131,17 @@
 	}
 }
 
-// broken tells of a run that broke off. When the caller has left or its time is up, the
-// connection was closed by this entry, which says nothing of the endpoint.
-func (f *Forwarder) broken(ctx context.Context, j *job.Job, at fleet.Endpoint, kind retry.Failure) {
-	if kind == retry.LinkLost && ctx.Err() == nil && f.cfg.OnBroken != nil {
-		f.cfg.OnBroken(j, at)
+// broken tells of a run that broke off. An error of a connection that was closed here says
+// nothing of the endpoint: the caller has left, or its time is up.
+func (f *Forwarder) broken(j *job.Job, at fleet.Endpoint, failure *attempt.Failure) {
+	told := f.cfg.OnBroken
+	if failure.Kind == retry.CallerGone || errors.Is(failure.Err, net.ErrClosed) {
+		told = f.cfg.OnLeft
+	} else if failure.Kind != retry.LinkLost {
+		return
+	}
+	if told != nil {
+		told(j, at)
 	}
 }
 
