Crashing requests are contained on our own interface too; mutants

Cause: bridgehoist-entry shares the runner and had the same gap, with generations and plain services of its own protocol. Change: the performer of our interface tells of broken links and whole answers; the entry has a watcher, the filter and the check before each send. The host is left out of the identity there, as peers don't tell it. 18 mutants, unit tests of runner, filter and facts.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -67,6 +67,16 @@
 	At time.Time
 }
 
+// Facts tells what the end of an endpoint says of the requests under which it ended.
+func Facts(at fleet.Endpoint, under []Run) []quarantine.Fact {
+	mark := quarantine.MarkOf(at.Life())
+	out := make([]quarantine.Fact, 0, len(under))
+	for _, run := range under {
+		out = append(out, quarantine.Fact{Identity: run.Identity, Mark: mark, At: run.At})
+	}
+	return out
+}
+
 // Config holds the parts that a Watcher asks.
 type Config struct {
 	// Look tells whether an endpoint's process is there.
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -12,6 +12,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
 
 // scene is an endpoint as a watcher sees it, and what the watcher told.
@@ -74,6 +75,7 @@
 		"only the connection broke":            {&scene{presence: upstream.Listening}, nil, nil},
 		"it is silent":                         {&scene{}, nil, nil},
 		"it was known to leave":                {&scene{presence: upstream.Ended, expected: true}, nil, nil},
+		"it left, and its next life came":      {&scene{expected: true}, func(s *scene) { s.expected, s.over = false, true }, []string{"late"}},
 		"it ends, and its leave is told later": {&scene{}, func(s *scene) { s.presence, s.expected = upstream.Ended, true }, nil},
 	}
 	for name, c := range cases {
@@ -98,6 +100,23 @@
 	}
 }
 
+// TestFactsOfALife: what two entries tell of the end of one life is the same, and that of
+// its next life is not.
+func TestFactsOfALife(t *testing.T) {
+	g := NewWithT(t)
+	at := time.Now()
+	run := crashwatch.Run{RequestID: "r1", Identity: quarantine.IdentityOf("w", "h", "/x", nil), At: at}
+	key := func(e fleet.Endpoint, r crashwatch.Run) quarantine.Key {
+		return crashwatch.Facts(e, []crashwatch.Run{r})[0].Key()
+	}
+	later := run
+	later.RequestID, later.At = "r2", at.Add(time.Second)
+	g.Expect(key(engine, later)).To(Equal(key(engine, run)))
+	next := engine
+	next.Incarnation++
+	g.Expect(key(next, run)).NotTo(Equal(key(engine, run)))
+}
+
 // TestManyCases: when a network fails, what looks at endpoints is bounded.
 func TestManyCases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -49,14 +49,18 @@
 	}))
 }
 
-// startEntry runs an entry before one engine and returns its callers' address.
-func startEntry(tb testing.TB, engine string) string {
+// startEntry runs an entry before some engines and returns its callers' address.
+func startEntry(tb testing.TB, engines ...string) string {
 	sum := sha256.Sum256([]byte("key"))
 	peer := freeport.Address(tb)
+	var endpoints []fleet.Endpoint
+	for i, address := range engines {
+		endpoints = append(endpoints, fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Type: fleet.Engine, DataCenter: "hall", Address: address, Targets: []string{"m"},
+			Incarnation: 1, State: fleet.Live, CapacityTokens: 1 << 30, MaxRunning: 1 << 20})
+	}
 	list, _ := json.Marshal(fleet.List{
-		VMs: []fleet.VM{{ID: "e", Role: fleet.RoleEntry, DataCenter: "hall", Peer: peer, State: fleet.Live}},
-		Endpoints: []fleet.Endpoint{{ID: "engine", Type: fleet.Engine, DataCenter: "hall", Address: engine, Targets: []string{"m"},
-			Incarnation: 1, State: fleet.Live, CapacityTokens: 1 << 30, MaxRunning: 1 << 20}},
+		VMs:        []fleet.VM{{ID: "e", Role: fleet.RoleEntry, DataCenter: "hall", Peer: peer, State: fleet.Live}},
+		Endpoints:  endpoints,
 		Workspaces: []fleet.Workspace{{Name: "w", KeysSHA256: []string{hex.EncodeToString(sum[:])}}},
 	})
 	p := platformstandin.New()
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -15,6 +15,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/filters/claim"
 	"github.com/bridgehoist/bridgehoist/internal/filters/classify"
 	"github.com/bridgehoist/bridgehoist/internal/filters/identify"
+	"github.com/bridgehoist/bridgehoist/internal/filters/quarantined"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -26,6 +27,7 @@
 func (e *Entry) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(e.relay)
 	run = claim.New(run, e.owner)
+	run = quarantined.New(run, e.beliefs.Guard())
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
 	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout)
--- /dev/null
+++ b/internal/entry/crashes.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/contain"
+	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
+)
+
+// makeGuard makes what keeps requests that crash what runs them from endpoints.
+func (e *Entry) makeGuard() {
+	e.beliefs.Guard().OnNews(e.onStandings, e.kick)
+	e.crashes = crashwatch.New(crashwatch.Config{
+		Look:     upstream.LookAt,
+		Expected: e.endExpected,
+		Over:     e.over,
+		OnEnded:  e.onEnded,
+	})
+}
+
+// listed finds an endpoint on the list in force.
+func (e *Entry) listed(id string) (fleet.Endpoint, bool) {
+	held := e.store.Fleet()
+	if held == nil {
+		return fleet.Endpoint{}, false
+	}
+	return held.Value.Endpoint(id)
+}
+
+// endExpected reports whether the end of an endpoint is no surprise: it is known to leave, or
+// isn't listed any more.
+func (e *Entry) endExpected(at fleet.Endpoint) bool {
+	_, listed := e.listed(at.ID)
+	return !listed || e.beliefs.Leaving(at)
+}
+
+// over reports whether the list shows another life of an endpoint.
+func (e *Entry) over(l fleet.Life) bool {
+	now, listed := e.listed(l.Endpoint)
+	return listed && now.Life() != l
+}
+
+// onBroken takes the news that a request broke off at an endpoint.
+func (e *Entry) onBroken(j *job.Job, at fleet.Endpoint) {
+	e.crashes.Broken(context.Background(), at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
+}
+
+// onEnded holds it against requests that an endpoint ended unannounced while they ran there.
+func (e *Entry) onEnded(at fleet.Endpoint, under []crashwatch.Run) {
+	e.metrics.EndedUnder.Add(float64(len(under)))
+	e.log.Warn("endpoint ended under requests", "endpoint", at.ID, "incarnation", at.Incarnation, "requests", len(under))
+	e.beliefs.Guard().Add(crashwatch.Facts(at, under)...)
+}
+
+// onStandings logs which requests go into quarantine and which leave it.
+func (e *Entry) onStandings(changes []contain.Change) {
+	for _, c := range changes {
+		if c.Now == quarantine.Contained || c.Before > quarantine.Suspected {
+			e.log.Warn("quarantine", "identity", c.Identity, "standing", c.Now, "before", c.Before, "ends", c.Ends)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,8 +13,10 @@
 	"github.com/google/uuid"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
+	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/native"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
@@ -27,6 +29,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -61,9 +64,11 @@
 	traffic    *peering.Traffic
 	owner      *owner.Owner
 	runner     *runner.Runner
-	exchange   *controllers.Exchange
-	config     *controllers.Config
-	peerTLS    *tls.Config
+	// crashes finds out which requests endpoints ended under.
+	crashes  *crashwatch.Watcher
+	exchange *controllers.Exchange
+	config   *controllers.Config
+	peerTLS  *tls.Config
 }
 
 // New makes an entry from checked settings.
@@ -120,6 +125,7 @@
 }
 
 func (e *Entry) makeRunner() {
+	e.makeGuard()
 	e.runner = runner.New(runner.Config{
 		Dispatcher: e.dispatcher,
 		Performer: native.New(native.Config{
@@ -128,7 +134,10 @@
 			StallTimeout: e.cfg.StallTimeout,
 			OnFailure:    e.metrics.ObserveFailure,
 			OnStep:       e.metrics.ObserveStep,
+			OnBroken:     e.onBroken,
+			OnWhole:      func(j *job.Job) { e.beliefs.Guard().Whole(j.Identity) },
 		}),
+		Begin: func(j *job.Job) (func(), *outcome.Error) { return e.beliefs.Guard().Begin(j.Identity) },
 		OnLeave: func(id string, incarnation uint64) {
 			e.beliefs.Leave(drain.Leave{Endpoint: id, Incarnation: incarnation}, peering.SourceEndpoint)
 		},
--- a/internal/filters/account/account.go
+++ b/internal/filters/account/account.go
@@ -35,6 +35,8 @@
 // their tickets.
 func Own(w http.ResponseWriter, r *http.Request, j *job.Job) {
 	j.RequestID = uuid.NewString()
+	// No route depends on it, and peers that pass a request on don't tell it.
+	j.Host = ""
 	j.Path = r.URL.RequestURI()
 	j.Ticket = ticketOf(r)
 	w.Header().Set(httpapi.HeaderRequestID, j.RequestID)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -6,7 +6,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
-	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
@@ -31,14 +30,11 @@
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
 func (g *Gateway) onEnded(at fleet.Endpoint, under []crashwatch.Run) {
 	g.metrics.EndedUnder.Add(float64(len(under)))
-	mark := peering.LifeMark(at.Life())
-	facts := make([]quarantine.Fact, 0, len(under))
 	for _, run := range under {
 		g.log.Warn("endpoint ended under a request", "request", run.RequestID, "identity", run.Identity, "endpoint", at.ID,
 			"start", at.Incarnation, "address", at.Address, "beside", len(under)-1, "fleet", g.fleetRevision())
-		facts = append(facts, quarantine.Fact{Identity: run.Identity, Mark: mark, At: run.At})
 	}
-	g.beliefs.Guard().Add(facts...)
+	g.beliefs.Guard().Add(crashwatch.Facts(at, under)...)
 }
 
 // onStandings logs which requests go into quarantine and which leave it.
--- a/internal/native/generate.go
+++ b/internal/native/generate.go
@@ -42,6 +42,7 @@
 	g := &generation{p: p, j: j, sink: sink, grant: grant, last: time.Now()}
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
+		p.broken(ctx, j, grant.Endpoint, f)
 		p.cfg.OnFailure(f.Kind)
 		p.cfg.OnStep(retry.Resume)
 		g.resumes++
@@ -51,8 +52,10 @@
 		f = g.link(ctx, g.resume)
 	}
 	if f == nil {
+		p.whole(j)
 		g.finish()
 	} else {
+		p.broken(ctx, j, grant.Endpoint, f)
 		g.abandon()
 	}
 	return attempt.Ending{Failure: f, Released: g.asm.Released(), Generated: g.asm.Next()}
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
@@ -28,6 +29,10 @@
 	OnFailure func(retry.Failure)
 	// OnStep is told of each resumption, for metrics.
 	OnStep func(retry.Step)
+	// OnBroken, if set, is told of each request whose link broke while its endpoint may
+	// have worked on it, and OnWhole of each whose answer is a success and came whole.
+	OnBroken func(j *job.Job, at fleet.Endpoint)
+	OnWhole  func(j *job.Job)
 }
 
 // Performer makes attempts.
@@ -51,8 +56,12 @@
 	start := time.Now()
 	reply, f := p.cfg.Client.Call(ctx, grant.Endpoint, j.RequestID, j.Method, j.ServicePath, j.ContentType, j.Body)
 	if f != nil {
+		p.broken(ctx, j, grant.Endpoint, f)
 		return attempt.Ending{Failure: f}
 	}
+	if reply.Status < http.StatusMultipleChoices {
+		p.whole(j)
+	}
 	j.Timings.Progress(j.Arrived, start)
 	sink.Header(reply.Status, reply.ContentType)
 	_ = sink.Data(reply.Body)
@@ -60,6 +69,21 @@
 	return attempt.Ending{}
 }
 
+// broken tells of a broken link, unless the caller has left or its time is up, when this
+// entry closed it.
+func (p *Performer) broken(ctx context.Context, j *job.Job, at fleet.Endpoint, f *attempt.Failure) {
+	lost := f.Kind == retry.LinkLost || f.Kind == retry.GenerationLost
+	if lost && ctx.Err() == nil && p.cfg.OnBroken != nil {
+		p.cfg.OnBroken(j, at)
+	}
+}
+
+func (p *Performer) whole(j *job.Job) {
+	if p.cfg.OnWhole != nil {
+		p.cfg.OnWhole(j)
+	}
+}
+
 func completion(j *job.Job, text string, reason *string, usage *httpapi.Usage) []byte {
 	data, _ := json.Marshal(httpapi.Completion{
 		ID:      j.RequestID,
--- a/internal/peering/requestfacts.go
+++ b/internal/peering/requestfacts.go
@@ -4,10 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
-	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
 
@@ -20,19 +17,6 @@
 // maxFactsIn bounds the facts of one message; a set holds no more.
 const maxFactsIn = quarantine.MaxFacts
 
-// LifeMark names a life of an endpoint among the facts of requests.
-func LifeMark(l fleet.Life) uint64 {
-	h := xxhash.New()
-	var start [8]byte
-	for i := range start {
-		start[i] = byte(l.Incarnation >> (8 * i))
-	}
-	// Writing to a hash never fails.
-	_, _ = h.Write(start[:])
-	_, _ = h.WriteString(l.Endpoint)
-	return h.Sum64()
-}
-
 func factsOut(now time.Time, in []quarantine.Fact) []*peerv1.RequestFact {
 	out := make([]*peerv1.RequestFact, 0, len(in))
 	for _, f := range in {
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,62 @@
+package runner_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
+)
+
+// breaking is a performer whose attempts all break off.
+type breaking struct{ attempts int }
+
+func (b *breaking) Perform(context.Context, *job.Job, job.Sink, dispatch.Grant) attempt.Ending {
+	b.attempts++
+	return attempt.Ending{Failure: &attempt.Failure{Kind: retry.LinkLost, Err: io.ErrUnexpectedEOF}}
+}
+
+// TestEachSendIsAskedFor: a request may be contained by what its own first attempt did. It
+// isn't sent again, and its caller isn't told that it hasn't run.
+func TestEachSendIsAskedFor(t *testing.T) {
+	for allowed, want := range []outcome.Outcome{outcome.NotRun, outcome.MayHaveRun, outcome.MayHaveRun} {
+		g := NewWithT(t)
+		policy := scheduler.NewRoundRobin()
+		policy.SetEndpoints(time.Now(), []fleet.Endpoint{
+			{ID: "desk-1", Type: fleet.Service, Targets: []string{"desk"}, MaxRunning: 4, State: fleet.Live},
+			{ID: "desk-2", Type: fleet.Service, Targets: []string{"desk"}, MaxRunning: 4, State: fleet.Live},
+		})
+		performer := &breaking{}
+		begun, finished := 0, 0
+		r := runner.New(runner.Config{
+			Dispatcher: dispatch.New(policy),
+			Performer:  performer,
+			OnFailure:  func(retry.Failure) {},
+			OnStep:     func(retry.Step) {},
+			Begin: func(*job.Job) (func(), *outcome.Error) {
+				if begun == allowed {
+					return nil, outcome.NotRunf(outcome.CodeQuarantined, "contained")
+				}
+				begun++
+				return func() { finished++ }, nil
+			},
+		})
+		j := &job.Job{Arrived: time.Now(), Workspace: "w", Kind: "k", Row: table.Row{Kind: "k", Target: "desk", Idempotent: true, Timeout: time.Minute}}
+		err := r.Run(context.Background(), j, nil)
+		g.Expect(err.Code).To(Equal(outcome.CodeQuarantined))
+		g.Expect(err.Outcome).To(Equal(want))
+		g.Expect(performer.attempts).To(Equal(allowed))
+		g.Expect(finished).To(Equal(begun))
+	}
+}
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -31,14 +31,33 @@
 		p.put(e.Life(), c)
 		return Listening
 	}
-	c, err := dial(ctx, e.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return Ended
+	c, presence := open(ctx, e.Address)
+	if c != nil {
+		p.onDial()
+		p.put(e.Life(), c)
+	}
+	return presence
+}
+
+// LookAt is Look without a pool: it opens a connection and closes it.
+func LookAt(ctx context.Context, e fleet.Endpoint) Presence {
+	c, presence := open(ctx, e.Address)
+	if c != nil {
+		// Nothing was sent on it that could be lost.
+		_ = c.Close()
 	}
-	if err != nil {
-		return Unknown
+	return presence
+}
+
+// open opens a connection; it is nil unless something listens.
+func open(ctx context.Context, address string) (*conn, Presence) {
+	c, err := dial(ctx, address)
+	switch {
+	case err == nil:
+		return c, Listening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, Ended
+	default:
+		return nil, Unknown
 	}
-	p.onDial()
-	p.put(e.Life(), c)
-	return Listening
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -133,4 +133,25 @@
 mutant "lives: a run that the next one doesn't know has ended" internal/evacuate/move.go 's/ \&\& e.stillLives(ctx, source):/:/' "$restarts TestTheNextLifeKnows"
 mutant "lives: engines not asked for their starts" internal/evacuate/move.go 's/^\t\th.Void(err)$/\t\th.Lost()/' "$restarts TestAStartThatIsNotListed"
 mutant "lives: moved for another" internal/gateway/beliefs.go 's/; ok \&\& e.Life() == fleet.Life(l) {/; ok {/' "$restarts TestALeaveOfALife"
+Q=pkg/quarantine/quarantine.go
+crash="./internal/gateway -run TestARequestThatCrashesEndpoints"
+mutant "crashing requests: never contained" $Q 's/case one.unexplained < Threshold:/case true:/' "$crash"
+mutant "crashing requests: a whole run doesn't clear" $Q 's/if s.suspects\[id\] == nil {/if true {/' ./pkg/quarantine
+mutant "crashing requests: ends from before a whole run count" $Q 's/if known.Whole \&\& known.Identity == f.Identity/if false/' ./pkg/quarantine
+mutant "crashing requests: what another explains counts" $Q 's/if !explained\[end.Mark\] {/if explained[end.Mark] || true {/' ./pkg/quarantine
+mutant "crashing requests: tried by many at once" $Q 's/alone = standing == OnTrial/alone = standing > Contained/' ./pkg/quarantine
+mutant "crashing requests: never tried again" $Q 's/case left > 0:/case true:/' ./pkg/quarantine
+mutant "crashing requests: unbounded" $Q 's/if len(s.facts) <= MaxFacts {/if true {/' ./pkg/quarantine
+mutant "crashing requests: one life counts twice" pkg/quarantine/mark.go 's/return xxhash.Sum64(append(data, l.Endpoint...))/return xxhash.Sum64(append(data, l.Endpoint...)) + rand.Uint64()/;s/"encoding\/binary"/"encoding\/binary"\n\t"math\/rand\/v2"/' ./internal/crashwatch
+mutant "crashing requests: another workspace's are the same" pkg/quarantine/identity.go 's/\[\]byte(workspace), //' ./pkg/quarantine
+mutant "crashing requests: not told" internal/peering/client.go 's/RequestFactKeys: keysOut(c.cfg.Beliefs.guard.Keys())//' ./internal/peering
+mutant "crashing requests: told by none but who saw them" internal/peering/server.go 's/resp.RequestFacts, resp.WantedRequestFacts = factsOut(now, missing), keysOut(wanted)/resp.WantedRequestFacts, _ = keysOut(wanted), missing/' ./internal/peering
+mutant "crashing requests: sent again by the runner" internal/runner/runner.go 's/if r.cfg.Begin == nil {/if true {/' ./internal/runner
+mutant "crashing requests: not refused at once" internal/filters/quarantined/quarantined.go 's/if err := guard.Check(job.From(r).Identity); err != nil {/if err := guard.Check(job.From(r).Identity); false {/' ./internal/filters/quarantined
+mutant "crashing requests: an announced end counts" internal/crashwatch/crashwatch.go 's/if w.cfg.Expected(at) {/if false {/' ./internal/crashwatch
+mutant "crashing requests: a broken connection counts" internal/crashwatch/crashwatch.go 's/w.cfg.Look(ctx, at) == upstream.Ended/w.cfg.Look(ctx, at) >= 0/' ./internal/crashwatch
+mutant "crashing requests: an end that a start hid doesn't count" internal/crashwatch/crashwatch.go 's/if w.cfg.Over(at.Life()) {/if false {/' ./internal/crashwatch
+mutant "crashing requests: callers that left forgotten" internal/crashwatch/crashwatch.go 's/w.left = append(w.left, leftRun{run, at.Life()})//' ./internal/crashwatch
+mutant "crashing requests: ends not seen by an entry" internal/entry/entry.go 's/OnBroken:     e.onBroken,//' ./internal/entry
+
 exit $green
