--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -11,6 +12,7 @@
 // registerGauges adds the metrics that are read when they are asked for: the age
 // of each belief, and what is held.
 func (e *Entry) registerGauges() {
+	contain.Gauges(e.metrics, e.beliefs.Guard())
 	e.metrics.Gauge("table_age_seconds", "Time since the table in force was adopted.", func() float64 {
 		if h := e.store.Table(); h != nil {
 			return metrics.Age(h.Since)
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -250,7 +250,7 @@
 		g.logLate(j)
 		return
 	}
-	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target,
+	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target, "identity", j.KnownIdentity(),
 		"outcome", j.Outcome, "code", j.Code, "reason", j.Reason, "queued_ms", j.Timings.Queued.Milliseconds(),
 		"elapsed_ms", time.Since(j.Arrived).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
@@ -41,6 +42,7 @@
 	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.cfg.readers(), g.onLeave)
 	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
 	g.beliefs.Guard().OnNews(g.onStandings, g.tellSoon)
+	contain.Gauges(g.metrics, g.beliefs.Guard())
 	if g.cfg.Without.has(mechQuarantine) {
 		g.beliefs.Guard().Off()
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -99,6 +99,14 @@
 	return *j.identity
 }
 
+// KnownIdentity is Identity as text, or empty if nothing has asked for it yet.
+func (j *Job) KnownIdentity() string {
+	if j.identity == nil {
+		return ""
+	}
+	return j.identity.String()
+}
+
 // Timings measures how a request progressed.
 type Timings struct {
 	Queued     time.Duration
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -120,6 +120,7 @@
 	"queue_time_exceeded":     (*story).queueTime,
 	"stalled":                 (*story).stalled,
 	"caller_gone":             (*story).callerGone,
+	"quarantined":             (*story).quarantined,
 	"stopping":                func(*story) []string { return []string{"the entry was stopping"} },
 	"endpoint_protocol_error": (*story).attemptsTold,
 }
@@ -190,6 +191,15 @@
 	return "the endpoint was slower than the route allows; `grep kind=" + w.end.fields["kind"] + "` shows whether always"
 }
 
+// quarantined tells where to look for the ends that brought the request there.
+func (w *story) quarantined() []string {
+	out := append(w.reason(), w.attemptsTold()...)
+	if id := w.end.fields["identity"]; id != "" {
+		out = append(out, "`grep identity="+id+"` lists the requests and endpoints that made it so")
+	}
+	return out
+}
+
 func (w *story) queueTime() []string {
 	return append([]string{"no endpoint had room for it while it waited"}, w.reason()...)
 }
