Innocent requests that are alike aren't quarantined; the soak has requests that crash

Ruled out: evidence by who had begun to answer (an engine may crash while it reads). Change: what came whole within a minute isn't held against a request, also when that was before the first end; requests that ran beside each other at all of their ends are tied: they go on up to five ends, and are tried again after ten seconds.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -83,7 +83,7 @@
 
 // Whole records that a run of a request came whole.
 func (g *Guard) Whole(identity func() quarantine.Identity) {
-	if g.off() || g.idle.Load() {
+	if g.off() {
 		return
 	}
 	id := identity()
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -89,6 +89,7 @@
 	res.status, res.body, res.err = resp.StatusCode, string(body), err
 	res.signature = resp.Header.Get(platform.HeaderSignature)
 	if res.status != http.StatusOK {
+		res.quarantined = strings.Contains(res.body, "quarantine")
 		// The text of a refusal is the system's own.
 		res.body = ""
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -20,6 +20,7 @@
 		counts[r.key()]++
 	}
 	w.checkLeaves()
+	w.checkCrashes()
 	w.trap.check(w.t)
 	for _, run := range w.ledger.Runs() {
 		if run.From > 1 {
@@ -51,6 +52,8 @@
 			fmt.Sprintf(format, args...), r.status, r.body, r.err, runs)
 	}
 	switch {
+	case r.quarantined:
+		bad("was refused as one that crashes endpoints, and crashes none")
 	case r.kind != kindSafe && first > 1:
 		bad("ran twice")
 	case r.kind == kindSafe && first > maxAttempts:
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -57,6 +57,7 @@
 	version    int
 	// harm is the worst that was done.
 	harm harm
+	plan string
 	// pending are faults that still have to end.
 	pending sync.WaitGroup
 
@@ -67,6 +68,9 @@
 	versions  map[string]int
 	serial    int
 
+	// crashed are when endpoints ended under requests, by their paths.
+	crashed map[string][]time.Time
+
 	// trap stands behind the records of the other writer.
 	trap trap
 	// again holds the endpoints that were started again and are in use.
@@ -79,6 +83,7 @@
 	status            int
 	body, want        string
 	signature         string
+	quarantined       bool
 	err               error
 }
 
@@ -86,6 +91,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
+		crashed: map[string][]time.Time{},
 	}
 	server := httptest.NewServer(w.store.Handler())
 	t.Cleanup(server.Close)
@@ -129,6 +135,7 @@
 	p := w.proxied(l.Addr().String())
 	e := &standin.Endpoint{ID: id, Address: p.address, Events: streamEvents, Every: eventEvery, Work: workTime, Ledger: w.ledger, Peers: w.at, CopyTakes: copies}
 	e.SetBorn(now())
+	w.fragile(e)
 	server := &http.Server{Handler: e.Handler(), ConnState: e.ConnState}
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() { server.Close() })
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -7,20 +7,28 @@
 // id, at an endpoint that has not failed yet. So requests are known by what they ask for
 // (Identity), and a Set remembers under which of them lives of endpoints ended.
 //
-//	             a life ends under it               Threshold lives
-//	[unknown] ------------------------> [suspected] ---------------> [contained]
-//	    ^                                 |     |                     |      ^
-//	    |<---- a run of it came whole ----+     |              hold is over  | one more
-//	    |      (at any time, any state)         |                     v      | life ends
-//	    +<-------- nothing for memory ----------+------------------ [on trial]
+//	           a life ends under it                enough of them
+//	[unknown] ----------------------> [suspected] ---------------> [contained]
+//	    ^                               |     |                     |      ^
+//	    |<--- a run of it came whole ---+     |              hold is over  | one more
+//	    |     (at any time, any state)        |                     v      | life ends
+//	    +<------- nothing for memory ---------+------------------ [on trial]
 //
-// What ran beside a crashing request is suspected as well. Two rules clear it:
+// What ran beside a crashing request is suspected as well, and often the same request runs
+// many times at once. Three rules keep innocent ones out:
 //
-//   - A whole success shows that the request doesn't crash what runs it: all that is held
-//     against it up to then is dropped.
-//   - A life ends once. Ends that a contained request explains count against no request with
-//     fewer ends. An innocent one would have to run in Threshold lives that end for other
-//     reasons, without one success in between.
+//   - A whole success shows that a request doesn't crash what runs it: what happened up to
+//     then, and for a while after, isn't held against it. Entries remember what came whole
+//     lately, so that this also clears what came whole before the first end.
+//   - A life ends once. Ends that a contained request explains count against no other one
+//     with fewer ends.
+//   - A request stands out if no other one shares all of its ends. One that stands out is
+//     contained after Threshold ends. Those that don't are tied: they go on, since the next
+//     end tells them apart, up to TiedThreshold, and are tried again after TiedHold.
+//
+// Without the rules for ties and for what came whole before, a stream that nine callers asked
+// for at once was refused for minutes: three engines ended within half a second while it ran
+// in each.
 //
 // All that ran in a life is suspected when it ends, whether it has begun to answer or not:
 // an engine may crash while it reads the prompt.
@@ -53,6 +61,9 @@
 	// Two would do with half the damage, but two crashes within minutes meet innocent
 	// requests that are repeated: an idempotent one meets two in a single attempt.
 	Threshold = 3
+	// TiedThreshold is the same for requests that ran beside each other at all of their ends:
+	// two more ends, so that with three that are allowed late one is left for the trial.
+	TiedThreshold = 5
 	// MaxFacts bounds what is remembered, and with it the keys in each exchange, four bytes
 	// each: twenty lives that end with 24 requests each, the most an engine runs at once.
 	MaxFacts = 512
@@ -62,6 +73,13 @@
 	// Hold is for how long a request is contained after the last end. A caller that asks
 	// once a second for a day then costs 144 endpoints in place of 86,400.
 	Hold = 10 * time.Minute
+	// TiedHold is Hold for those that don't stand out: most of them are innocent. It is longer
+	// than the time in which all entries know what one knows, so that the one end which tells
+	// them apart is the last.
+	TiedHold = 10 * time.Second
+	// Trust is for how long after a whole run ends aren't held against a request. It may be
+	// wrong for as long, when what runs requests has just been replaced by what they crash.
+	Trust = time.Minute
 	// memory is for how long a suspicion is kept after the last end: as long as Hold for
 	// those that aren't contained, and twice as long for one on trial.
 	memory = 2 * Hold
@@ -76,7 +94,8 @@
 	// Mark tells the facts of a request apart. That of an end is a hash of the life, so
 	// that all who saw it tell the same fact; that of a success is any number.
 	Mark uint64
-	// Whole says that a run of the request came whole: its ends up to then don't count.
+	// Whole says that a run of the request came whole: its ends up to then and for Trust
+	// after don't count.
 	Whole bool
 	// At is when it happened, on the local clock.
 	At time.Time
@@ -118,7 +137,22 @@
 	ends []Fact
 	// unexplained counts those that no other request explains.
 	unexplained int
-	last        time.Time
+	// standsOut says that no other request shares all of them.
+	standsOut bool
+	last      time.Time
+}
+
+// contained reports whether its ends are enough.
+func (s *suspect) contained() bool {
+	return s.unexplained >= TiedThreshold || s.standsOut && s.unexplained >= Threshold
+}
+
+// hold is for how long it is contained after its last end.
+func (s *suspect) hold() time.Duration {
+	if s.standsOut {
+		return Hold
+	}
+	return TiedHold
 }
 
 // Set holds the facts known. The zero value is not usable; see New.
@@ -127,6 +161,7 @@
 	suspects map[Identity]*suspect
 	// trying are the requests on trial that are under way.
 	trying map[Identity]bool
+	recent recent
 }
 
 // New makes an empty set.
@@ -143,6 +178,9 @@
 		if _, known := s.facts[f.Key()]; known || s.outdated(now, f) {
 			continue
 		}
+		if at, whole := s.recent.at(f.Identity); whole && !f.Whole && f.At.Sub(at) < Trust {
+			f = Fact{Identity: f.Identity, Mark: f.Mark, Whole: true, At: at}
+		}
 		s.facts[f.Key()] = f
 		news = append(news, f)
 	}
@@ -159,13 +197,21 @@
 		return true
 	}
 	for _, known := range s.facts {
-		if known.Whole && known.Identity == f.Identity && !f.At.After(known.At) {
+		if known.Whole && known.Identity == f.Identity && known.clears(f) {
 			return true
 		}
 	}
 	return false
 }
 
+// clears reports whether a whole run makes another fact of the request count no more.
+func (f Fact) clears(other Fact) bool {
+	if other.Whole {
+		return !other.At.After(f.At)
+	}
+	return other.At.Sub(f.At) < Trust
+}
+
 // Forget drops what is too old.
 func (s *Set) Forget(now time.Time) {
 	before := len(s.facts)
@@ -211,7 +257,7 @@
 		}
 	}
 	for key, f := range s.facts {
-		if best, ok := whole[f.Identity]; ok && f != best && !f.At.After(best.At) {
+		if best, ok := whole[f.Identity]; ok && f != best && best.clears(f) {
 			delete(s.facts, key)
 		}
 	}
@@ -264,7 +310,8 @@
 			}
 		}
 		for _, one := range byEnds[count] {
-			if one.unexplained < Threshold {
+			one.standsOut = count >= Threshold && s.standsOut(one)
+			if !one.contained() || !one.standsOut {
 				continue
 			}
 			for _, end := range one.ends {
@@ -274,15 +321,38 @@
 	}
 }
 
+// standsOut reports whether no other suspect shares all ends of one.
+func (s *Set) standsOut(one *suspect) bool {
+	marks := make(map[uint64]bool, len(one.ends))
+	for _, end := range one.ends {
+		marks[end.Mark] = true
+	}
+	for _, other := range s.suspects {
+		if other == one || len(other.ends) < len(one.ends) {
+			continue
+		}
+		shared := 0
+		for _, end := range other.ends {
+			if marks[end.Mark] {
+				shared++
+			}
+		}
+		if shared == len(marks) {
+			return false
+		}
+	}
+	return true
+}
+
 // Standing tells what is held against a request, and for how long it stays contained.
 func (s *Set) Standing(now time.Time, id Identity) (standing Standing, left time.Duration) {
 	one := s.suspects[id]
 	if one == nil || one.unexplained == 0 {
 		return Unknown, 0
 	}
-	left = one.last.Add(Hold).Sub(now)
+	left = one.last.Add(one.hold()).Sub(now)
 	switch {
-	case one.unexplained < Threshold:
+	case !one.contained():
 		return Suspected, 0
 	case left > 0:
 		return Contained, left
@@ -335,8 +405,10 @@
 // Finish ends a try that went alone.
 func (s *Set) Finish(id Identity) { delete(s.trying, id) }
 
-// Whole returns the fact that a run of a request came whole, if that clears it of anything.
+// Whole takes the news that a run of a request came whole here, and returns the fact to be
+// added if that clears it of anything.
 func (s *Set) Whole(now time.Time, id Identity, mark uint64) (f Fact, clears bool) {
+	s.recent.add(now, id)
 	if s.suspects[id] == nil {
 		return Fact{}, false
 	}
