Ends of lives that the list hasn't shown yet count each for themselves

Cause: the list of endpoints lags. When an endpoint starts again under its id and ends under the same request before its new record is read, both ends were taken for one life's, and a request that crashes endpoints faster than the list tells of them was counted too low. Change: a run that was sent after its life was known to have ended opens a case of the next, unlisted one, whose end has a mark of its own.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -17,6 +17,9 @@
 // opens in that time, and one is opened for them if the endpoint then refuses a connection
 // that is made for another request.
 //
+// The list of endpoints lags. A run that was sent after its life was known to have ended ran
+// in the next one, which isn't listed yet; when that breaks off, a case of its own is opened.
+//
 // An end that was announced is none that a request brought about: runs at endpoints that
 // leave, or that are no longer listed, open no case.
 package crashwatch
@@ -63,13 +66,21 @@
 type Run struct {
 	RequestID string
 	Identity  quarantine.Identity
-	// At is when it broke off.
-	At time.Time
+	// Sent is when it was sent to the endpoint, and At when it broke off.
+	Sent, At time.Time
+}
+
+// End is the end of a life of an endpoint.
+type End struct {
+	At fleet.Endpoint
+	// Unlisted counts the lives since the listed one of the endpoint: they ended before the
+	// list told of them.
+	Unlisted int
 }
 
-// Facts tells what the end of an endpoint says of the requests under which it ended.
-func Facts(at fleet.Endpoint, under []Run) []quarantine.Fact {
-	mark := quarantine.MarkOf(at.Life())
+// Facts tells what an end says of the requests under which it came.
+func Facts(e End, under []Run) []quarantine.Fact {
+	mark := quarantine.MarkOf(e.At.Life(), e.Unlisted)
 	out := make([]quarantine.Fact, 0, len(under))
 	for _, run := range under {
 		out = append(out, quarantine.Fact{Identity: run.Identity, Mark: mark, At: run.At})
@@ -88,7 +99,7 @@
 	Over func(fleet.Life) bool
 	// OnEnded is told of the runs under which a life ended. It may be called more than
 	// once for a life, with other runs.
-	OnEnded func(at fleet.Endpoint, under []Run)
+	OnEnded func(e End, under []Run)
 }
 
 // Watcher keeps the cases. It is safe for concurrent use.
@@ -108,9 +119,10 @@
 
 // lifeCase holds the runs that broke off in one life of an endpoint.
 type lifeCase struct {
-	at    fleet.Endpoint
-	runs  []Run
-	ended bool
+	end  End
+	runs []Run
+	// ended is when the life was known to have ended; zero if it isn't.
+	ended time.Time
 }
 
 // New makes a watcher without cases.
@@ -121,8 +133,8 @@
 	if w.cfg.Expected(at) {
 		return
 	}
-	if w.join(ctx, at, run) {
-		w.cfg.OnEnded(at, []Run{run})
+	if c, ended := w.join(ctx, at, run); ended {
+		w.cfg.OnEnded(c.end, []Run{run})
 	}
 }
 
@@ -150,7 +162,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.cases[at.Life()] == nil && len(w.leftAt(at.Life())) > 0 {
-		w.open(ctx, at)
+		w.open(ctx, End{At: at})
 	}
 }
 
@@ -165,32 +177,40 @@
 }
 
 // open opens a case for an endpoint, unless there are too many. The caller holds the lock.
-func (w *Watcher) open(ctx context.Context, at fleet.Endpoint) *lifeCase {
+func (w *Watcher) open(ctx context.Context, e End) *lifeCase {
 	if len(w.cases) >= maxCases {
 		return nil
 	}
-	c := &lifeCase{at: at, runs: w.leftAt(at.Life())}
-	w.cases[at.Life()] = c
+	c := &lifeCase{end: e}
+	if e.Unlisted == 0 {
+		c.runs = w.leftAt(e.At.Life())
+	}
+	w.cases[e.At.Life()] = c
 	go w.watch(ctx, c)
 	return c
 }
 
 // join adds a run to its case, which it opens if there is none, and reports whether the
-// life is known to have ended.
-func (w *Watcher) join(ctx context.Context, at fleet.Endpoint, run Run) (ended bool) {
+// life is known to have ended. The case is nil if there are too many.
+func (w *Watcher) join(ctx context.Context, at fleet.Endpoint, run Run) (c *lifeCase, ended bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := w.cases[at.Life()]
-	if c == nil {
-		c = w.open(ctx, at)
+	c = w.cases[at.Life()]
+	switch {
+	case c == nil:
+		c = w.open(ctx, End{At: at})
+	case !c.ended.IsZero() && run.Sent.After(c.ended):
+		next := End{At: at, Unlisted: c.end.Unlisted + 1}
+		delete(w.cases, at.Life())
+		c = w.open(ctx, next)
 	}
 	if c == nil {
-		return false
+		return nil, false
 	}
 	if len(c.runs) < maxRuns {
 		c.runs = append(c.runs, run)
 	}
-	return c.ended
+	return c, !c.ended.IsZero()
 }
 
 // watch looks at the endpoint of a case until it is known to have ended, and drops the case
@@ -199,14 +219,16 @@
 	opened := time.Now()
 	pause.For(ctx, settle)
 	for looks := 1; ctx.Err() == nil && time.Since(opened) < keepFor; looks++ {
-		if !w.isEnded(c) && w.hasEnded(ctx, c.at, looks) {
+		if !w.isEnded(c) && w.hasEnded(ctx, c.end.At, looks) {
 			w.settle(c)
 		}
 		pause.For(ctx, lookEvery)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.cases, c.at.Life())
+	if w.cases[c.end.At.Life()] == c {
+		delete(w.cases, c.end.At.Life())
+	}
 }
 
 // hasEnded reports whether the life is known to have ended unannounced, by the list or by a
@@ -222,14 +244,14 @@
 func (w *Watcher) isEnded(c *lifeCase) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return c.ended
+	return !c.ended.IsZero()
 }
 
 // settle tells of the runs of a life that has ended.
 func (w *Watcher) settle(c *lifeCase) {
 	w.mu.Lock()
-	c.ended = true
+	c.ended = time.Now()
 	under := append([]Run(nil), c.runs...)
 	w.mu.Unlock()
-	w.cfg.OnEnded(c.at, under)
+	w.cfg.OnEnded(c.end, under)
 }
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -48,7 +49,7 @@
 		Look:     s.look,
 		Expected: func(fleet.Endpoint) bool { return read(&s.expected) },
 		Over:     func(fleet.Life) bool { return read(&s.over) },
-		OnEnded: func(_ fleet.Endpoint, under []crashwatch.Run) {
+		OnEnded: func(_ crashwatch.End, under []crashwatch.Run) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			for _, run := range under {
@@ -107,7 +108,7 @@
 	at := time.Now()
 	run := crashwatch.Run{RequestID: "r1", Identity: quarantine.IdentityOf("w", "h", "/x", nil), At: at}
 	key := func(e fleet.Endpoint, r crashwatch.Run) quarantine.Key {
-		return crashwatch.Facts(e, []crashwatch.Run{r})[0].Key()
+		return crashwatch.Facts(crashwatch.End{At: e}, []crashwatch.Run{r})[0].Key()
 	}
 	later := run
 	later.RequestID, later.At = "r2", at.Add(time.Second)
@@ -175,3 +176,32 @@
 		g.Expect(s.looks).To(BeZero())
 	})
 }
+
+// TestLivesThatTheListNeverShows: an endpoint starts again and ends before the list tells of
+// it. Each end counts; runs that were sent before an end was known count for that one.
+func TestLivesThatTheListNeverShows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		marks := map[uint64][]string{}
+		w := crashwatch.New(crashwatch.Config{
+			Look:     func(context.Context, fleet.Endpoint) upstream.Presence { return upstream.Ended },
+			Expected: func(fleet.Endpoint) bool { return false },
+			Over:     func(fleet.Life) bool { return false },
+			OnEnded: func(e crashwatch.End, under []crashwatch.Run) {
+				for _, f := range crashwatch.Facts(e, under) {
+					marks[f.Mark] = append(marks[f.Mark], fmt.Sprint(e.Unlisted))
+				}
+			},
+		})
+		for range 3 {
+			sent := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "crash", Sent: sent, At: time.Now()})
+			time.Sleep(50 * time.Millisecond)
+			w.Broken(t.Context(), engine, crashwatch.Run{RequestID: "beside", Sent: sent, At: time.Now()})
+			time.Sleep(300 * time.Millisecond)
+		}
+		g.Expect(marks).To(HaveLen(3))
+		g.Expect(marks).To(ConsistOf([]string{"0", "0"}, []string{"1", "1"}, []string{"2", "2"}))
+	})
+}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -46,15 +46,15 @@
 }
 
 // onBroken takes the news that a request broke off at an endpoint.
-func (e *Entry) onBroken(j *job.Job, at fleet.Endpoint) {
-	e.crashes.Broken(context.Background(), at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
+func (e *Entry) onBroken(j *job.Job, at fleet.Endpoint, sent time.Time) {
+	e.crashes.Broken(context.Background(), at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: time.Now()})
 }
 
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
-func (e *Entry) onEnded(at fleet.Endpoint, under []crashwatch.Run) {
+func (e *Entry) onEnded(end crashwatch.End, under []crashwatch.Run) {
 	e.metrics.EndedUnder.Add(float64(len(under)))
-	e.log.Warn("endpoint ended under requests", "endpoint", at.ID, "incarnation", at.Incarnation, "requests", len(under))
-	e.beliefs.Guard().Add(crashwatch.Facts(at, under)...)
+	e.log.Warn("endpoint ended under requests", "endpoint", end.At.ID, "incarnation", end.At.Incarnation, "requests", len(under))
+	e.beliefs.Guard().Add(crashwatch.Facts(end, under)...)
 }
 
 // onStandings logs which requests go into quarantine and which leave it.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -209,6 +209,8 @@
 		"two entries, many tries":                {standin.BeforeHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 7},
 		"two entries, innocent ones are alike":   {standin.AfterHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 1},
 		"one entry, innocent ones are alike":     {standin.BeforeHead, "/plain/x", "desk", 1, 500 * time.Millisecond, false, seldom, 1},
+		"two entries, back under its id at once": {standin.BeforeHead, "/safe/x", "desk", 2, 80 * time.Millisecond, true, often, 7},
+		"one endpoint back at once":              {standin.BeforeHead, "/plain/x", "desk", 2, 60 * time.Millisecond, true, often, 7},
 		"three entries, many tries":              {standin.AfterHead, "/stream/x", "engine", 3, 300 * time.Millisecond, true, often, 7},
 		"two entries, an idempotent request":     {standin.BeforeHead, "/safe/x", "desk", 2, 500 * time.Millisecond, true, seldom, 7},
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -18,8 +18,8 @@
 }
 
 // onBroken takes the news that a request broke off at an endpoint.
-func (g *Gateway) onBroken(j *job.Job, at fleet.Endpoint) {
-	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
+func (g *Gateway) onBroken(j *job.Job, at fleet.Endpoint, sent time.Time) {
+	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: time.Now()})
 }
 
 // onLeft takes the news that a caller left while its request ran at an endpoint.
@@ -28,13 +28,13 @@
 }
 
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
-func (g *Gateway) onEnded(at fleet.Endpoint, under []crashwatch.Run) {
+func (g *Gateway) onEnded(end crashwatch.End, under []crashwatch.Run) {
 	g.metrics.EndedUnder.Add(float64(len(under)))
 	for _, run := range under {
-		g.log.Warn("endpoint ended under a request", "request", run.RequestID, "identity", run.Identity, "endpoint", at.ID,
-			"start", at.Incarnation, "address", at.Address, "beside", len(under)-1, "fleet", g.fleetRevision())
+		g.log.Warn("endpoint ended under a request", "request", run.RequestID, "identity", run.Identity, "endpoint", end.At.ID,
+			"start", end.At.Incarnation, "unlisted", end.Unlisted, "address", end.At.Address, "beside", len(under)-1, "fleet", g.fleetRevision())
 	}
-	g.beliefs.Guard().Add(crashwatch.Facts(at, under)...)
+	g.beliefs.Guard().Add(crashwatch.Facts(end, under)...)
 }
 
 // onStandings logs which requests go into quarantine and which leave it.
--- a/internal/native/generate.go
+++ b/internal/native/generate.go
@@ -40,9 +40,10 @@
 // the link is lost.
 func (p *Performer) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
 	g := &generation{p: p, j: j, sink: sink, grant: grant, last: time.Now()}
+	sent := g.last
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
-		p.broken(ctx, j, grant.Endpoint, f)
+		p.broken(ctx, j, grant.Endpoint, sent, f)
 		p.cfg.OnFailure(f.Kind)
 		p.cfg.OnStep(retry.Resume)
 		g.resumes++
@@ -55,7 +56,7 @@
 		p.whole(j)
 		g.finish()
 	} else {
-		p.broken(ctx, j, grant.Endpoint, f)
+		p.broken(ctx, j, grant.Endpoint, sent, f)
 		g.abandon()
 	}
 	return attempt.Ending{Failure: f, Released: g.asm.Released(), Generated: g.asm.Next()}
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -31,7 +31,7 @@
 	OnStep func(retry.Step)
 	// OnBroken, if set, is told of each request whose link broke while its endpoint may
 	// have worked on it, and OnWhole of each whose answer is a success and came whole.
-	OnBroken func(j *job.Job, at fleet.Endpoint)
+	OnBroken func(j *job.Job, at fleet.Endpoint, sent time.Time)
 	OnWhole  func(j *job.Job)
 }
 
@@ -56,7 +56,7 @@
 	start := time.Now()
 	reply, f := p.cfg.Client.Call(ctx, grant.Endpoint, j.RequestID, j.Method, j.ServicePath, j.ContentType, j.Body)
 	if f != nil {
-		p.broken(ctx, j, grant.Endpoint, f)
+		p.broken(ctx, j, grant.Endpoint, start, f)
 		return attempt.Ending{Failure: f}
 	}
 	if reply.Status < http.StatusMultipleChoices {
@@ -71,10 +71,10 @@
 
 // broken tells of a broken link, unless the caller has left or its time is up, when this
 // entry closed it.
-func (p *Performer) broken(ctx context.Context, j *job.Job, at fleet.Endpoint, f *attempt.Failure) {
+func (p *Performer) broken(ctx context.Context, j *job.Job, at fleet.Endpoint, sent time.Time, f *attempt.Failure) {
 	lost := f.Kind == retry.LinkLost || f.Kind == retry.GenerationLost
 	if lost && ctx.Err() == nil && p.cfg.OnBroken != nil {
-		p.cfg.OnBroken(j, at)
+		p.cfg.OnBroken(j, at, sent)
 	}
 }
 
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -22,6 +22,8 @@
 	sink    job.HeaderSink
 	grant   dispatch.Grant
 	session *Session
+	// sent is when the request went to the endpoint where it runs.
+	sent time.Time
 	// state outlasts this attempt, since another one may go on with the answer.
 	state *job.StreamState
 	// events counts those of this attempt.
@@ -38,6 +40,7 @@
 	p := &pass{
 		f: f, j: j, sink: sink, grant: grant, state: &j.Delivered,
 		session:  &Session{job: j, at: grant.Endpoint},
+		sent:     start,
 		perEvent: f.cfg.TokensPerEvent(j.Row.Target),
 		read:     read,
 	}
@@ -77,7 +80,7 @@
 		// The source must not work on: without an end its connection is closed.
 		resp.Close()
 		if err != nil {
-			p.f.broken(p.j, p.session.Endpoint(), &attempt.Failure{Kind: failureKind(err), Err: err})
+			p.f.broken(p.j, p.session.Endpoint(), p.sent, &attempt.Failure{Kind: failureKind(err), Err: err})
 		}
 		if errors.Is(err, errCaller) {
 			return err
@@ -126,9 +129,10 @@
 	s := sending(ctx, p.j, h.Target)
 	s.Resume = true
 	s.Continue = &upstream.Continuation{Source: h.Copy.Source, Handle: h.Copy.Handle}
+	p.sent = time.Now()
 	resp, failure := p.f.cfg.Pool.Do(ctx, h.Target, request(p.j), s)
 	if failure != nil {
-		p.f.broken(p.j, h.Target, failure)
+		p.f.broken(p.j, h.Target, p.sent, failure)
 		return nil, failure
 	}
 	if failure := unfit(resp, true); failure != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,7 +56,7 @@
 	// OnBroken, if set, is told of each request that may have run at an endpoint and whose
 	// connection broke before its answer was whole; OnLeft of each whose connection this
 	// entry closed, as its caller had left or its time was up.
-	OnBroken func(j *job.Job, at fleet.Endpoint)
+	OnBroken func(j *job.Job, at fleet.Endpoint, sent time.Time)
 	OnLeft   func(j *job.Job, at fleet.Endpoint)
 	// OnWhole, if set, is told of each request whose answer is a success and came whole.
 	OnWhole func(j *job.Job)
@@ -100,7 +100,7 @@
 	start := time.Now()
 	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant.Endpoint))
 	if failure != nil {
-		f.broken(j, grant.Endpoint, failure)
+		f.broken(j, grant.Endpoint, start, failure)
 		return attempt.Ending{Failure: failure}
 	}
 	if resp.Closing && grant.Endpoint.Type == fleet.Engine && f.cfg.OnClosing != nil {
@@ -117,7 +117,7 @@
 	defer resp.Close()
 	end := passWhole(j, out, resp, start)
 	if end.Failure != nil {
-		f.broken(j, grant.Endpoint, end.Failure)
+		f.broken(j, grant.Endpoint, start, end.Failure)
 	} else if resp.Status < http.StatusMultipleChoices {
 		f.whole(j)
 	}
@@ -133,15 +133,13 @@
 
 // broken tells of a run that broke off. An error of a connection that was closed here says
 // nothing of the endpoint: the caller has left, or its time is up.
-func (f *Forwarder) broken(j *job.Job, at fleet.Endpoint, failure *attempt.Failure) {
-	told := f.cfg.OnBroken
-	if failure.Kind == retry.CallerGone || errors.Is(failure.Err, net.ErrClosed) {
-		told = f.cfg.OnLeft
-	} else if failure.Kind != retry.LinkLost {
-		return
-	}
-	if told != nil {
-		told(j, at)
+func (f *Forwarder) broken(j *job.Job, at fleet.Endpoint, sent time.Time, failure *attempt.Failure) {
+	closedHere := failure.Kind == retry.CallerGone || errors.Is(failure.Err, net.ErrClosed)
+	switch {
+	case closedHere && f.cfg.OnLeft != nil:
+		f.cfg.OnLeft(j, at)
+	case !closedHere && failure.Kind == retry.LinkLost && f.cfg.OnBroken != nil:
+		f.cfg.OnBroken(j, at, sent)
 	}
 }
 
