--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -90,7 +90,8 @@
 }
 
 // Identity names what the caller asks for. It is computed when it is first asked for, since
-// most requests never need it: hashing a prompt of 16 KB takes some 20 us.
+// most requests never need it: hashing a prompt of 16 KB takes 11 us
+// (BenchmarkIdentity).
 func (j *Job) Identity() quarantine.Identity {
 	if j.identity == nil {
 		identity := quarantine.IdentityOf(j.Workspace, j.Host, j.Path, j.Body)
--- a/internal/peering/exchange_test.go
+++ b/internal/peering/exchange_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/published"
@@ -159,3 +160,31 @@
 	p.beliefs.Guard().Add(factsIn(time.Now(), many)...)
 	g.Expect(p.beliefs.Guard().Keys()).To(BeEmpty(), "too old")
 }
+
+// FuzzRequestFacts: whatever a peer tells of requests, what is kept of it is bounded, and it
+// can be told on.
+func FuzzRequestFacts(f *testing.F) {
+	id := quarantine.IdentityOf("w", "h", "/x", nil)
+	good, _ := proto.Marshal(&peerv1.ExchangeResponse{RequestFacts: []*peerv1.RequestFact{{Identity: id[:], Mark: 7, AgeMs: 3}, {Identity: id[:], Whole: true}}})
+	f.Add(good)
+	f.Add([]byte{0x32, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg peerv1.ExchangeResponse
+		if proto.Unmarshal(data, &msg) != nil {
+			return
+		}
+		now := time.Now()
+		set := quarantine.New()
+		set.Add(now, factsIn(now, msg.GetRequestFacts())...)
+		_, _ = set.Compare(keysIn(msg.GetWantedRequestFacts()))
+		keys := set.Keys()
+		if len(keys) > quarantine.MaxFacts {
+			t.Fatalf("%d facts are kept", len(keys))
+		}
+		again := quarantine.New()
+		again.Add(now, factsIn(now, factsOut(now, set.Facts(keys)))...)
+		if len(again.Keys()) != len(keys) {
+			t.Fatalf("%d facts are told, %d taken", len(keys), len(again.Keys()))
+		}
+	})
+}
