Another endpoint at its address shows that an endpoint has ended

Cause: behind something that takes connections also while the endpoint is away, no address refuses connections, and an endpoint that comes back under another id shows no next life. Change: the list shows an end too when it has another endpoint at the address and the one that broke off is gone from it (fleet.List.Supersedes). One that only vanished is no end: it may leave unannounced and serve on.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -6,7 +6,7 @@
 //
 //	a run broke off
 //	      |
-//	      v            refuses connections, or its next life is known
+//	      v            refuses connections, or the list shows it
 //	  [open] ------------------------------------------------------> [ended]: told
 //	      |  \--still there, or nothing is heard of it: looks again    each run,
 //	      |                                                            late ones too
@@ -95,8 +95,9 @@
 	// Expected reports whether an endpoint's end is no surprise: it was known to leave, or
 	// is no longer listed.
 	Expected func(fleet.Endpoint) bool
-	// Over reports whether the next life of an endpoint is known.
-	Over func(fleet.Life) bool
+	// Over reports whether the list shows that an endpoint has ended: its next life, or
+	// another endpoint at its address.
+	Over func(fleet.Endpoint) bool
 	// OnEnded is told of the runs under which a life ended. It may be called more than
 	// once for a life, with other runs.
 	OnEnded func(e End, under []Run)
@@ -235,7 +236,7 @@
 // look. Once a look has shown an end, the news that it was announced may have come: it can
 // be slower than the end.
 func (w *Watcher) hasEnded(ctx context.Context, at fleet.Endpoint, looks int) bool {
-	if w.cfg.Over(at.Life()) {
+	if w.cfg.Over(at) {
 		return true
 	}
 	return looks <= maxLooks && w.cfg.Look(ctx, at) == upstream.Ended && !w.cfg.Expected(at)
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -48,7 +48,7 @@
 	return crashwatch.New(crashwatch.Config{
 		Look:     s.look,
 		Expected: func(fleet.Endpoint) bool { return read(&s.expected) },
-		Over:     func(fleet.Life) bool { return read(&s.over) },
+		Over:     func(fleet.Endpoint) bool { return read(&s.over) },
 		OnEnded: func(_ crashwatch.End, under []crashwatch.Run) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -186,7 +186,7 @@
 		w := crashwatch.New(crashwatch.Config{
 			Look:     func(context.Context, fleet.Endpoint) upstream.Presence { return upstream.Ended },
 			Expected: func(fleet.Endpoint) bool { return false },
-			Over:     func(fleet.Life) bool { return false },
+			Over:     func(fleet.Endpoint) bool { return false },
 			OnEnded: func(e crashwatch.End, under []crashwatch.Run) {
 				for _, f := range crashwatch.Facts(e, under) {
 					marks[f.Mark] = append(marks[f.Mark], fmt.Sprint(e.Unlisted))
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -18,7 +18,7 @@
 	e.crashes = crashwatch.New(crashwatch.Config{
 		Look:     upstream.LookAt,
 		Expected: e.endExpected,
-		Over:     e.over,
+		Over:     e.superseded,
 		OnEnded:  e.onEnded,
 	})
 }
@@ -39,10 +39,10 @@
 	return !listed || e.beliefs.Leaving(at)
 }
 
-// over reports whether the list shows another life of an endpoint.
-func (e *Entry) over(l fleet.Life) bool {
-	now, listed := e.listed(l.Endpoint)
-	return listed && now.Life() != l
+// superseded reports whether the list in force shows that a life of an endpoint has ended.
+func (e *Entry) superseded(at fleet.Endpoint) bool {
+	held := e.store.Fleet()
+	return held != nil && held.Value.Supersedes(at)
 }
 
 // onBroken takes the news that a request broke off at an endpoint.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -27,6 +27,8 @@
 	// back is how long an endpoint is away, and sameID whether it comes back under its id.
 	back   time.Duration
 	sameID bool
+	// fronted says that something before an endpoint takes connections also while it is away.
+	fronted bool
 
 	mu sync.Mutex
 	// ends are when endpoints ended.
@@ -42,12 +44,43 @@
 func (c *crashWorld) fragile(id, service string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.g.Expect(err).NotTo(HaveOccurred())
-	c.live(l, id, service, firstStart)
+	address := l.Addr().String()
+	if c.fronted {
+		address = c.front(address)
+	}
+	c.live(l, address, id, service, firstStart)
+}
+
+// front takes connections for an address, and closes them while nothing listens there.
+func (c *crashWorld) front(target string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer from.Close()
+				to, err := net.Dial("tcp", target)
+				if err != nil {
+					return
+				}
+				defer to.Close()
+				go func() { _, _ = io.Copy(to, from) }()
+				_, _ = io.Copy(from, to)
+			}()
+		}
+	}()
+	return l.Addr().String()
 }
 
 // live serves one life of an endpoint.
-func (c *crashWorld) live(l net.Listener, id, service string, born uint64) {
-	e := &standin.Endpoint{ID: id, Address: l.Addr().String(), Events: 5, Every: 20 * time.Millisecond, Work: 20 * time.Millisecond, Ledger: c.ledger, Peers: c.at}
+func (c *crashWorld) live(l net.Listener, address, id, service string, born uint64) {
+	listens := l.Addr().String()
+	e := &standin.Endpoint{ID: id, Address: address, Events: 5, Every: 20 * time.Millisecond, Work: 20 * time.Millisecond, Ledger: c.ledger, Peers: c.at}
 	e.SetBorn(born)
 	server := &http.Server{Handler: e.Handler()}
 	var once sync.Once
@@ -55,7 +88,7 @@
 		Under: func(_ *http.Request, body []byte) bool { return string(body) == crashing },
 		Step:  c.step,
 		After: 30 * time.Millisecond,
-		End:   func(*standin.Endpoint, *http.Request) { once.Do(func() { c.end(server, e, service, born) }) },
+		End:   func(*standin.Endpoint, *http.Request) { once.Do(func() { c.end(server, listens, e, service, born) }) },
 	}
 	go func() { _ = server.Serve(l) }()
 	c.t.Cleanup(func() { server.Close() })
@@ -63,7 +96,7 @@
 }
 
 // end ends a life of an endpoint, and has the next one begin later.
-func (c *crashWorld) end(server *http.Server, e *standin.Endpoint, service string, born uint64) {
+func (c *crashWorld) end(server *http.Server, listens string, e *standin.Endpoint, service string, born uint64) {
 	server.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -74,7 +107,7 @@
 		id = fmt.Sprintf("%s-%d", e.ID, c.lives)
 	}
 	time.AfterFunc(c.back, func() {
-		l, err := net.Listen("tcp", e.Address)
+		l, err := net.Listen("tcp", listens)
 		if err != nil {
 			c.t.Errorf("the address of %s can't be had again: %v", id, err)
 			return
@@ -82,7 +115,7 @@
 		if id != e.ID {
 			c.store.Delete(platform.EndpointPrefix + e.ID)
 		}
-		c.live(l, id, service, born+1)
+		c.live(l, e.Address, id, service, born+1)
 	})
 }
 
@@ -197,27 +230,31 @@
 		sameID  bool
 		every   time.Duration
 		// bodies is how many bodies the innocent requests have.
-		bodies int
+		bodies  int
+		fronted bool
 	}{
-		"one entry, before the head":             {standin.BeforeHead, "/stream/x", "engine", 1, 700 * time.Millisecond, false, seldom, 7},
-		"two entries, before the head":           {standin.BeforeHead, "/stream/x", "engine", 2, 700 * time.Millisecond, false, seldom, 7},
-		"two entries, the same ids":              {standin.AfterHead, "/stream/x", "engine", 2, 300 * time.Millisecond, true, seldom, 7},
-		"three entries, while the prompt's read": {standin.WhileRead, "/stream/x", "engine", 3, 500 * time.Millisecond, false, seldom, 7},
-		"three entries, after an event":          {standin.AfterEvent, "/stream/x", "engine", 3, 500 * time.Millisecond, true, seldom, 7},
-		"two entries, a stream to be resumed":    {standin.AfterEvent, "/resumable/x", "engine", 2, 500 * time.Millisecond, false, seldom, 7},
-		"two entries, a plain service":           {standin.BeforeHead, "/plain/x", "desk", 2, 500 * time.Millisecond, false, seldom, 7},
-		"two entries, many tries":                {standin.BeforeHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 7},
-		"two entries, innocent ones are alike":   {standin.AfterHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 1},
-		"one entry, innocent ones are alike":     {standin.BeforeHead, "/plain/x", "desk", 1, 500 * time.Millisecond, false, seldom, 1},
-		"two entries, back under its id at once": {standin.BeforeHead, "/safe/x", "desk", 2, 80 * time.Millisecond, true, often, 7},
-		"one endpoint back at once":              {standin.BeforeHead, "/plain/x", "desk", 2, 60 * time.Millisecond, true, often, 7},
-		"three entries, many tries":              {standin.AfterHead, "/stream/x", "engine", 3, 300 * time.Millisecond, true, often, 7},
-		"two entries, an idempotent request":     {standin.BeforeHead, "/safe/x", "desk", 2, 500 * time.Millisecond, true, seldom, 7},
+		"one entry, before the head":             {standin.BeforeHead, "/stream/x", "engine", 1, 700 * time.Millisecond, false, seldom, 7, false},
+		"two entries, before the head":           {standin.BeforeHead, "/stream/x", "engine", 2, 700 * time.Millisecond, false, seldom, 7, false},
+		"two entries, the same ids":              {standin.AfterHead, "/stream/x", "engine", 2, 300 * time.Millisecond, true, seldom, 7, false},
+		"three entries, while the prompt's read": {standin.WhileRead, "/stream/x", "engine", 3, 500 * time.Millisecond, false, seldom, 7, false},
+		"three entries, after an event":          {standin.AfterEvent, "/stream/x", "engine", 3, 500 * time.Millisecond, true, seldom, 7, false},
+		"two entries, a stream to be resumed":    {standin.AfterEvent, "/resumable/x", "engine", 2, 500 * time.Millisecond, false, seldom, 7, false},
+		"two entries, a plain service":           {standin.BeforeHead, "/plain/x", "desk", 2, 500 * time.Millisecond, false, seldom, 7, false},
+		"two entries, many tries":                {standin.BeforeHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 7, false},
+		"two entries, innocent ones are alike":   {standin.AfterHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, often, 1, false},
+		"one entry, innocent ones are alike":     {standin.BeforeHead, "/plain/x", "desk", 1, 500 * time.Millisecond, false, seldom, 1, false},
+		"two entries, back under its id at once": {standin.BeforeHead, "/safe/x", "desk", 2, 80 * time.Millisecond, true, often, 7, false},
+		"one endpoint back at once":              {standin.BeforeHead, "/plain/x", "desk", 2, 60 * time.Millisecond, true, often, 7, false},
+		"two entries, fronted, new ids":          {standin.BeforeHead, "/stream/x", "engine", 2, 100 * time.Millisecond, false, seldom, 7, true},
+		"two entries, fronted, the same ids":     {standin.AfterHead, "/stream/x", "engine", 2, 100 * time.Millisecond, true, seldom, 7, true},
+		"three entries, many tries":              {standin.AfterHead, "/stream/x", "engine", 3, 300 * time.Millisecond, true, often, 7, false},
+		"two entries, an idempotent request":     {standin.BeforeHead, "/safe/x", "desk", 2, 500 * time.Millisecond, true, seldom, 7, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := newCrashWorld(t, tc.step, tc.back, tc.sameID)
+			c.fronted = tc.fronted
 			for i := range 8 {
 				c.fragile(fmt.Sprintf("%s-%d", tc.service, i), tc.service)
 			}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -17,6 +17,12 @@
 	return !listed || g.beliefs.Leaving(e)
 }
 
+// superseded reports whether the list in force shows that a life of an endpoint has ended.
+func (g *Gateway) superseded(e fleet.Endpoint) bool {
+	list := g.inForce.Load()
+	return list != nil && list.Supersedes(e)
+}
+
 // onBroken takes the news that a request broke off at an endpoint.
 func (g *Gateway) onBroken(j *job.Job, at fleet.Endpoint, sent time.Time) {
 	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: time.Now()})
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -125,7 +125,7 @@
 	g.crashes = crashwatch.New(crashwatch.Config{
 		Look:     g.pool.Look,
 		Expected: g.endExpected,
-		Over:     g.over,
+		Over:     g.superseded,
 		OnEnded:  g.onEnded,
 	})
 	g.forwarder = relay.New(relay.Config{
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -80,6 +80,16 @@
 	WarmUp time.Duration `json:"-"`
 }
 
+// Supersedes reports whether the list shows that a life of an endpoint has ended: its next
+// life, or another endpoint at its address. One that is merely not listed any more may still
+// be there.
+func (l *List) Supersedes(e Endpoint) bool {
+	if now, listed := l.Endpoint(e.ID); listed {
+		return now.Life() != e.Life()
+	}
+	return slices.ContainsFunc(l.Endpoints, func(other Endpoint) bool { return other.Address == e.Address })
+}
+
 // Workspace is one customer, with the digests of its API keys.
 type Workspace struct {
 	Name       string   `json:"name"`
--- a/pkg/fleet/lives_test.go
+++ b/pkg/fleet/lives_test.go
@@ -84,3 +84,20 @@
 	use, _ = grace.Apply(now.Add(3500*time.Millisecond), all[:1])
 	g.Expect(use).To(ConsistOf(all[0]))
 }
+
+// TestSupersedes: a life has ended if the next one is listed, or another endpoint has its
+// address. One that only vanished may go on.
+func TestSupersedes(t *testing.T) {
+	g := NewWithT(t)
+	e := fleet.Endpoint{ID: "a", Address: "10.0.0.1:1", Incarnation: 1}
+	list := func(others ...fleet.Endpoint) *fleet.List { return (&fleet.List{}).WithEndpoints(others) }
+	next, same, other := e, e, e
+	next.Incarnation, other.ID = 2, "b"
+	elsewhere := other
+	elsewhere.Address = "10.0.0.2:1"
+	g.Expect(list(same).Supersedes(e)).To(BeFalse())
+	g.Expect(list(elsewhere).Supersedes(e)).To(BeFalse())
+	g.Expect(list(next).Supersedes(e)).To(BeTrue())
+	g.Expect(list(other).Supersedes(e)).To(BeTrue())
+	g.Expect(list(same, other).Supersedes(e)).To(BeFalse(), "two records of one address")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -154,7 +154,7 @@
 mutant "crashing requests: not refused at once" internal/filters/quarantined/quarantined.go 's/if err := guard.Check(job.From(r).Identity); err != nil {/if err := guard.Check(job.From(r).Identity); false {/' ./internal/filters/quarantined
 mutant "crashing requests: an announced end counts" internal/crashwatch/crashwatch.go 's/if w.cfg.Expected(at) {/if false {/' ./internal/crashwatch
 mutant "crashing requests: a broken connection counts" internal/crashwatch/crashwatch.go 's/w.cfg.Look(ctx, at) == upstream.Ended/w.cfg.Look(ctx, at) >= 0/' ./internal/crashwatch
-mutant "crashing requests: an end that a start hid doesn't count" internal/crashwatch/crashwatch.go 's/if w.cfg.Over(at.Life()) {/if false {/' ./internal/crashwatch
+mutant "crashing requests: an end that a start hid doesn't count" internal/crashwatch/crashwatch.go 's/if w.cfg.Over(at) {/if false {/' ./internal/crashwatch
 mutant "crashing requests: callers that left forgotten" internal/crashwatch/crashwatch.go 's/w.left = append(w.left, leftRun{run, at.Life()})//' ./internal/crashwatch
 mutant "crashing requests: ends not seen by an entry" internal/entry/entry.go 's/OnBroken:     e.onBroken,//' ./internal/entry
 
