The time that decisions use counts the time for which the VM was suspended

Cause: the steady clock of the runtime doesn't count suspended time, so that after a suspension every age, deadline and hold is too young by its length: callers whose time is over are waited for, table and keys are relied on that are long out of date. Weighed: sockets and single calls between processes keep the steady clock (a few seconds at most); a sampler in place of two system calls with each reading of the clock. Change: internal/clock compares the boot clock with the steady one ten times a second; all decisions, waits and requests' deadlines read it. After a suspension deadlines that are over end at once, peers aren't blamed for it, connections to them are made anew, holds of records are looked at, and for at most a second the table isn't relied on until a peer has answered.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
@@ -66,7 +67,7 @@
 func (g *Guard) add(facts []quarantine.Fact) (changes []Change, news bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	before := map[quarantine.Identity]quarantine.Standing{}
 	for _, f := range facts {
 		before[f.Identity], _ = g.set.Standing(now, f.Identity)
@@ -88,7 +89,7 @@
 	}
 	id := identity()
 	g.mu.Lock()
-	f, clears := g.set.Whole(time.Now(), id, rand.Uint64())
+	f, clears := g.set.Whole(clock.Now(), id, rand.Uint64())
 	g.mu.Unlock()
 	if clears {
 		g.Add(f)
@@ -102,7 +103,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return refused(g.set.Check(time.Now(), identity()))
+	return refused(g.set.Check(clock.Now(), identity()))
 }
 
 // Begin is Check for a request that is sent at once if it may be. The function that it
@@ -114,7 +115,7 @@
 	id := identity()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	alone, refusal := g.set.Begin(time.Now(), id)
+	alone, refusal := g.set.Begin(clock.Now(), id)
 	if refusal != nil || !alone {
 		return func() {}, refused(refusal)
 	}
@@ -186,5 +187,5 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.set.Counts(time.Now())
+	return g.set.Counts(clock.Now())
 }
--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
@@ -72,9 +73,9 @@
 	if !pause.For(ctx, c.Settle) {
 		return
 	}
-	lookedIn := time.Now()
+	lookedIn := clock.Now()
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
 		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
 			pause.For(ctx, idlePause)
@@ -147,7 +148,7 @@
 		return false, err
 	}
 	c.regained()
-	now := time.Now()
+	now := clock.Now()
 	for _, v := range inOrder(values) {
 		c.Store.Offer(now, v, Source)
 	}
@@ -158,7 +159,7 @@
 	if !c.lostAt.IsZero() {
 		return
 	}
-	c.lostAt = time.Now()
+	c.lostAt = clock.Now()
 	if c.OnState != nil {
 		c.OnState(false, 0, err)
 	}
@@ -168,7 +169,7 @@
 	if c.lostAt.IsZero() {
 		return
 	}
-	away := time.Since(c.lostAt)
+	away := clock.Since(c.lostAt)
 	c.lostAt = time.Time{}
 	if c.OnState != nil {
 		c.OnState(true, away, nil)
--- a/internal/controllers/controllers.go
+++ b/internal/controllers/controllers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -26,12 +27,10 @@
 func every(ctx context.Context, interval time.Duration, f func()) {
 	for {
 		jitter := time.Duration((rand.Float64() - 0.5) * 0.2 * float64(interval))
-		select {
-		case <-time.After(interval + jitter):
-			f()
-		case <-ctx.Done():
+		if !pause.For(ctx, interval+jitter) {
 			return
 		}
+		f()
 	}
 }
 
@@ -80,7 +79,7 @@
 }
 
 func (c *Exchange) round(ctx context.Context) {
-	c.Beliefs.Beat(time.Now(), c.inherited())
+	c.Beliefs.Beat(clock.Now(), c.inherited())
 	answered, asked := c.Client.Round(ctx)
 	c.OnRound(answered, asked)
 	if answered == 0 && len(c.SeedPeers) > 0 {
@@ -108,7 +107,7 @@
 // before: its peers may know newer values than the platform replica that it
 // reads.
 func (c *Exchange) Catchup(ctx context.Context, dataCenter string) {
-	c.Beliefs.Beat(time.Now(), c.inherited())
+	c.Beliefs.Beat(clock.Now(), c.inherited())
 	c.Client.Reconcile(ctx, c.seeds())
 	var near, far []membership.Contact
 	c.Beliefs.View(func(v *membership.View) {
@@ -127,10 +126,10 @@
 // Farewell tells all members that the entry has left.
 func (c *Exchange) Farewell(ctx context.Context) {
 	c.Beliefs.SetState(peerv1.NodeState_NODE_STATE_LEFT)
-	c.Beliefs.Beat(time.Now(), nil)
+	c.Beliefs.Beat(clock.Now(), nil)
 	var peers []membership.Contact
 	c.Beliefs.View(func(v *membership.View) {
-		for _, m := range v.Members(time.Now()) {
+		for _, m := range v.Members(clock.Now()) {
 			if m.Status == membership.Alive {
 				peers = append(peers, m.Contact)
 			}
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -48,12 +49,12 @@
 		every(ctx, c.Interval, func() { c.poll(ctx) })
 		return
 	}
-	read := time.Now()
+	read := clock.Now()
 	every(ctx, c.PressedInterval, func() {
-		if time.Since(read) < c.Interval && !c.Pressed() {
+		if clock.Since(read) < c.Interval && !c.Pressed() {
 			return
 		}
-		read = time.Now()
+		read = clock.Now()
 		c.poll(ctx)
 	})
 }
@@ -61,7 +62,7 @@
 func (c *Load) poll(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(maxPollsAtOnce)
-	for _, e := range c.Beliefs.ToPoll(time.Now()) {
+	for _, e := range c.Beliefs.ToPoll(clock.Now()) {
 		g.Go(func() error {
 			c.ReadOne(ctx, e)
 			return nil
@@ -83,7 +84,7 @@
 // NativeLoad reads the load of engines that speak the system's own interface.
 func NativeLoad(client *engineclient.Client) LoadReader {
 	return func(ctx context.Context, e fleet.Endpoint) (scheduler.Report, bool, error) {
-		asked := time.Now()
+		asked := clock.Now()
 		load, err := client.Load(ctx, e)
 		if err != nil {
 			return scheduler.Report{}, false, err
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -30,6 +30,7 @@
 	"sync"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -143,7 +144,7 @@
 func (w *Watcher) Left(at fleet.Endpoint, run Run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	recent := slices.IndexFunc(w.left, func(l leftRun) bool { return time.Since(l.At) < leftFor })
+	recent := slices.IndexFunc(w.left, func(l leftRun) bool { return clock.Since(l.At) < leftFor })
 	switch {
 	case recent < 0:
 		w.left = nil
@@ -170,7 +171,7 @@
 // leftAt lists the runs whose callers left an endpoint lately. The caller holds the lock.
 func (w *Watcher) leftAt(life fleet.Life) (out []Run) {
 	for _, l := range w.left {
-		if l.life == life && time.Since(l.At) < leftFor {
+		if l.life == life && clock.Since(l.At) < leftFor {
 			out = append(out, l.Run)
 		}
 	}
@@ -217,9 +218,9 @@
 // watch looks at the endpoint of a case until it is known to have ended, and drops the case
 // when nothing more is to be learnt.
 func (w *Watcher) watch(ctx context.Context, c *lifeCase) {
-	opened := time.Now()
+	opened := clock.Now()
 	pause.For(ctx, settle)
-	for looks := 1; ctx.Err() == nil && time.Since(opened) < keepFor; looks++ {
+	for looks := 1; ctx.Err() == nil && clock.Since(opened) < keepFor; looks++ {
 		if !w.isEnded(c) && w.hasEnded(ctx, c.end.At, looks) {
 			w.settle(c)
 		}
@@ -251,7 +252,7 @@
 // settle tells of the runs of a life that has ended.
 func (w *Watcher) settle(c *lifeCase) {
 	w.mu.Lock()
-	c.ended = time.Now()
+	c.ended = clock.Now()
 	under := append([]Run(nil), c.runs...)
 	w.mu.Unlock()
 	w.cfg.OnEnded(c.end, under)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -60,7 +61,7 @@
 func (d *Dispatcher) Update(change func(now time.Time, p scheduler.Policy)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	change(now, d.policy)
 	d.pump(now)
 }
@@ -69,7 +70,7 @@
 func (d *Dispatcher) View(read func(now time.Time, p scheduler.Policy)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	read(time.Now(), d.policy)
+	read(clock.Now(), d.policy)
 }
 
 func (d *Dispatcher) pump(now time.Time) {
@@ -114,7 +115,7 @@
 	defer d.mu.Unlock()
 	d.nextID++
 	r.ID = d.nextID
-	now := time.Now()
+	now := clock.Now()
 	if err := d.policy.Submit(now, r); err != nil {
 		return 0, nil, err
 	}
@@ -128,7 +129,7 @@
 func (d *Dispatcher) abandon(id scheduler.ID, ch chan verdict) *outcome.Error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if d.policy.Cancel(now, id) {
 		delete(d.waiting, id)
 		return callerGone()
@@ -154,7 +155,7 @@
 func (d *Dispatcher) Progress(id scheduler.ID, generated int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.policy.Progress(time.Now(), id, generated)
+	d.policy.Progress(clock.Now(), id, generated)
 }
 
 // Move records that a granted request goes on at another endpoint.
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/filters/account"
 	"github.com/bridgehoist/bridgehoist/internal/filters/body"
 	"github.com/bridgehoist/bridgehoist/internal/filters/bound"
@@ -100,7 +100,7 @@
 func (e *Entry) peerJob(msg *peerv1.RunRequest) (*job.Job, *outcome.Error) {
 	j := &job.Job{
 		RequestID:   e.newRequestID(),
-		Arrived:     time.Now(),
+		Arrived:     clock.Now(),
 		Method:      msg.GetMethod(),
 		Path:        msg.GetPath(),
 		ContentType: msg.GetContentType(),
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -47,7 +48,7 @@
 
 // onBroken takes the news that a request broke off at an endpoint.
 func (e *Entry) onBroken(j *job.Job, at fleet.Endpoint, sent time.Time) {
-	e.crashes.Broken(context.Background(), at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: time.Now()})
+	e.crashes.Broken(context.Background(), at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: clock.Now()})
 }
 
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
@@ -76,7 +77,7 @@
 	e := &Entry{
 		cfg:     cfg,
 		log:     logger,
-		started: time.Now(),
+		started: clock.Now(),
 		metrics: metrics.New(),
 		client:  engineclient.New(),
 		traffic: &peering.Traffic{},
--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -58,7 +59,7 @@
 func (e *Entry) countMembers(status membership.Status) float64 {
 	n := 0.0
 	e.beliefs.View(func(v *membership.View) {
-		for _, m := range v.Members(time.Now()) {
+		for _, m := range v.Members(clock.Now()) {
 			if m.Status == status {
 				n++
 			}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/published"
@@ -39,7 +40,7 @@
 }
 
 func (e *Entry) status() operatorapi.Status {
-	now := time.Now()
+	now := clock.Now()
 	running, records := e.owner.Stats()
 	out := operatorapi.Status{
 		VM:         e.cfg.VM,
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -22,6 +22,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
@@ -132,12 +133,12 @@
 // were moved, or the engines have ended and their streams with them.
 func (e *Evacuator) run(ctx context.Context, group []fleet.Endpoint) {
 	begun := e.noticed(group)
-	end := time.Now().Add(leavingFor)
-	for time.Now().Before(end) {
+	end := clock.Now().Add(leavingFor)
+	for clock.Now().Before(end) {
 		if !e.pass(ctx, group, begun) || !pause.For(ctx, passPause) {
 			return
 		}
-		begun = time.Now()
+		begun = clock.Now()
 	}
 }
 
@@ -146,7 +147,7 @@
 func (e *Evacuator) noticed(group []fleet.Endpoint) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	first := now
 	for _, source := range group {
 		if at := e.leaving[source.Life()]; at.Before(first) && now.Sub(at) <= maxNews {
@@ -198,7 +199,7 @@
 		if step.Source != source.ID {
 			continue
 		}
-		if !pause.For(ctx, time.Until(begun.Add(step.Start))) {
+		if !pause.For(ctx, clock.Until(begun.Add(step.Start))) {
 			return
 		}
 		e.cfg.OnMove(e.move(ctx, mine[step.RequestID], source, step.Target))
--- a/internal/evacuate/groups.go
+++ b/internal/evacuate/groups.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 )
 
@@ -23,7 +24,7 @@
 // forget drops engines that have ended long ago.
 func (e *Evacuator) forget() {
 	for life, since := range e.leaving {
-		if time.Since(since) > leavingFor {
+		if clock.Since(since) > leavingFor {
 			delete(e.leaving, life)
 		}
 	}
@@ -62,7 +63,7 @@
 	defer e.mu.Unlock()
 	for _, source := range group {
 		delete(e.active, source.Life())
-		if len(e.begun(source)) > 0 && ctx.Err() == nil && time.Since(e.leaving[source.Life()]) < leavingFor {
+		if len(e.begun(source)) > 0 && ctx.Err() == nil && clock.Since(e.leaving[source.Life()]) < leavingFor {
 			// One began after the last pass had looked.
 			e.join(ctx, source)
 		}
--- a/internal/evacuate/move.go
+++ b/internal/evacuate/move.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -128,7 +129,7 @@
 func (e *Evacuator) refresh(ctx context.Context, source fleet.Endpoint, s *relay.Session, h *relay.Handoff) {
 	target := h.Target
 	for range maxRefreshes {
-		begun := time.Now()
+		begun := clock.Now()
 		newer, err := e.copy(ctx, source, s, target, false)
 		if err != nil {
 			// The stop that follows finds out what is wrong.
@@ -136,7 +137,7 @@
 			return
 		}
 		h.Update(newer)
-		if time.Since(begun) <= freeLink {
+		if clock.Since(begun) <= freeLink {
 			return
 		}
 	}
--- a/internal/filters/account/account.go
+++ b/internal/filters/account/account.go
@@ -4,10 +4,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
@@ -20,7 +20,7 @@
 func New(next http.Handler, fill Fill, observe func(*job.Job)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j := &job.Job{
-			Arrived: time.Now(),
+			Arrived: clock.Now(),
 			Method:  r.Method,
 			Path:    r.RequestURI,
 			Host:    r.Host,
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -67,7 +68,7 @@
 	if held == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
 	use, lapsed := g.grace.Apply(now, held.Value.Endpoints)
 	if !lapsed.IsZero() {
@@ -109,7 +110,7 @@
 		}
 	}
 	if !first.IsZero() {
-		g.again = time.AfterFunc(time.Until(first), g.applyEndpoints)
+		g.again = time.AfterFunc(clock.Until(first), g.applyEndpoints)
 	}
 }
 
@@ -163,7 +164,7 @@
 	source = peering.SourceLabel(source)
 	g.metrics.Leaves.WithLabelValues(source).Inc()
 	g.log.Info("endpoint leaving", "endpoint", l.Endpoint, "start", l.Incarnation, "source", source, "fleet", g.fleetRevision())
-	noticed := time.Now()
+	noticed := clock.Now()
 	if source == peering.SourceFleet {
 		// It comes from applyEndpoints, which holds the lock.
 		noticed = g.noticed
@@ -179,7 +180,7 @@
 
 // readLoad reads the state of an engine.
 func (g *Gateway) readLoad(ctx context.Context, e fleet.Endpoint) (scheduler.Report, bool, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	r, err := g.engines.Report(ctx, e)
 	if err != nil {
 		return scheduler.Report{}, false, err
@@ -208,6 +209,9 @@
 }
 
 func (g *Gateway) onRound(answered, asked int) {
+	if answered > 0 {
+		g.doubtful.Store(false)
+	}
 	g.metrics.PeersAsked.Add(float64(asked))
 	g.metrics.PeersAnswered.Add(float64(answered))
 	g.adaptToSize()
@@ -231,7 +235,7 @@
 		g.crashes.Refused(g.work, grant.Endpoint)
 	}
 	g.log.Warn("attempt failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "identity", j.Identity(), "endpoint", grant.Endpoint.ID, "address", grant.Endpoint.Address,
-		"failure", f.Kind, "error", f.Err, "step", step, "elapsed_ms", time.Since(j.Arrived).Milliseconds(),
+		"failure", f.Kind, "error", f.Err, "step", step, "elapsed_ms", clock.Since(j.Arrived).Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
 }
 
@@ -252,7 +256,7 @@
 	}
 	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target, "identity", j.KnownIdentity(),
 		"outcome", j.Outcome, "code", j.Code, "reason", j.Reason, "queued_ms", j.Timings.Queued.Milliseconds(),
-		"elapsed_ms", time.Since(j.Arrived).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
+		"elapsed_ms", clock.Since(j.Arrived).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
 		"table", j.Revision, "fleet", g.fleetRevision())
 }
 
@@ -266,5 +270,5 @@
 	g.log.Info("request late", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "endpoint", j.Endpoint,
 		"first_ms", t.FirstToken.Milliseconds(), "objective_ms", row.Objective.Milliseconds(),
 		"queued_ms", t.Queued.Milliseconds(), "gap_ms", t.LongestGap.Milliseconds(), "max_gap_ms", row.MaxGap.Milliseconds(),
-		"tokens_in", j.PromptTokens, "elapsed_ms", time.Since(j.Arrived).Milliseconds(), "table", j.Revision)
+		"tokens_in", j.PromptTokens, "elapsed_ms", clock.Since(j.Arrived).Milliseconds(), "table", j.Revision)
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -25,12 +26,12 @@
 
 // onBroken takes the news that a request broke off at an endpoint.
 func (g *Gateway) onBroken(j *job.Job, at fleet.Endpoint, sent time.Time) {
-	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: time.Now()})
+	g.crashes.Broken(g.work, at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), Sent: sent, At: clock.Now()})
 }
 
 // onLeft takes the news that a caller left while its request ran at an endpoint.
 func (g *Gateway) onLeft(j *job.Job, at fleet.Endpoint) {
-	g.crashes.Left(at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: time.Now()})
+	g.crashes.Left(at, crashwatch.Run{RequestID: j.RequestID, Identity: j.Identity(), At: clock.Now()})
 }
 
 // onEnded holds it against requests that an endpoint ended unannounced while they ran there.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,12 +15,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
@@ -74,6 +76,8 @@
 	// small says that the fleet is so small that all tell each other all.
 	small    atomic.Bool
 	stopping atomic.Bool
+	// doubtful says that the VM was suspended and nobody has told since what is in force.
+	doubtful atomic.Bool
 	// lostDataCenters are those that the log said last were out of reach.
 	lostDataCenters atomic.Pointer[string]
 	// lastState is the readiness.State that the balancer was told last.
@@ -86,6 +90,7 @@
 	reader     *reader
 	beliefs    *peering.Beliefs
 	peers      *peering.Client
+	peersHTTP  *http.Client
 	traffic    *peering.Traffic
 	pool       *upstream.Pool
 	forwarder  *relay.Forwarder
@@ -122,7 +127,7 @@
 		cfg:     cfg,
 		vm:      vm,
 		log:     logger,
-		started: time.Now(),
+		started: clock.Now(),
 		metrics: metrics.New(),
 		traffic: &peering.Traffic{},
 		grace:   fleet.Grace{Hold: cfg.lapseHold()},
@@ -161,6 +166,7 @@
 	if g.notices != nil {
 		loops.Go(func() { g.notices.Run(work) })
 	}
+	loops.Go(func() { g.watchClock(work) })
 	loops.Go(func() { g.dispatcher.Run(work) })
 	loops.Go(func() { g.start(work) })
 	g.log.Info("started", "data_center", g.vm.DataCenter, "callers", g.vm.Callers, "peers", g.vm.Peers,
@@ -169,7 +175,7 @@
 	g.stop(work, servers)
 	cancel()
 	loops.Wait()
-	g.log.Info("stopped", "uptime", time.Since(g.started).Round(time.Millisecond))
+	g.log.Info("stopped", "uptime", clock.Since(g.started).Round(time.Millisecond))
 	return nil
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -60,7 +61,7 @@
 	}
 	if address := noticeAddress(g.vm); address != "" {
 		g.notices, err = notices.New(notices.Config{
-			Listen: address, OnPrompt: g.onPrompt, OnRead: g.onRead, OnLoads: g.onLoads, Now: time.Now, Log: g.log,
+			Listen: address, OnPrompt: g.onPrompt, OnRead: g.onRead, OnLoads: g.onLoads, Now: clock.Now, Log: g.log,
 		})
 		if err != nil {
 			return nil, err
@@ -109,13 +110,13 @@
 // stop ends the gateway: unready at once, serve what the balancer still sends,
 // let open requests end, and tell the peers.
 func (g *Gateway) stop(ctx context.Context, s *servers) {
-	begun := time.Now()
+	begun := clock.Now()
 	g.stopping.Store(true)
 	g.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEAVING)
 	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
 	deadline := begun.Add(g.vm.Bounds.Grace - graceMargin)
 	time.Sleep(g.cfg.DrainDelay)
-	open, cancel := context.WithDeadline(ctx, deadline)
+	open, cancel := clock.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := s.callers.Shutdown(open); err != nil {
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -46,10 +46,11 @@
 	if g.cfg.Without.has(mechQuarantine) {
 		g.beliefs.Guard().Off()
 	}
+	g.peersHTTP = &http.Client{Transport: peerTransport()}
 	g.peers = peering.NewClient(peering.Config{
 		Beliefs: g.beliefs,
 		Store:   g.store,
-		HTTP:    &http.Client{Transport: peerTransport()},
+		HTTP:    g.peersHTTP,
 		Scheme:  "http",
 		Traffic: g.traffic,
 	})
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 )
@@ -27,7 +28,7 @@
 		}
 	}
 	g.caughtUp.Store(true)
-	g.log.Info("caught up", "after", time.Since(g.started).Round(time.Millisecond))
+	g.log.Info("caught up", "after", clock.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
 	tell := &controllers.Housekeeping{Interval: g.cfg.LoadsEvery, Tasks: []func(){g.tellLoads}}
 	for _, c := range []controllers.Controller{g.exchange, g.config, g.load, tell} {
--- a/internal/gateway/tell.go
+++ b/internal/gateway/tell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -54,11 +55,11 @@
 // adaptToSize fits the scheduler and the notices to the number of entries.
 func (g *Gateway) adaptToSize() {
 	entries := 1
-	g.beliefs.View(func(v *membership.View) { entries += len(v.Members(time.Now())) })
+	g.beliefs.View(func(v *membership.View) { entries += len(v.Members(clock.Now())) })
 	small := entries <= smallView
 	g.small.Store(small)
 	if g.notices != nil {
-		g.notices.SetPeers(g.beliefs.NoticeAddresses(time.Now()), small)
+		g.notices.SetPeers(g.beliefs.NoticeAddresses(clock.Now()), small)
 	}
 	local, remote := localOfMany, remoteOfMany
 	if small {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
@@ -129,7 +130,7 @@
 
 // Progress records progress now, after progress at last, and returns now.
 func (t *Timings) Progress(arrived, last time.Time) time.Time {
-	now := time.Now()
+	now := clock.Now()
 	gap := now.Sub(last)
 	if t.FirstToken == 0 {
 		t.FirstToken = now.Sub(arrived)
@@ -176,7 +177,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	return time.Until(j.Deadline())
+	return clock.Until(j.Deadline())
 }
 
 // HeaderSink is a sink that passes on an endpoint's answer with its headers.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -199,5 +200,5 @@
 	if t.IsZero() {
 		return -1
 	}
-	return time.Since(t).Seconds()
+	return clock.Since(t).Seconds()
 }
--- a/internal/native/generate.go
+++ b/internal/native/generate.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
@@ -39,7 +40,7 @@
 // generate runs a request at an engine, resuming the same generation whenever
 // the link is lost.
 func (p *Performer) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
-	g := &generation{p: p, j: j, sink: sink, grant: grant, last: time.Now()}
+	g := &generation{p: p, j: j, sink: sink, grant: grant, last: clock.Now()}
 	sent := g.last
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
@@ -53,7 +54,7 @@
 
 // call runs a request at a plain service.
 func (p *Performer) call(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
-	start := time.Now()
+	start := clock.Now()
 	reply, f := p.cfg.Client.Call(ctx, grant.Endpoint, j.RequestID, j.Method, j.ServicePath, j.ContentType, j.Body)
 	if f != nil {
 		p.broken(ctx, j, grant.Endpoint, start, f)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/answer"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -45,7 +46,7 @@
 func (o *Owner) Mint(workspace string) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ledger.Mint(time.Now(), workspace)
+	return o.ledger.Mint(clock.Now(), workspace)
 }
 
 // Serve answers a job that carries a ticket of any entry.
@@ -85,7 +86,7 @@
 func (o *Owner) begin(t claims.Ticket, j *job.Job) (claims.Decision, *answer.Log) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	d := o.ledger.Begin(time.Now(), t, j.Workspace, digest(j))
+	d := o.ledger.Begin(clock.Now(), t, j.Workspace, digest(j))
 	if d.Action == claims.Run {
 		log := answer.NewLog()
 		o.runs[d.Key] = log
@@ -125,7 +126,7 @@
 		kept = &claims.Answer{Status: status, ContentType: contentType, Body: data}
 	}
 	o.mu.Lock()
-	o.ledger.Finish(time.Now(), key, kept, err)
+	o.ledger.Finish(clock.Now(), key, kept, err)
 	delete(o.runs, key)
 	o.mu.Unlock()
 	log.Close(err)
@@ -145,7 +146,7 @@
 
 // Expire forgets what is no longer needed.
 func (o *Owner) Expire() {
-	o.locked(func(l *claims.Ledger) bool { l.Expire(time.Now()); return true })
+	o.locked(func(l *claims.Ledger) bool { l.Expire(clock.Now()); return true })
 }
 
 // Stats counts the runs open and the records kept.
@@ -166,7 +167,7 @@
 func (o *Owner) Adopt(msg *peerv1.HandoverRequest) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ledger.Adopt(time.Now(), msg)
+	return o.ledger.Adopt(clock.Now(), msg)
 }
 
 // Freeze waits until no run is open and ends running for good. It returns false
@@ -199,5 +200,5 @@
 func (o *Owner) Export(to []byte) *peerv1.HandoverRequest {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ledger.Export(time.Now(), to)
+	return o.ledger.Export(clock.Now(), to)
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -4,16 +4,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 )
 
-// For waits, and returns false if the context ended first.
-func For(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+// For waits, and returns false if the context ended first. Time for which the VM was
+// suspended counts.
+func For(ctx context.Context, d time.Duration) bool { return clock.Wait(ctx, d) }
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -11,6 +11,7 @@
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 )
@@ -91,7 +92,7 @@
 // many answered of how many.
 func (c *Client) Round(ctx context.Context) (answered, asked int) {
 	var peers []membership.Contact
-	c.cfg.Beliefs.View(func(v *membership.View) { peers = v.Round(time.Now()) })
+	c.cfg.Beliefs.View(func(v *membership.View) { peers = v.Round(clock.Now()) })
 	return c.Reconcile(ctx, peers), len(peers)
 }
 
@@ -119,7 +120,7 @@
 		req.FromVm = v.Self().GetVm()
 		req.DataCenter = v.Self().GetDataCenter()
 		req.All = scope == ""
-		req.Digests = v.Digests(time.Now(), scope)
+		req.Digests = v.Digests(clock.Now(), scope)
 	})
 	for name, revision := range c.cfg.Store.Seen() {
 		req.DocumentDigests = append(req.DocumentDigests, &peerv1.DocumentDigest{Name: name, Revision: revision})
@@ -134,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	takeDocuments(now, c.cfg.Store, resp.GetDocuments(), p.VM)
 	c.cfg.Beliefs.Merge(now, resp.GetRecords())
 	c.cfg.Beliefs.guard.Add(factsIn(now, resp.GetRequestFacts())...)
@@ -173,7 +174,7 @@
 			wanted = append(wanted, v)
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	req.Documents = documentsOut(now, wanted)
 	req.RequestFacts = factsOut(now, c.cfg.Beliefs.guard.Facts(keysIn(resp.GetWantedRequestFacts())))
 	return req
--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -37,7 +38,7 @@
 
 func (c *Client) successorBut(tried map[string]bool) (m membership.Member, ok bool) {
 	c.cfg.Beliefs.View(func(v *membership.View) {
-		now := time.Now()
+		now := clock.Now()
 		var to membership.Contact
 		if to, ok = v.Successor(now, tried); ok {
 			m, ok = v.Find(now, to.VM)
@@ -83,7 +84,7 @@
 		return s, nil
 	}
 	c.cfg.Beliefs.View(func(v *membership.View) {
-		address, err = claims.Route(t, Directory{v, time.Now()}, c.allowed)
+		address, err = claims.Route(t, Directory{v, clock.Now()}, c.allowed)
 	})
 	return address, err
 }
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -19,6 +19,7 @@
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
 	"github.com/bridgehoist/bridgehoist/internal/published"
@@ -79,7 +80,7 @@
 
 // Exchange implements the service.
 func (s *Server) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	now := time.Now()
+	now := clock.Now()
 	msg := req.Msg
 	s.traffic.Received(msg)
 	takeDocuments(now, s.store, msg.GetDocuments(), msg.GetFromVm())
@@ -94,7 +95,7 @@
 }
 
 func (s *Server) answer(msg *peerv1.ExchangeRequest, resp *peerv1.ExchangeResponse) {
-	now := time.Now()
+	now := clock.Now()
 	scope := membership.Scope(msg.GetDataCenter())
 	if msg.GetAll() {
 		scope = ""
@@ -214,6 +215,6 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	s.beliefs.Beat(time.Now(), s.owner.Inherited())
+	s.beliefs.Beat(clock.Now(), s.owner.Inherited())
 	return connect.NewResponse(&peerv1.HandoverResponse{}), nil
 }
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
@@ -129,7 +130,7 @@
 	s := sending(ctx, p.j, h.Target)
 	s.Resume = true
 	s.Continue = &upstream.Continuation{Source: h.Copy.Source, Handle: h.Copy.Handle}
-	p.sent = time.Now()
+	p.sent = clock.Now()
 	resp, failure := p.f.cfg.Pool.Do(ctx, h.Target, request(p.j), s)
 	if failure != nil {
 		p.f.broken(p.j, h.Target, p.sent, failure)
@@ -161,7 +162,7 @@
 	event := *p.arriving
 	p.arriving = nil
 	event.Err = err
-	event.Pause = time.Since(p.state.LastAt)
+	event.Pause = clock.Since(p.state.LastAt)
 	if p.f.cfg.OnHandoff != nil {
 		p.f.cfg.OnHandoff(event)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
@@ -97,7 +98,7 @@
 func (f *Forwarder) Perform(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Ending {
 	read := f.tellSent(grant.Endpoint, j.PromptTokens)
 	defer read()
-	start := time.Now()
+	start := clock.Now()
 	resp, failure := f.cfg.Pool.Do(ctx, grant.Endpoint, request(j), sending(ctx, j, grant.Endpoint))
 	if failure != nil {
 		f.broken(j, grant.Endpoint, start, failure)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,9 +8,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -75,7 +74,7 @@
 // Run runs a request and writes its answer to the sink. The error is the final
 // outcome if the answer isn't complete.
 func (r *Runner) Run(ctx context.Context, j *job.Job, sink job.Sink) *outcome.Error {
-	ctx, cancel := context.WithDeadline(ctx, j.Deadline())
+	ctx, cancel := clock.WithDeadline(ctx, j.Deadline())
 	defer cancel()
 	var st state
 	for {
@@ -115,9 +114,9 @@
 }
 
 func (r *Runner) acquire(ctx context.Context, j *job.Job, st *state) (dispatch.Grant, *outcome.Error) {
-	start := time.Now()
+	start := clock.Now()
 	grant, err := r.cfg.Dispatcher.Acquire(ctx, Request(j, st.avoid))
-	j.Timings.Queued += time.Since(start)
+	j.Timings.Queued += clock.Since(start)
 	return grant, err
 }
 
@@ -247,7 +246,7 @@
 // connection too, or else what failed.
 func failureCode(ctx context.Context, f *attempt.Failure) outcome.Code {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case clock.Expired(ctx):
 		return outcome.CodeDeadline
 	case ctx.Err() != nil:
 		return outcome.CodeCallerGone
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
@@ -70,7 +71,7 @@
 func (p *Pool) take(life fleet.Life) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for conns := p.idle[life]; len(conns) > 0; conns = p.idle[life] {
 		c := conns[len(conns)-1]
 		p.idle[life] = conns[:len(conns)-1]
@@ -89,7 +90,7 @@
 		c.Close()
 		return
 	}
-	c.lastUsed = time.Now()
+	c.lastUsed = clock.Now()
 	p.idle[life] = append(p.idle[life], c)
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -316,6 +316,14 @@
 	return Alive
 }
 
+// Missed tells that the owner heard nothing for a time because it was suspended itself,
+// which is no silence of the others: what was heard of them is not older than before.
+func (v *View) Missed(d time.Duration) {
+	for _, n := range v.nodes {
+		n.heard = n.heard.Add(d)
+	}
+}
+
 // Forget drops nodes that have been dead or gone for ForgetAfter.
 func (v *View) Forget(now time.Time) {
 	for _, n := range slices.Clone(v.sorted) {
