--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -12,10 +12,12 @@
 	"github.com/pkg/errors"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
 )
 
 // Run serves until the context ends, then stops without cutting any request.
@@ -27,6 +29,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var loops sync.WaitGroup
+	loops.Go(func() { e.watchClock(work) })
 	loops.Go(func() { e.dispatcher.Run(work) })
 	loops.Go(func() { e.start(work) })
 	e.log.Info("started", "data_center", e.cfg.DataCenter, "listen", e.cfg.Listen, "peer", e.cfg.Peer)
@@ -38,6 +41,20 @@
 	return nil
 }
 
+// watchClock notices when the VM was suspended. Ages and deadlines count that by themselves;
+// peers weren't silent meanwhile, and are asked what came into force.
+func (e *Entry) watchClock(ctx context.Context) {
+	stop := clock.OnSuspended(func(missed time.Duration) {
+		e.log.Warn("suspended", "for", missed.Round(time.Millisecond))
+		e.beliefs.View(func(v *membership.View) { v.Missed(missed) })
+		e.kick()
+	})
+	defer stop()
+	if err := clock.Run(ctx); err != nil {
+		e.log.Warn("suspensions of the VM can't be noticed", "error", err)
+	}
+}
+
 // start reads the platform, catches up with the peers, and only then lets the
 // entry become ready. As long as no fleet list is there, nobody can be asked, so
 // it begins again: a replica of the platform that comes late may be behind.
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -30,6 +30,8 @@
 	// restarting says that the next process is about to be started.
 	restarting bool
 	over       bool
+	// suspended is for how long it believes to have been suspended.
+	suspended time.Duration
 }
 
 func (w *world) newGateway(i int, seeds []string) *gateway {
@@ -56,7 +58,7 @@
 	g.life++
 	g.restarting = false
 	cmd := exec.Command(gatewayBinary, "-drain-delay", "300ms")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file, "SOAK_SUSPENDED="+g.suspendedFile())
 	out, err := os.OpenFile(g.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		g.w.t.Error(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,7 @@
 		panic(err)
 	}
 	gatewayBinary = filepath.Join(dir, "gateway")
-	build := exec.Command("go", "build", "-o", gatewayBinary, "../../cmd/bridgehoist-gateway")
+	build := exec.Command("go", "build", "-tags", "suspendable", "-o", gatewayBinary, "../../cmd/bridgehoist-gateway")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -67,15 +67,19 @@
 // crashes is a step of plans of its own, so that seeds go on drawing the steps that they drew.
 var crashes = step{"requests that crash", fault, func(w *world, r *rand.Rand) { w.crashing(r) }}
 
+// suspension is a step of such plans too.
+var suspension = step{"suspension", fault, func(w *world, r *rand.Rand) { pick(r, w.gateways).suspend(r) }}
+
 // planCrashes has requests that crash what runs them, and nothing that keeps gateways from
 // telling each other.
 const planCrashes = "crashes"
 
-// crashPlans are drawn by the seeds whose quotient by the number of plans leaves six or
-// seven when it is divided by eight.
+// crashPlans are drawn by the seeds whose quotient by the number of plans leaves four, six
+// or seven when it is divided by eight.
 var crashPlans = map[uint64]plan{
 	6: {planCrashes, append(named("configuration", "reload", "bad records"), crashes, crashes)},
-	7: {"all and crashes", append(slices.Clone(steps), crashes, crashes, crashes)},
+	7: {"all, crashes and suspensions", append(slices.Clone(steps), crashes, crashes, crashes, suspension, suspension)},
+	4: {"suspensions", append(named("configuration", "reload", "bad records", "engine leaves"), suspension, suspension)},
 }
 
 func planOf(seed uint64) plan {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -109,3 +109,14 @@
 		g.Expect(assigned).To(Equal(count))
 	}
 }
+
+// TestAnOwnSuspensionIsNoSilenceOfOthers: what was heard of them is not older than before.
+func TestAnOwnSuspensionIsNoSilenceOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	a, b := view("a", 1, 1), view("b", 2, 1)
+	meet(start, a, b)
+	const missed = time.Hour
+	a.Missed(missed)
+	g.Expect(status(a, start.Add(missed), "b")).To(Equal("alive"))
+	g.Expect(status(a, start.Add(missed+membership.DefaultSuspectAfter), "b")).To(Equal("suspect"))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -157,5 +157,14 @@
 mutant "crashing requests: an end that a start hid doesn't count" internal/crashwatch/crashwatch.go 's/if w.cfg.Over(at) {/if false {/' ./internal/crashwatch
 mutant "crashing requests: callers that left forgotten" internal/crashwatch/crashwatch.go 's/w.left = append(w.left, leftRun{run, at.Life()})//' ./internal/crashwatch
 mutant "crashing requests: ends not seen by an entry" internal/entry/entry.go 's/OnBroken:     e.onBroken,//' ./internal/entry
+K=internal/clock/clock.go
+mutant "suspensions: not counted" $K 's/return time.Now().Add(Missed())/return time.Now()/' ./internal/clock
+mutant "suspensions: deadlines not ended" $K 's/^\t\tover()$/\t\t_ = over/' "./internal/clock ./internal/gateway -run Suspended"
+mutant "suspensions: deadlines end late" $K 's/if left := Until(deadline); left > 0 {/if left := Until(deadline); left > 0 {\n\t\t\treturn/' ./internal/clock
+mutant "suspensions: waits go on" $K 's/timer.Reset(max(Until(end), 0))/_ = end/' ./internal/clock
+mutant "suspensions: short ones lost" $K 's/^\tstate.base = suspended$/\tstate.base = suspended + 1/;s/if gap < minGap {/if gap < minGap {\n\t\tstate.base = suspended/' ./internal/clock
+mutant "suspensions: peers blamed" pkg/membership/membership.go 's/n.heard = n.heard.Add(d)/n.heard = n.heard.Add(0)/' ./pkg/membership
+mutant "suspensions: table relied on" internal/gateway/suspended.go 's/if g.doubtful.Load() {/if false {/' "./internal/gateway -run Suspension"
+mutant "suspensions: requests' time not counted" internal/runner/runner.go 's/ctx, cancel := clock.WithDeadline(ctx, j.Deadline())/ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline()))/' "./internal/gateway -run Suspended"
 
 exit $green
