--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -38,6 +39,8 @@
 	// Networks are where an owner that isn't in the view may be called.
 	Networks []netip.Prefix
 	Traffic  *Traffic
+	// Timeout bounds one exchange; zero is exchangeTimeout.
+	Timeout time.Duration
 }
 
 // Client makes the calls of an entry to the others.
@@ -129,7 +132,7 @@
 }
 
 func (c *Client) exchange(ctx context.Context, p membership.Contact) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.cfg.Timeout, exchangeTimeout))
 	defer cancel()
 	resp, err := c.call(ctx, p, c.digests(p))
 	if err != nil {
