--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -119,6 +119,19 @@
 	g.Expect(standing(s, start, "beside")).To(Equal(quarantine.Contained), "it crashes them too")
 }
 
+// TestBesideTwoThatCrash: an innocent request that ran in two lives beside one that crashes,
+// and then in a third one beside another, isn't contained.
+func TestBesideTwoThatCrash(t *testing.T) {
+	g := NewWithT(t)
+	s := quarantine.New()
+	s.Add(start, end("crash", 1, start), end("crash", 2, start), end("beside", 2, start), end("crash", 3, start), end("beside", 3, start))
+	g.Expect(standing(s, start, "crash")).To(Equal(quarantine.Contained))
+	now := start.Add(500 * time.Millisecond)
+	s.Add(now, end("other", 4, now), end("beside", 4, now))
+	g.Expect(standing(s, now, "beside")).To(Equal(quarantine.Suspected))
+	g.Expect(standing(s, now, "crash")).To(Equal(quarantine.Contained))
+}
+
 // TestTheWayBack: when the hold is over one try goes at a time. One more end contains the
 // request again, a whole run clears it, and without either it is forgotten.
 func TestTheWayBack(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -141,6 +141,7 @@
 mutant "crashing requests: ends from before a whole run count" $Q 's/if known.Whole \&\& known.Identity == f.Identity/if false/' ./pkg/quarantine
 mutant "crashing requests: what another explains counts" $J 's/if !explained\[end.Mark\] {/if explained[end.Mark] || true {/' ./pkg/quarantine
 mutant "crashing requests: what came whole before is suspected" $Q 's/; whole \&\& !f.Whole \&\& f.At/; whole \&\& f.Whole \&\& f.At/' ./pkg/quarantine
+mutant "crashing requests: the later of as many first" $J 's/a.last.Compare(b.last)/b.last.Compare(a.last)/' ./pkg/quarantine
 mutant "crashing requests: tied ones contained at once" $J 's/s.standsOut \&\& s.unexplained >= Threshold/s.unexplained >= Threshold/' ./pkg/quarantine
 mutant "crashing requests: tied ones never contained" $J 's/return s.unexplained >= TiedThreshold || /return /' ./pkg/quarantine
 mutant "crashing requests: tied ones held long" $J 's/^\treturn TiedHold$/\treturn Hold/' ./pkg/quarantine
