--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -10,12 +10,11 @@
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
-	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
 
 // makeGuard makes what keeps requests that crash what runs them from endpoints.
 func (e *Entry) makeGuard() {
-	e.beliefs.Guard().OnNews(e.onStandings, e.kick)
+	e.beliefs.Guard().OnNews(func(c []contain.Change) { contain.LogChanges(e.log, c) }, e.kick)
 	e.crashes = crashwatch.New(crashwatch.Config{
 		Look:     upstream.LookAt,
 		Expected: e.endExpected,
@@ -57,12 +56,3 @@
 	e.log.Warn("endpoint ended under requests", "endpoint", end.At.ID, "incarnation", end.At.Incarnation, "requests", len(under))
 	e.beliefs.Guard().Add(crashwatch.Facts(end, under)...)
 }
-
-// onStandings logs which requests go into quarantine and which leave it.
-func (e *Entry) onStandings(changes []contain.Change) {
-	for _, c := range changes {
-		if c.Now == quarantine.Contained || c.Before > quarantine.Suspected {
-			e.log.Warn("quarantine", "identity", c.Identity, "standing", c.Now, "before", c.Before, "ends", c.Ends)
-		}
-	}
-}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,11 +4,9 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
-	"github.com/bridgehoist/bridgehoist/internal/contain"
 	"github.com/bridgehoist/bridgehoist/internal/crashwatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
-	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
 )
 
 // endExpected reports whether the end of an endpoint is no surprise: it is known to leave,
@@ -44,15 +42,6 @@
 	g.beliefs.Guard().Add(crashwatch.Facts(end, under)...)
 }
 
-// onStandings logs which requests go into quarantine and which leave it.
-func (g *Gateway) onStandings(changes []contain.Change) {
-	for _, c := range changes {
-		if c.Now == quarantine.Contained || c.Before > quarantine.Suspected {
-			g.log.Warn("quarantine", "identity", c.Identity, "standing", c.Now, "before", c.Before, "ends", c.Ends)
-		}
-	}
-}
-
 // tellSoon has the other entries told without waiting for the next round.
 func (g *Gateway) tellSoon() {
 	if g.caughtUp.Load() {
@@ -65,5 +54,6 @@
 	if err := g.beliefs.Guard().Check(j.Identity); err != nil {
 		return err
 	}
+	// Not the nil of another type, which isn't a nil error.
 	return nil
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -41,7 +41,7 @@
 	})
 	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.cfg.readers(), g.onLeave)
 	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
-	g.beliefs.Guard().OnNews(g.onStandings, g.tellSoon)
+	g.beliefs.Guard().OnNews(func(c []contain.Change) { contain.LogChanges(g.log, c) }, g.tellSoon)
 	contain.Gauges(g.metrics, g.beliefs.Guard())
 	if g.cfg.Without.has(mechQuarantine) {
 		g.beliefs.Guard().Off()
