--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,7 +149,7 @@
 mutant "crashing requests: tried by all entries" $Q 's/return slot%s.entries == s.rank/return slot >= 0/' ./pkg/quarantine
 mutant "crashing requests: never tried again" $Q 's/case left > 0:/case true:/' ./pkg/quarantine
 mutant "crashing requests: unbounded" $J 's/if len(s.facts) <= MaxFacts {/if true {/' ./pkg/quarantine
-mutant "crashing requests: one life counts twice" pkg/quarantine/mark.go 's/return xxhash.Sum64(append(data, l.Endpoint...))/return xxhash.Sum64(append(data, l.Endpoint...)) + rand.Uint64()/;s/"encoding\/binary"/"encoding\/binary"\n\t"math\/rand\/v2"/' ./internal/crashwatch
+mutant "crashing requests: one life counts twice" pkg/quarantine/mark.go 's/return xxhash.Sum64(append(data, listed.Endpoint...))/return xxhash.Sum64(append(data, listed.Endpoint...)) + rand.Uint64()/;s/"encoding\/binary"/"encoding\/binary"\n\t"math\/rand\/v2"/' ./internal/crashwatch
 mutant "crashing requests: another workspace's are the same" pkg/quarantine/identity.go 's/\[\]byte(workspace), //' ./pkg/quarantine
 mutant "crashing requests: not told" internal/peering/client.go 's/RequestFactKeys: keysOut(c.cfg.Beliefs.guard.Keys())//' ./internal/peering
 mutant "crashing requests: told by none but who saw them" internal/peering/server.go 's/resp.RequestFacts, resp.WantedRequestFacts = factsOut(now, missing), keysOut(wanted)/resp.WantedRequestFacts, _ = keysOut(wanted), missing/' ./internal/peering
