--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -131,7 +131,7 @@
 	if r == nil {
 		return nil
 	}
-	why := "another try of this request is under way"
+	why := "the request is on trial, one try at a time"
 	if r.Standing == quarantine.Contained {
 		why = "the request is in quarantine"
 	}
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -15,7 +15,8 @@
 	unexplained int
 	// standsOut says that no other request shares all of them.
 	standsOut bool
-	last      time.Time
+	// last is when the last of them was.
+	last time.Time
 }
 
 // contained reports whether its ends are enough.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,7 +21,7 @@
 //     then, and for a while after, isn't held against it. Entries remember what came whole
 //     lately, so that this also clears what came whole before the first end.
 //   - A life ends once. Ends that a contained request explains count against no other one
-//     with fewer ends.
+//     with fewer ends, nor one with as many that had its last end later.
 //   - A request stands out if no other one shares all of its ends. One that stands out is
 //     contained after Threshold ends. Those that don't are tied: they go on, since the next
 //     end tells them apart, up to TiedThreshold, and are tried again after TiedHold.
@@ -47,9 +47,7 @@
 // The package does no I/O. The caller serialises calls.
 package quarantine
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// Threshold is how many lives of endpoints end under a request until it is contained.
@@ -76,8 +74,8 @@
 	// Trust is for how long after a whole run ends aren't held against a request. It may be
 	// wrong for as long, when what runs requests has just been replaced by what they crash.
 	Trust = time.Minute
-	// memory is for how long a suspicion is kept after the last end: as long as Hold for
-	// those that aren't contained, and twice as long for one on trial.
+	// memory is for how long a fact is kept: a request that was held is remembered on trial for
+	// as long as it was held.
 	memory = 2 * Hold
 	// trialSlot is for how long it is one entry's turn to try a request: as long as it takes
 	// all entries to know of an end (1.92 s with 295, TestThreeEndsInThreeDataCentersAreSummedInTime).
@@ -111,7 +109,7 @@
 	// trying are the requests on trial that are under way.
 	trying map[Identity]bool
 	recent recent
-	// rank is the entry's place among so many.
+	// rank is the entry's place among all entries, from zero.
 	rank, entries int
 }
 
@@ -144,6 +142,7 @@
 		if _, known := s.facts[f.Key()]; known || s.outdated(now, f) {
 			continue
 		}
+		// An end of what came whole here just before is no news; that it came whole is.
 		if at, whole := s.recent.at(f.Identity); whole && !f.Whole && f.At.Sub(at) < Trust {
 			f = Fact{Identity: f.Identity, Mark: f.Mark, Whole: true, At: at}
 		}
