--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,12 +36,34 @@
 	os.Exit(code)
 }
 
+// seed is what a run is drawn from.
+type seed struct {
+	number uint64
+	// crashes says that it may draw one of crashPlans.
+	crashes bool
+}
+
+// String gives the seed as it is written, with a c behind the number if it may crash.
+func (s seed) String() string {
+	text := strconv.FormatUint(s.number, 10)
+	if s.crashes {
+		text += "c"
+	}
+	return text
+}
+
+func parseSeed(text string) (seed, error) {
+	number, crashes := strings.CutSuffix(text, "c")
+	n, err := strconv.ParseUint(number, 10, 64)
+	return seed{n, crashes}, err
+}
+
 // seeds lists the seeds to run.
-func seeds(t *testing.T) []uint64 {
-	var out []uint64
+func seeds(t *testing.T) []seed {
+	var out []seed
 	if s := os.Getenv("SOAK_SEED"); s != "" {
 		for text := range strings.SplitSeq(s, ",") {
-			one, err := strconv.ParseUint(text, 10, 64)
+			one, err := parseSeed(text)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -51,7 +73,7 @@
 	}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
-			out = append(out, rand.Uint64())
+			out = append(out, seed{rand.Uint64(), rand.IntN(2) == 0})
 		}
 		return out
 	}
@@ -61,7 +83,7 @@
 	}
 	for line := range strings.SplitSeq(string(data), "\n") {
 		text, _, _ := strings.Cut(line, " ")
-		if one, err := strconv.ParseUint(text, 10, 64); err == nil {
+		if one, err := parseSeed(text); err == nil {
 			out = append(out, one)
 		}
 	}
@@ -74,7 +96,7 @@
 func TestSoak(t *testing.T) {
 	places := make(chan struct{}, atOnce)
 	for _, seed := range seeds(t) {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+		t.Run(seed.String(), func(t *testing.T) {
 			t.Parallel()
 			places <- struct{}{}
 			defer func() { <-places }()
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -74,20 +74,21 @@
 // telling each other.
 const planCrashes = "crashes"
 
-// crashPlans are drawn by the seeds whose quotient by the number of plans leaves four, six
-// or seven when it is divided by eight.
+// crashPlans are drawn by seeds of their own, written with a c behind the number, whose
+// quotient by the number of plans leaves four, six or seven when it is divided by eight. A
+// seed without a c goes on playing what it played.
 var crashPlans = map[uint64]plan{
 	6: {planCrashes, append(named("configuration", "reload", "bad records"), crashes, crashes)},
 	7: {"all, crashes and suspensions", append(slices.Clone(steps), crashes, crashes, crashes, suspension, suspension)},
 	4: {"suspensions", append(named("configuration", "reload", "bad records", "engine leaves"), suspension, suspension)},
 }
 
-func planOf(seed uint64) plan {
+func planOf(s seed) plan {
 	count := uint64(len(plans))
-	if p, ok := crashPlans[seed/count%8]; ok {
+	if p, ok := crashPlans[s.number/count%8]; ok && s.crashes {
 		return p
 	}
-	return plans[seed%count]
+	return plans[s.number%count]
 }
 
 // upTo returns the steps that do no more than some harm.
@@ -120,7 +121,7 @@
 // run plays the faults of the seed while callers call.
 func (w *world) run() {
 	stop := w.callers()
-	p := planOf(w.seed)
+	p := planOf(w.drawn)
 	w.plan = p.name
 	w.t.Logf("plan: %s", p.name)
 	end := time.Now().Add(runFor)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -43,6 +43,7 @@
 type world struct {
 	t     *testing.T
 	seed  uint64
+	drawn seed
 	rand  *rand.Rand
 	begun time.Time
 	dir   string
@@ -87,9 +88,9 @@
 	err               error
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t *testing.T, s seed) *world {
 	w := &world{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
+		t: t, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
 		crashed: map[string][]time.Time{},
 	}
