Members are walked once a round for what is told of them; a name that nobody used

Change: applyMembers counts the place in the walk that it makes anyway; the names are gone; the comments say what holds. No change of behaviour.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -24,7 +24,7 @@
 
 // Guard holds a quarantine.Set for an entry. It is safe for concurrent use.
 type Guard struct {
-	// idle says that the set is empty, so that requests needn't be hashed.
+	// idle says that the set is empty, so that requests needn't be hashed before they are sent.
 	idle atomic.Bool
 
 	mu       sync.Mutex
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -90,9 +90,9 @@
 	NotSent    func()
 }
 
-// Identity names what the caller asks for. It is computed when it is first asked for, since
-// most requests never need it: hashing a prompt of 16 KB takes 11 us
-// (BenchmarkIdentity).
+// Identity names what the caller asks for. It is computed once, when it is first asked for:
+// hashing a prompt of 16 KB takes 11 us (BenchmarkIdentity), which requests that are refused
+// don't cost.
 func (j *Job) Identity() quarantine.Identity {
 	if j.identity == nil {
 		identity := quarantine.IdentityOf(j.Workspace, j.Host, j.Path, j.Body)
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -204,7 +204,6 @@
 	})
 	b.view.Forget(now)
 	b.applyMembers(now)
-	b.applyPlace(now)
 	b.renewHomes(now)
 }
 
@@ -232,17 +231,26 @@
 	})
 }
 
-// applyMembers drops the work of members that are dead or gone.
+// applyMembers drops the work of members that are dead or gone, and tells the guard the
+// entry's place among those that are alive, in the order of their names.
 func (b *Beliefs) applyMembers(now time.Time) {
 	live := map[string]bool{}
 	doubt := false
+	rank, entries := 0, 1
 	for _, m := range b.view.Members(now) {
+		if m.Status == membership.Alive {
+			entries++
+			if m.VM < b.view.Self().GetVm() {
+				rank++
+			}
+		}
 		doubt = doubt || m.Status == membership.Suspect && b.counted[m.VM]
 		if m.Status == membership.Alive || m.Status == membership.Suspect {
 			live[m.VM] = true
 		}
 	}
 	b.setDoubt(doubt)
+	b.guard.SetPlace(rank, entries)
 	for vm := range b.counted {
 		if !live[vm] {
 			delete(b.counted, vm)
@@ -251,22 +259,6 @@
 	}
 }
 
-// applyPlace tells the guard the entry's place among those that live, in the order of their
-// names.
-func (b *Beliefs) applyPlace(now time.Time) {
-	rank, entries := 0, 1
-	for _, m := range b.view.Members(now) {
-		if m.Status != membership.Alive {
-			continue
-		}
-		entries++
-		if m.VM < b.view.Self().GetVm() {
-			rank++
-		}
-	}
-	b.guard.SetPlace(rank, entries)
-}
-
 // setDoubt tells the limits whether the use of a counted member is in doubt.
 func (b *Beliefs) setDoubt(doubt bool) {
 	b.dispatcher.View(func(_ time.Time, p scheduler.Policy) {
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -21,9 +21,6 @@
 	Ended
 )
 
-// String names the presence for logs.
-func (p Presence) String() string { return [...]string{"unknown", "listening", "ended"}[p] }
-
 // Look tells whether an endpoint's process is there. A kept connection that is open and
 // silent shows it for nothing; else one is opened, and kept if it comes up.
 func (p *Pool) Look(ctx context.Context, e fleet.Endpoint) Presence {
