Ports of tests are reserved among processes, and a gateway's end is shown

Likely its port was chosen by another package's test as well: each process had 100 ports by its id, the test of crashing requests takes more, and a port is free between its choice and its use. Not proved, since the error wasn't shown. Change: freeport keeps a lock on a file a port until the process ends; endpoints that listen again at their address take such ports; a gateway that ends with an error says so in the log that a failed test shows.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -3,15 +3,19 @@
 //
 // Ports are taken below the range from which the kernel takes those of outgoing
 // connections (32768 and up on Linux): one of these could otherwise get a port
-// between its choice and its use.
+// between its choice and its use. So could the processes of other packages' tests, which run
+// at the same time: a port is reserved by a lock on a file until the process ends.
 package freeport
 
 import (
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,6 +26,8 @@
 var (
 	mu   sync.Mutex
 	next = first + os.Getpid()%80*100
+	// held keeps the files of reserved ports open.
+	held []*os.File
 )
 
 // Address returns an IP and a port that nobody listens at.
@@ -36,12 +42,32 @@
 		if next > last {
 			next = first
 		}
+		release, ok := reserve(next)
+		if !ok {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", next))
 		if err == nil {
 			defer l.Close()
 			return next
 		}
+		release()
 	}
 	tb.Fatal("no port is free")
 	return 0
 }
+
+// reserve keeps a port for this process. The kernel gives it up when the process ends.
+func reserve(port int) (release func(), ok bool) {
+	name := filepath.Join(os.TempDir(), fmt.Sprintf("bridgehoist-test-port-%d", port))
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, false
+	}
+	if unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB) != nil {
+		file.Close()
+		return nil, false
+	}
+	held = append(held, file)
+	return func() { file.Close() }, true
+}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -42,7 +43,8 @@
 
 // fragile starts an endpoint that the crashing request ends.
 func (c *crashWorld) fragile(id, service string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// It listens there again later, where a port of the kernel's range could be taken meanwhile.
+	l, err := net.Listen("tcp", freeport.Address(c.t))
 	c.g.Expect(err).NotTo(HaveOccurred())
 	address := l.Addr().String()
 	if c.fronted {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -195,7 +195,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1)}
 	gw := gateway.New(cfg, vm, logging.New(w.logs, "gateway", vm.VM))
-	go func() { e.stopped <- gw.Run(ctx, nil) }()
+	go func() {
+		err := gw.Run(ctx, nil)
+		if err != nil {
+			fmt.Fprintf(w.logs, "%s ended: %v\n", vm.VM, err)
+		}
+		e.stopped <- err
+	}()
 	w.t.Cleanup(func() {
 		cancel()
 		select {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -43,8 +43,8 @@
 	stuck map[net.Conn]bool
 }
 
-func newProxy(target string) (*proxy, func(), error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(address, target string) (*proxy, func(), error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -119,7 +120,7 @@
 }
 
 func (w *world) proxied(target string) *proxy {
-	p, stop, err := newProxy(target)
+	p, stop, err := newProxy(freeport.Address(w.t), target)
 	if err != nil {
 		w.t.Fatal(err)
 	}
