Tests that listen at once get the listener, not a port to listen at

A child holds copies of its parent's sockets until it execs. Change: freeport.Listen gives the listener itself; Port is made of it.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -35,6 +35,15 @@
 
 // Port returns a port that nobody listens at.
 func Port(tb testing.TB) int {
+	l := Listen(tb)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// Listen listens at a port that stays reserved when the listener is closed. It is for those
+// who listen at once: a process that is started at that moment holds a copy of a socket which
+// was just closed for some milliseconds, and the port can't be had meanwhile.
+func Listen(tb testing.TB) net.Listener {
 	mu.Lock()
 	defer mu.Unlock()
 	for range last - first {
@@ -48,13 +57,12 @@
 		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", next))
 		if err == nil {
-			defer l.Close()
-			return next
+			return l
 		}
 		release()
 	}
 	tb.Fatal("no port is free")
-	return 0
+	return nil
 }
 
 // reserve keeps a port for this process. The kernel gives it up when the process ends.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -44,8 +44,7 @@
 // fragile starts an endpoint that the crashing request ends.
 func (c *crashWorld) fragile(id, service string) {
 	// It listens there again later, where a port of the kernel's range could be taken meanwhile.
-	l, err := net.Listen("tcp", freeport.Address(c.t))
-	c.g.Expect(err).NotTo(HaveOccurred())
+	l := freeport.Listen(c.t)
 	address := l.Addr().String()
 	if c.fronted {
 		address = c.front(address)
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -43,14 +43,10 @@
 	stuck map[net.Conn]bool
 }
 
-func newProxy(address, target string) (*proxy, func(), error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, err
-	}
+func newProxy(l net.Listener, target string) (*proxy, func()) {
 	p := &proxy{address: l.Addr().String(), target: target, listener: l, conns: map[net.Conn]bool{}, stuck: map[net.Conn]bool{}}
 	go p.accept(l)
-	return p, func() { p.close(); p.set(reset) }, nil
+	return p, func() { p.close(); p.set(reset) }
 }
 
 func (p *proxy) accept(l net.Listener) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -120,10 +120,7 @@
 }
 
 func (w *world) proxied(target string) *proxy {
-	p, stop, err := newProxy(freeport.Address(w.t), target)
-	if err != nil {
-		w.t.Fatal(err)
-	}
+	p, stop := newProxy(freeport.Listen(w.t), target)
 	w.t.Cleanup(stop)
 	return p
 }
