A stop between two reads of clocks is no suspension

Cause: the sampler read the steady clock and then the boot clock; a process that was stopped, or had no processor, between the two took that time for a suspension of the VM, for good: every deadline and age would have been wrong by it from then on. Change: the boot clock is read between two reads of the steady one, and a sample is dropped when these are more than 5 ms apart three times.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -21,6 +21,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Source tells for how long in all the VM has been suspended, or that it can't.
@@ -28,10 +30,9 @@
 
 const (
 	// SampleEvery is how often Run samples: a suspension is noticed within it. A sample is
-	// two system calls.
+	// three system calls.
 	SampleEvery = 100 * time.Millisecond
-	// minGap is the shortest suspension that counts. Two reads of clocks that are one after
-	// the other differ by their distance, which a busy VM stretches to some milliseconds.
+	// minGap is the shortest suspension that counts, above what a sample may be wrong by.
 	minGap = 50 * time.Millisecond
 )
 
@@ -89,6 +90,9 @@
 	state.Lock()
 	defer state.Unlock()
 	suspended, err := state.source()
+	if errors.Is(err, errInterrupted) {
+		return 0, nil, nil
+	}
 	if err != nil {
 		return 0, nil, err
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -169,5 +169,6 @@
 mutant "suspensions: peers blamed" pkg/membership/membership.go 's/n.heard = n.heard.Add(d)/n.heard = n.heard.Add(0)/' ./pkg/membership
 mutant "suspensions: table relied on" internal/gateway/suspended.go 's/if g.doubtful.Load() {/if false {/' "./internal/gateway -run Suspension"
 mutant "suspensions: requests' time not counted" internal/runner/runner.go 's/ctx, cancel := clock.WithDeadline(ctx, j.Deadline())/ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline()))/' "./internal/gateway -run Suspended"
+mutant "suspensions: a stop between two reads counts" internal/clock/kernel.go 's/if after-before <= maxApart {/if after-before >= 0 {/' ./internal/clock
 
 exit $green
