Sight: entries log the limits that endpoints name in their answers

Change: the adapter reads the limit (a decimal number; no header says that there is none; anything else says nothing), the pool tells of the head of every answer, whoever asked, and the entry logs a limit that comes, goes or changes, with what it sent there meanwhile. Nothing decides by it yet. An answer takes a limit back only if its request was sent after the limit was named last.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -45,6 +45,8 @@
 	Values *prometheus.CounterVec
 	// Leaves counts news of leaving endpoints by source.
 	Leaves *prometheus.CounterVec
+	// Limits counts changes of what endpoints say of how much they take.
+	Limits *prometheus.CounterVec
 	// EndedUnder counts the runs that broke off because their endpoint ended
 	// unannounced.
 	EndedUnder prometheus.Counter
@@ -89,6 +91,7 @@
 	m.PlatformErrors = counter("platform_errors_total", "Reads and watches of the platform that failed.")
 	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
+	m.Limits = counters("endpoint_limit_changes_total", "Changes of the limits that endpoints name, by what they name now.", "now")
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
@@ -101,7 +104,7 @@
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
-		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Rejected, m.EndedUnder,
+		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Limits, m.Rejected, m.EndedUnder,
 		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.Notices, m.HandoffPause,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -30,7 +30,7 @@
 	}
 	c, presence := open(ctx, e.Address)
 	if c != nil {
-		p.onDial()
+		p.dialed()
 		p.put(e.Life(), c)
 	}
 	return presence
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,7 +34,7 @@
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	protocol Protocol
-	onDial   func()
+	hooks    Hooks
 
 	mu sync.Mutex
 	// idle are the connections by the life of the endpoint that they were made to: an
@@ -45,9 +45,21 @@
 	listed func(fleet.Life) bool
 }
 
-// NewPool makes an empty pool; onDial is told of each new connection.
-func NewPool(p Protocol, onDial func()) *Pool {
-	return &Pool{protocol: p, onDial: onDial, idle: map[fleet.Life][]*conn{}}
+// NewPool makes an empty pool.
+func NewPool(p Protocol, h Hooks) *Pool {
+	return &Pool{protocol: p, hooks: h, idle: map[fleet.Life][]*conn{}}
+}
+
+func (p *Pool) dialed() {
+	if p.hooks.Dialed != nil {
+		p.hooks.Dialed()
+	}
+}
+
+func (p *Pool) answered(from fleet.Endpoint, sent time.Time, a Answer) {
+	if p.hooks.Answered != nil {
+		p.hooks.Answered(from, sent, a)
+	}
 }
 
 // Keep closes the idle connections to lives of endpoints that are no longer listed, and
@@ -125,7 +137,7 @@
 			if c, err = dial(ctx, e.Address); err != nil {
 				return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 			}
-			p.onDial()
+			p.dialed()
 		}
 		resp, f := p.exchange(ctx, c, e, r, s)
 		if f != nil && f.Kind == retry.NotSent && kept && ctx.Err() == nil {
@@ -143,11 +155,12 @@
 		c.Close()
 		return nil, &attempt.Failure{Kind: kind, Err: err}
 	}
+	sent := clock.Now()
 	written, err := p.write(c, r, s)
 	if err != nil {
 		return fail(retry.NotSent, err)
 	}
-	resp, err := p.answer(c, r)
+	resp, err := p.answer(c, r, func(a Answer) { p.answered(e, sent, a) })
 	if err != nil {
 		return fail(kindOf(err), err)
 	}
@@ -214,8 +227,8 @@
 	buf.WriteString("\r\n")
 }
 
-// answer reads heads until one is of the request.
-func (p *Pool) answer(c *conn, r *Request) (*Response, error) {
+// answer reads heads until one is of the request; heard is told of each.
+func (p *Pool) answer(c *conn, r *Request, heard func(Answer)) (*Response, error) {
 	for range maxStrayAnswers {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
@@ -228,6 +241,7 @@
 			continue
 		}
 		a := p.protocol.ReadAnswer(hr.StatusCode, hr.Header)
+		heard(a)
 		if a.RequestID != "" && a.RequestID != r.ID {
 			// A surplus answer to an earlier request on this connection.
 			if _, err := io.Copy(io.Discard, hr.Body); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,9 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/bridgehoist/bridgehoist/pkg/backpressure"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 )
 
 // Sending is what the system tells an endpoint beside the caller's request.
@@ -55,10 +58,21 @@
 	NotRun bool
 	// Replaced says that another endpoint has the address now.
 	Replaced bool
+	// Limit is what the endpoint says of how many requests it takes.
+	Limit backpressure.Limit
 	// Header holds what a caller may see.
 	Header http.Header
 }
 
+// Hooks are told what happens at a pool's connections; each may be nil.
+type Hooks struct {
+	// Dialed is told of each new connection.
+	Dialed func()
+	// Answered is told of the head of each answer, whatever it answers and whoever asked: of
+	// surplus ones too. It is called before anything is made of the answer.
+	Answered func(from fleet.Endpoint, sent time.Time, a Answer)
+}
+
 // Protocol reads and writes the headers that endpoints understand.
 type Protocol interface {
 	// WriteRequest adds to the headers of a request.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -92,7 +92,7 @@
 	return &upstream.Request{ID: id, Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body")}
 }
 
-func newPool() *upstream.Pool { return upstream.NewPool(protocol{}, func() {}) }
+func newPool() *upstream.Pool { return upstream.NewPool(protocol{}, upstream.Hooks{}) }
 
 // do sends a request and returns the whole body, or the failure.
 func do(p *upstream.Pool, e fleet.Endpoint, id string) (string, error) {
--- /dev/null
+++ b/pkg/backpressure/statements_test.go
@@ -0,0 +1,57 @@
+package backpressure_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/pkg/backpressure"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+)
+
+var (
+	begin = time.Unix(1000, 0)
+	life  = fleet.Life{Endpoint: "a", Incarnation: 7}
+)
+
+func limited(n float64) backpressure.Limit {
+	return backpressure.Limit{Kind: backpressure.Limited, PerSecond: n}
+}
+
+// TestALimitHoldsUntilAnAnswerToALaterRequestNamesNone: an answer to a request that was sent
+// before may have been written before, too.
+func TestALimitHoldsUntilAnAnswerToALaterRequestNamesNone(t *testing.T) {
+	g := NewWithT(t)
+	s := backpressure.New()
+	hear := func(l backpressure.Limit, vouched bool, sent, received time.Duration) bool {
+		st, holds := backpressure.Told(life, l, vouched, begin.Add(sent), begin.Add(received))
+		if !holds {
+			return false
+		}
+		_, changed := s.Hear(begin.Add(received), st)
+		return changed
+	}
+	g.Expect(hear(backpressure.Limit{}, true, 0, time.Second)).To(BeFalse(), "nothing to take back")
+	g.Expect(hear(limited(4.1), true, time.Second, 2*time.Second)).To(BeTrue())
+	g.Expect(hear(limited(4.1), true, time.Second, 3*time.Second)).To(BeFalse(), "no news")
+	g.Expect(hear(backpressure.Limit{}, true, 2500*time.Millisecond, 4*time.Second)).To(BeFalse(), "sent before it was named last")
+	g.Expect(hear(backpressure.Limit{}, false, 3500*time.Millisecond, 4*time.Second)).To(BeFalse(), "nobody vouches for it")
+	g.Expect(hear(backpressure.Limit{Kind: backpressure.Unreadable}, true, 3500*time.Millisecond, 4*time.Second)).To(BeFalse())
+	g.Expect(hear(limited(2), false, time.Second, 4*time.Second)).To(BeTrue(), "any answer may name one")
+	g.Expect(hear(backpressure.Limit{}, true, 5*time.Second, 6*time.Second)).To(BeTrue())
+}
+
+// TestAChangeTellsWhatWasSentMeanwhile, by which a log shows whether a limit was kept.
+func TestAChangeTellsWhatWasSentMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	s := backpressure.New()
+	s.Sent(life)
+	first, _ := s.Hear(begin, backpressure.Statement{Life: life, Limit: limited(4), At: begin})
+	g.Expect(first).To(Equal(backpressure.Change{Life: life, Now: limited(4)}))
+	s.Sent(life)
+	s.Sent(life)
+	later := begin.Add(3 * time.Second)
+	last, _ := s.Hear(later, backpressure.Statement{Life: life, At: later})
+	g.Expect(last).To(Equal(backpressure.Change{Life: life, Before: limited(4), For: 3 * time.Second, Sent: 2}))
+}
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -63,6 +63,7 @@
 func (s *Scheduler) sentTo(now time.Time, e *endpoint) {
 	e.breaker.Sent(now)
 	e.sentCold(now)
+	s.pressure.Sent(e.spec.Life())
 	if b := s.dataCenterBreaker(e); b != nil {
 		b.Sent(now)
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/pkg/backpressure"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/lengths"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
@@ -39,6 +40,8 @@
 	apart []quarantine.KeptApart
 	// rank is the entry's place among all, from zero.
 	rank, entries int
+	// pressure is what endpoints say of how much they take.
+	pressure *backpressure.Set
 	// pressedAt is when a request was last refused or had to wait for a full engine.
 	pressedAt time.Time
 	gap       float64
@@ -70,6 +73,7 @@
 		queued:      limits.New(),
 		shares:      map[string][]Share{},
 		leaving:     map[string]bool{},
+		pressure:    backpressure.New(),
 	}
 }
 
@@ -79,6 +83,9 @@
 // Queued is the counter of the table's max_queued, for the exchange.
 func (s *Scheduler) Queued() *limits.Counter { return s.queued }
 
+// Backpressure is what endpoints say of how much they take, for the exchange.
+func (s *Scheduler) Backpressure() *backpressure.Set { return s.pressure }
+
 // SetEndpoints implements Policy.
 func (s *Scheduler) SetEndpoints(now time.Time, endpoints []fleet.Endpoint) {
 	old := s.byID
@@ -109,6 +116,7 @@
 			e.gone = true
 		}
 	}
+	s.pressure.Keep(func(l fleet.Life) bool { return s.live(l) != nil })
 	clear(s.targets)
 	s.sumShares()
 }
