Red tests: endpoints that name a limit get as many requests as before

Symptom: an endpoint that had said how many requests a second it takes got 44 in four seconds of entries that it had told; 30 were allowed.

The bounds are the users': one and a half times the limit in 4 s, and 5.

--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+// send makes plain requests at entries in turn, one each pace, and returns the answers.
+func send(entries []*entry, prefix string, count int, pace time.Duration) []answer {
+	answers := make([]answer, count)
+	var all sync.WaitGroup
+	for i := range count {
+		all.Go(func() {
+			answers[i] = entries[i%len(entries)].call(fmt.Sprint(prefix, i), http.MethodPost, "/plain/x", nil)
+		})
+		time.Sleep(pace)
+	}
+	all.Wait()
+	return answers
+}
+
+// arrivedSince counts the requests that reached an endpoint from some time on.
+func arrivedSince(e *standin.Endpoint, since time.Time) (n int) {
+	for _, a := range e.Arrivals() {
+		if a.At.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestAnEndpointThatNamesALimitGetsNoMore: callers of three entries met an endpoint that had
+// said how many requests a second it takes, and got as many as before; the story stands at
+// TestLimitedEndpointsGetWhatTheyTake. Here it goes over real connections: from a moment after
+// each entry has passed on such an answer the endpoint gets what it named and no more, the
+// others serve the rest, and once its answers name no limit it is used as before.
+func TestAnEndpointThatNamesALimitGetsNoMore(t *testing.T) {
+	w := newWorld(t)
+	needy, other := w.endpoint("desk-needy", "desk"), w.endpoint("desk-other", "desk")
+	one := w.start(w.settings("vm-1"))
+	entries := []*entry{one, w.start(w.settings("vm-2", one.vm.Peers)), w.start(w.settings("vm-3", one.vm.Peers))}
+	for _, e := range entries {
+		e.waitReady()
+	}
+	const limit = 4
+	needy.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
+	const pace = 10 * time.Millisecond
+	send(entries, "told-", 90, pace)
+	for _, e := range entries {
+		w.g.Eventually(func() []string { return w.logs.with("endpoint limit", "vm="+e.vm.VM, "per_second=4") }, eventually).ShouldNot(BeEmpty())
+	}
+	time.Sleep(500 * time.Millisecond)
+	since := time.Now()
+	answers := send(entries, "kept-", 300, pace)
+	lasted := time.Since(since).Seconds()
+	for _, a := range answers {
+		w.g.Expect(a.status).To(Equal(http.StatusOK), "the other one has room")
+	}
+	w.g.Expect(arrivedSince(needy, since)).To(BeNumerically("<=", 1.5*limit*lasted+5))
+	w.g.Expect(arrivedSince(other, since)).To(BeNumerically(">", 150))
+	needy.SetAsks(nil)
+	w.g.Eventually(func() int {
+		since := time.Now()
+		send(entries, fmt.Sprint("free-", since.UnixNano(), "-"), 60, pace)
+		return arrivedSince(needy, since)
+	}, eventually).Should(BeNumerically(">", 12), "it takes as many as before")
+}
