Sight: entries log leaves and pauses that endpoints tell in their answers

Cause: the log couldn't tell which answers said that their endpoint leaves, nor for how long a refusal wanted nothing.

Change: the adapter reads both; the entry logs the first answer of a life that says it leaves, with whether that was known, and each pause that begins. Nothing decides by them yet.

--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -19,12 +19,35 @@
 		return
 	}
 	now := clock.Now()
+	if a.Leaving {
+		g.logSaidLeaving(from)
+	}
+	if a.Pause > 0 {
+		g.pause(now, from, a.Pause)
+	}
 	st, holds := backpressure.Told(from.Life(), a.Limit, a.Signed || a.NotRun, sent, now)
 	if holds {
 		g.beliefs.HearLimit(now, st)
 	}
 }
 
+// logSaidLeaving logs the first answer by which an endpoint says that it leaves.
+func (g *Gateway) logSaidLeaving(from fleet.Endpoint) {
+	if _, said := g.saidLeaving.LoadOrStore(from.Life(), true); !said {
+		g.log.Info("endpoint says in an answer that it leaves", "endpoint", from.ID, "known", g.beliefs.Leaving(from), "fleet", g.fleetRevision())
+	}
+}
+
+// pause takes the news that an endpoint wants nothing from this entry for some time.
+func (g *Gateway) pause(now time.Time, from fleet.Endpoint, lasts time.Duration) {
+	news := false
+	g.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { news = s.Backpressure().Pause(now, from.Life(), lasts) })
+	if news {
+		g.metrics.Pauses.Inc()
+		g.log.Info("endpoint wants a pause", "endpoint", from.ID, "lasts", lasts, "fleet", g.fleetRevision())
+	}
+}
+
 // admits reports whether an endpoint takes a request that isn't dispatched, and counts it.
 func (g *Gateway) admits(l fleet.Life) (yes bool) {
 	g.viewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Admit(now, l) })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,6 +47,8 @@
 	Leaves *prometheus.CounterVec
 	// Limits counts changes of what endpoints say of how much they take.
 	Limits *prometheus.CounterVec
+	// Pauses counts the times that an endpoint wanted nothing from the entry for a while.
+	Pauses prometheus.Counter
 	// EndedUnder counts the runs that broke off because their endpoint ended
 	// unannounced.
 	EndedUnder prometheus.Counter
@@ -92,6 +94,7 @@
 	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
 	m.Limits = counters("endpoint_limit_changes_total", "Changes of the limits that endpoints name, by what they name now.", "now")
+	m.Pauses = counter("endpoint_pauses_total", "Times that an endpoint wanted nothing from the entry for a while.")
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
@@ -104,7 +107,7 @@
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
-		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Limits, m.Rejected, m.EndedUnder,
+		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
 		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.Notices, m.HandoffPause,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -60,8 +60,12 @@
 	NotRun bool
 	// Replaced says that another endpoint has the address now.
 	Replaced bool
+	// Leaving says that the endpoint takes no new requests until it ends.
+	Leaving bool
 	// Limit is what the endpoint says of how many requests it takes.
 	Limit backpressure.Limit
+	// Pause is for how long it wants nothing from this entry; zero if it doesn't say.
+	Pause time.Duration
 	// Header holds what a caller may see.
 	Header http.Header
 }
--- a/pkg/backpressure/set.go
+++ b/pkg/backpressure/set.go
@@ -8,14 +8,16 @@
 
 // Set is what one entry knows of what endpoints in need say.
 type Set struct {
-	place   Place
-	states  map[fleet.Life]*state
+	place  Place
+	states map[fleet.Life]*state
+	// pauses are until when endpoints want nothing from this entry.
+	pauses  map[fleet.Life]time.Time
 	version uint64
 }
 
 // New makes an empty set of an entry that knows of no other.
 func New() *Set {
-	return &Set{states: map[fleet.Life]*state{}}
+	return &Set{states: map[fleet.Life]*state{}, pauses: map[fleet.Life]time.Time{}}
 }
 
 // SetPlace tells where this entry stands among all.
--- a/pkg/backpressure/statements.go
+++ b/pkg/backpressure/statements.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -148,6 +149,7 @@
 
 // Forget forgets what is over, and lives that have not been listed for long.
 func (s *Set) Forget(now time.Time) {
+	maps.DeleteFunc(s.pauses, func(_ fleet.Life, until time.Time) bool { return !now.Before(until) })
 	for l, known := range s.states {
 		gone := !known.unlisted.IsZero() && now.Sub(known.unlisted) >= unlistedFor
 		over := known.limit.Kind == Unlimited && now.Sub(known.since) >= toldOver
