--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -52,7 +52,7 @@
 	}
 	const limit = 4
 	needy.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
-	const pace = 10 * time.Millisecond
+
 	send(entries, "told-", 90, pace)
 	for _, e := range entries {
 		w.g.Eventually(func() []string { return w.logs.with("endpoint limit", "vm="+e.vm.VM, "per_second=4") }, eventually).ShouldNot(BeEmpty())
