--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
@@ -16,7 +17,7 @@
 // onAnswer takes what the head of an answer says of its endpoint. It is here, and not where
 // answers are passed on, so that it holds whatever was asked and whoever did. One from
 // another endpoint that has the address now says nothing of the one that was asked.
-func (g *Gateway) onAnswer(from fleet.Endpoint, sent time.Time, a upstream.Answer) {
+func (g *Gateway) onAnswer(from fleet.Endpoint, sent time.Time, status int, a upstream.Answer) {
 	if a.Replaced {
 		return
 	}
@@ -28,7 +29,8 @@
 	if a.Pause > 0 {
 		g.pause(now, from, a.Pause)
 	}
-	st, holds := backpressure.Told(from.Life(), a.Limit, a.Signed || a.NotRun, sent, now)
+	served := a.Signed && status < http.StatusMultipleChoices
+	st, holds := backpressure.Told(from.Life(), a.Limit, served, sent, now)
 	if holds {
 		g.beliefs.HearLimit(now, st)
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -75,3 +75,57 @@
 		return arrivedSince(needy, since)
 	}, eventually).Should(BeNumerically(">", 12), "it takes as many as before")
 }
+
+// TestAnErrorTakesNoLimitBack: a part of the answers of an endpoint in need are errors, which
+// don't name its limit.
+func TestAnErrorTakesNoLimitBack(t *testing.T) {
+	w := newWorld(t)
+	needy := w.endpoint("desk-needy", "desk")
+	w.endpoint("desk-other", "desk")
+	one := []*entry{w.start(w.settings("vm-1")).waitReady()}
+	const limit = 2
+	needy.AnswerInstead(&standin.Reply{Status: http.StatusInternalServerError, OneIn: 2, NoAsks: true})
+	needy.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
+	send(one, "told-", 20, pace)
+	w.g.Eventually(func() []string { return w.logs.with("endpoint limit", "per_second=2") }, eventually).ShouldNot(BeEmpty())
+	since := time.Now()
+	send(one, "kept-", 300, pace)
+	w.g.Expect(arrivedSince(needy, since)).To(BeNumerically("<=", 1.5*limit*time.Since(since).Seconds()+5))
+	w.g.Expect(w.logs.with("endpoint limit", "per_second=none")).To(BeEmpty())
+}
+
+// TestGenerationsMoveToEnginesThatTakeMore: of two engines that generations could move to one
+// has said that it takes nothing.
+func TestGenerationsMoveToEnginesThatTakeMore(t *testing.T) {
+	w := newWorld(t)
+	needy := w.endpointBorn("engine-needy", "engine", firstStart)
+	needy.SetAsks(http.Header{platform.HeaderLimit: {"0"}})
+	e := w.start(w.settings("vm-1")).waitReady()
+	w.g.Expect(e.stream("asked").status).To(Equal(http.StatusOK))
+	source := w.endpointBorn("engine-source", "engine", firstStart)
+	source.Events, source.Every = movedEvents, 5*time.Millisecond
+	w.awaitEndpoints(2)
+	const streams = 6
+	var got []<-chan answer
+	for i := range streams {
+		got = append(got, e.begin(fmt.Sprint("r", i)))
+	}
+	w.g.Eventually(source.Running, eventually).Should(Equal(streams))
+	target := w.endpointBorn("engine-target", "engine", firstStart)
+	target.Events, target.Every = movedEvents, time.Millisecond
+	w.awaitEndpoints(3)
+	w.announce(source, "engine", true)
+	for _, one := range got {
+		var a answer
+		w.g.Eventually(one, eventually).Should(Receive(&a))
+		w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
+	}
+	w.g.Expect(needy.Arrivals()).To(HaveLen(1))
+	w.g.Expect(target.Arrivals()).To(HaveLen(streams))
+}
+
+// awaitEndpoints waits until the gateway has taken so many changes of the list, one for each
+// endpoint.
+func (w *world) awaitEndpoints(count int) {
+	w.g.Eventually(func() int { return len(w.lists()) }, eventually).Should(BeNumerically(">=", count))
+}
--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -281,3 +281,30 @@
 		g.Expect(f.since(e.ID, again)).To(BeNumerically(">", usual[e.ID]/2), "it is used as before")
 	}
 }
+
+// TestLimitsAreToldOnBetweenDataCenters: what an entry hears from another data centre it tells
+// the others here; what it hears from one here they hear as well.
+func TestLimitsAreToldOnBetweenDataCenters(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for teller, want := range map[string]int{"there": 1, "here": 0} {
+		b := beliefsOf("entry-1", "here")
+		b.ApplyFleet(listed(0))
+		b.Beat(now, nil)
+		engine := fleet.Life{Endpoint: "engine-00", Incarnation: 1}
+		b.Merge(now, []*peerv1.NodeRecord{{
+			Vm: "entry-2", DataCenter: teller, Version: 1, Epoch: 1, Incarnation: []byte{2},
+			Limits: []*peerv1.EndpointLimit{{Endpoint: LifeHash(engine), PerSecond: 4, AgeMs: 300}, {Endpoint: 1, PerSecond: 4}, {Endpoint: LifeHash(fleet.Life{Endpoint: "engine-01", Incarnation: 1}), PerSecond: math.NaN()}},
+		}})
+		b.Beat(now, nil)
+		told := b.view.Self().GetLimits()
+		g.Expect(told).To(HaveLen(want), teller)
+		if want > 0 {
+			g.Expect(told[0].GetEndpoint()).To(Equal(LifeHash(engine)))
+			g.Expect(told[0].GetAgeMs()).To(BeNumerically("==", 300))
+		}
+		version := b.view.Self().GetVersion()
+		b.Beat(now.Add(time.Second), nil)
+		g.Expect(b.view.Self().GetVersion()).To(Equal(version), "without news the record stays as it is")
+	}
+}
--- /dev/null
+++ b/internal/soak/needs_test.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+// Times of endpoints in need.
+const (
+	needFor = 6 * time.Second
+	// keptAfter is how long after an endpoint first named a limit it is kept, and toldAfter how
+	// long after a gateway has passed on such an answer it counts.
+	keptAfter   = 3 * time.Second
+	toldAfter   = 500 * time.Millisecond
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// pauseSlack is how many requests may reach an endpoint while it wants a pause.
+	pauseSlack = 2
+	drainBound = 2 * time.Second
+)
+
+// planNeeds has endpoints in need, and nothing that excuses a gateway.
+const planNeeds = "endpoints in need"
+
+var needs = []step{
+	{"desk names a limit", planned, func(w *world, r *rand.Rand) { w.nameLimit(pick(r, w.desks), r) }},
+	{"desk wants pauses", planned, func(w *world, r *rand.Rand) { w.wantPauses(pick(r, w.desks), r) }},
+	{"desk leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.desks, r) }},
+	{"engine leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.engines, r) }},
+}
+
+var needsOfAll = append(slices.Clone(needs), []step{
+	{"endpoint names a limit", fault, func(w *world, r *rand.Rand) { w.nameLimit(pick(r, w.servers()), r) }},
+	{"endpoint wants pauses", fault, func(w *world, r *rand.Rand) { w.wantPauses(pick(r, w.servers()), r) }},
+}...)
+
+// needPlans are drawn in turn by seeds of their own, written with an n behind the number.
+var needPlans = []plan{
+	{planNeeds, append(named("configuration", "reload", "bad records", "engine leaves"), needs...)},
+	{"all, and endpoints in need", append(slices.Clone(steps), needsOfAll...)},
+}
+
+// limitNeed is one time in which an endpoint names a limit.
+type limitNeed struct {
+	endpoint  *standin.Endpoint
+	from, to  time.Time
+	perSecond float64
+}
+
+// needy marks an endpoint as in need, or returns false if it is already.
+func (w *world) needy(e *standin.Endpoint) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inNeed[e] {
+		return false
+	}
+	w.inNeed[e] = true
+	return true
+}
+
+func (w *world) well(e *standin.Endpoint) {
+	e.SetAsks(nil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.inNeed, e)
+}
+
+// nameLimit has an endpoint name a limit in all of its answers for a time.
+func (w *world) nameLimit(e *standin.Endpoint, r *rand.Rand) {
+	if !w.needy(e) {
+		return
+	}
+	perSecond := 0.5 + 8*r.Float64()
+	e.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprintf("%.1f", perSecond)}})
+	need := limitNeed{endpoint: e, from: time.Now(), to: time.Now().Add(needFor), perSecond: perSecond}
+	w.mu.Lock()
+	w.limitNeeds = append(w.limitNeeds, need)
+	w.mu.Unlock()
+	w.after(needFor, func() { w.well(e) })
+}
+
+// wantPauses has an endpoint refuse all requests for a moment, each with a time to come back.
+func (w *world) wantPauses(e *standin.Endpoint, r *rand.Rand) {
+	if !w.needy(e) {
+		return
+	}
+	e.SetAsks(http.Header{platform.HeaderRetryAfter: {fmt.Sprintf("%.1f", 1+2*r.Float64())}})
+	e.SetRefusing(true)
+	w.after(short(r)/4, func() {
+		e.SetRefusing(false)
+		w.well(e)
+	})
+}
+
+// leaveByAnswers has an endpoint say in its answers alone that it leaves, and starts another in
+// its place.
+func (w *world) leaveByAnswers(among []*standin.Endpoint, r *rand.Rand) {
+	i := r.IntN(len(among))
+	leaving := among[i]
+	if !w.needy(leaving) {
+		return
+	}
+	w.mu.Lock()
+	w.serial++
+	id := fmt.Sprintf("%s-new-%d", target(leaving), w.serial)
+	delete(w.again, leaving.ID)
+	w.mu.Unlock()
+	among[i] = w.endpoint(id)
+	leaving.SetAsks(http.Header{platform.HeaderLeaving: {"1"}})
+}
+
+// checkNeeds holds that what endpoints said bound each gateway that was told.
+func (w *world) checkNeeds() {
+	if w.plan != planNeeds {
+		return
+	}
+	kept := 0
+	for _, e := range w.endpoints {
+		arrivals := e.Arrivals()
+		w.checkLeaveByAnswers(e, arrivals)
+		kept += w.checkPauses(e, arrivals)
+	}
+	for _, n := range w.limitNeeds {
+		w.checkLimit(n)
+	}
+	w.t.Logf("%d limits, %d pauses", len(w.limitNeeds), kept)
+}
+
+func (w *world) checkLeaveByAnswers(e *standin.Endpoint, arrivals []standin.Arrival) {
+	told := map[string]time.Time{}
+	for _, a := range arrivals {
+		g := gatewayOf(a.RequestID)
+		if at, was := told[g]; was && a.At.Sub(at) > drainBound {
+			w.t.Errorf("%s reached %s %v after an answer had told %s that it leaves", a.RequestID, e.ID, a.At.Sub(at), g)
+		}
+		if _, was := told[g]; !was && a.Asks.Get(platform.HeaderLeaving) != "" {
+			told[g] = a.At.Add(workTime)
+		}
+	}
+}
+
+func (w *world) checkPauses(e *standin.Endpoint, arrivals []standin.Arrival) (pauses int) {
+	for i, a := range arrivals {
+		seconds, err := strconv.ParseFloat(a.Asks.Get(platform.HeaderRetryAfter), 64)
+		if err != nil || !a.Refused {
+			continue
+		}
+		pauses++
+		from, to := a.At.Add(toldAfter), a.At.Add(time.Duration(seconds*float64(time.Second)))
+		came := 0
+		for _, b := range arrivals[i+1:] {
+			if gatewayOf(b.RequestID) == gatewayOf(a.RequestID) && b.At.After(from) && b.At.Before(to) {
+				came++
+			}
+		}
+		if came > pauseSlack {
+			w.t.Errorf("%s wanted a pause of %.1f s from %s and got %d requests", e.ID, seconds, gatewayOf(a.RequestID), came)
+		}
+	}
+	return pauses
+}
+
+func (w *world) checkLimit(n limitNeed) {
+	told := map[string]time.Time{}
+	var counted []time.Time
+	for _, a := range n.endpoint.Arrivals() {
+		if a.At.Before(n.from) || a.At.After(n.to) {
+			continue
+		}
+		g := gatewayOf(a.RequestID)
+		if at, was := told[g]; was && a.At.Sub(at) >= toldAfter && a.At.Sub(n.from) >= keptAfter {
+			counted = append(counted, a.At)
+		}
+		if _, was := told[g]; !was {
+			told[g] = a.At.Add(workTime)
+		}
+	}
+	allowed := limitFactor*n.perSecond*limitWindow.Seconds() + limitSlack
+	for i, at := range counted {
+		within := 0
+		for _, later := range counted[i:] {
+			if later.Sub(at) <= limitWindow {
+				within++
+			}
+		}
+		if float64(within) > allowed {
+			w.t.Errorf("%s named %.1f a second and got %d in %v of %v", n.endpoint.ID, n.perSecond, within, limitWindow, slices.Sorted(maps.Keys(told)))
+			return
+		}
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,21 +41,28 @@
 	number uint64
 	// crashes says that it may draw one of crashPlans.
 	crashes bool
+	// needs says that it draws one of needPlans.
+	needs bool
 }
 
-// String gives the seed as it is written, with a c behind the number if it may crash.
+// String gives the seed as it is written, with a c behind the number if it may crash, and an n
+// if endpoints get into need.
 func (s seed) String() string {
 	text := strconv.FormatUint(s.number, 10)
 	if s.crashes {
 		text += "c"
 	}
+	if s.needs {
+		text += "n"
+	}
 	return text
 }
 
 func parseSeed(text string) (seed, error) {
-	number, crashes := strings.CutSuffix(text, "c")
+	number, needs := strings.CutSuffix(text, "n")
+	number, crashes := strings.CutSuffix(number, "c")
 	n, err := strconv.ParseUint(number, 10, 64)
-	return seed{n, crashes}, err
+	return seed{n, crashes, needs}, err
 }
 
 // seeds lists the seeds to run.
@@ -73,7 +80,8 @@
 	}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
-			out = append(out, seed{rand.Uint64(), rand.IntN(2) == 0})
+			kind := rand.IntN(3)
+			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, needs: kind == 2})
 		}
 		return out
 	}
@@ -93,16 +101,21 @@
 // atOnce is how many seeds run at the same time, each with its own processes.
 const atOnce = 4
 
-func TestSoak(t *testing.T) { soak(t, false) }
+func TestSoak(t *testing.T) {
+	soak(t, func(s seed) bool { return !s.crashes && !s.needs })
+}
 
 // TestSoakWithCrashes runs the seeds that may draw one of crashPlans.
-func TestSoakWithCrashes(t *testing.T) { soak(t, true) }
+func TestSoakWithCrashes(t *testing.T) { soak(t, func(s seed) bool { return s.crashes }) }
+
+// TestSoakWithNeeds runs the seeds that draw one of needPlans.
+func TestSoakWithNeeds(t *testing.T) { soak(t, func(s seed) bool { return s.needs }) }
 
-// soak runs the seeds with crashes, or those without.
-func soak(t *testing.T, crashes bool) {
+// soak runs some of the seeds.
+func soak(t *testing.T, plays func(seed) bool) {
 	places := make(chan struct{}, atOnce)
 	for _, seed := range seeds(t) {
-		if seed.crashes != crashes {
+		if !plays(seed) {
 			continue
 		}
 		t.Run(seed.String(), func(t *testing.T) {
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.needs {
+		return needPlans[s.number%uint64(len(needPlans))]
+	}
 	count := uint64(len(plans))
 	if p, ok := crashPlans[s.number/count%8]; ok && s.crashes {
 		return p
@@ -124,7 +127,11 @@
 	p := planOf(w.drawn)
 	w.plan = p.name
 	w.t.Logf("plan: %s", p.name)
-	end := time.Now().Add(runFor)
+	lasts := runFor
+	if w.drawn.needs {
+		lasts += needFor
+	}
+	end := time.Now().Add(lasts)
 	for time.Now().Before(end) {
 		s := pick(w.rand, p.steps)
 		w.t.Logf("%6d ms %s", time.Since(w.begun).Milliseconds(), s.name)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -70,6 +70,11 @@
 	versions  map[string]int
 	serial    int
 
+	// inNeed holds the endpoints that ask for something at present, and limitNeeds all the
+	// times in which one named a limit.
+	inNeed     map[*standin.Endpoint]bool
+	limitNeeds []limitNeed
+
 	// crashed are when endpoints ended under requests, by their paths.
 	crashed map[string][]time.Time
 
@@ -93,7 +98,7 @@
 	w := &world{
 		t: t, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
-		crashed: map[string][]time.Time{},
+		crashed: map[string][]time.Time{}, inNeed: map[*standin.Endpoint]bool{},
 	}
 	server := httptest.NewServer(w.store.Handler())
 	t.Cleanup(server.Close)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -63,9 +63,9 @@
 	return p.hooks.Admit(to, s)
 }
 
-func (p *Pool) answered(from fleet.Endpoint, sent time.Time, a Answer) {
+func (p *Pool) answered(from fleet.Endpoint, sent time.Time, status int, a Answer) {
 	if p.hooks.Answered != nil {
-		p.hooks.Answered(from, sent, a)
+		p.hooks.Answered(from, sent, status, a)
 	}
 }
 
@@ -171,7 +171,13 @@
 	if err != nil {
 		return fail(retry.NotSent, err)
 	}
-	resp, err := p.answer(c, r, func(a Answer) { p.answered(e, sent, a) })
+	resp, err := p.answer(c, r, func(status int, a Answer) {
+		if a.RequestID != "" && a.RequestID != r.ID {
+			p.answered(e, time.Time{}, status, a)
+			return
+		}
+		p.answered(e, sent, status, a)
+	})
 	if err != nil {
 		return fail(kindOf(err), err)
 	}
@@ -239,7 +245,7 @@
 }
 
 // answer reads heads until one is of the request; heard is told of each.
-func (p *Pool) answer(c *conn, r *Request, heard func(Answer)) (*Response, error) {
+func (p *Pool) answer(c *conn, r *Request, heard func(status int, a Answer)) (*Response, error) {
 	for range maxStrayAnswers {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
@@ -252,7 +258,7 @@
 			continue
 		}
 		a := p.protocol.ReadAnswer(hr.StatusCode, hr.Header)
-		heard(a)
+		heard(hr.StatusCode, a)
 		if a.RequestID != "" && a.RequestID != r.ID {
 			// A surplus answer to an earlier request on this connection.
 			if _, err := io.Copy(io.Discard, hr.Body); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,9 +77,10 @@
 	// Admit is asked before anything is sent, whatever it is; an error says that the endpoint
 	// wants nothing now.
 	Admit func(to fleet.Endpoint, s Sending) error
-	// Answered is told of the head of each answer, whatever it answers and whoever asked: of
-	// surplus ones too. It is called before anything is made of the answer.
-	Answered func(from fleet.Endpoint, sent time.Time, a Answer)
+	// Answered is told of the head of each answer, whatever it answers and whoever asked, and
+	// of when its request was sent; of surplus ones too, whose time isn't known and is zero. It
+	// is called before anything is made of the answer.
+	Answered func(from fleet.Endpoint, sent time.Time, status int, a Answer)
 }
 
 // Protocol reads and writes the headers that endpoints understand.
--- a/pkg/backpressure/set.go
+++ b/pkg/backpressure/set.go
@@ -108,7 +108,7 @@
 	if r.Open || r.opens && r.opensIn <= wait {
 		return true
 	}
-	return r.tokens+r.perSecond*wait.Seconds() >= float64(ahead+1)
+	return r.tokens+r.perSecond*wait.Seconds() >= float64(ahead)+almostOne
 }
 
 // Wait is after what time a request can be sent behind so many others; if this entry has no
--- a/pkg/backpressure/statements.go
+++ b/pkg/backpressure/statements.go
@@ -21,13 +21,13 @@
 }
 
 // Told makes the statement of an answer, if it holds one. Any answer may name a limit. That
-// there is none is told only by one that the endpoint vouches for: reports of its state are
-// written by other parts of it, and spoilt bytes name nothing.
-func Told(l fleet.Life, limit Limit, vouched bool, sent, received time.Time) (s Statement, holds bool) {
+// there is none is told only by one that serves its request: errors, refusals and reports of
+// its state may be written by other parts of an endpoint, which don't know that it is in need.
+func Told(l fleet.Life, limit Limit, served bool, sent, received time.Time) (s Statement, holds bool) {
 	switch {
 	case limit.Kind == Limited:
 		return Statement{Life: l, Limit: limit, At: received}, true
-	case limit.Kind == Unlimited && vouched:
+	case limit.Kind == Unlimited && served:
 		return Statement{Life: l, Limit: limit, At: sent}, true
 	default:
 		return Statement{}, false
--- a/pkg/backpressure/statements_test.go
+++ b/pkg/backpressure/statements_test.go
@@ -24,8 +24,8 @@
 func TestALimitHoldsUntilAnAnswerToALaterRequestNamesNone(t *testing.T) {
 	g := NewWithT(t)
 	s := backpressure.New()
-	hear := func(l backpressure.Limit, vouched bool, sent, received time.Duration) bool {
-		st, holds := backpressure.Told(life, l, vouched, begin.Add(sent), begin.Add(received))
+	hear := func(l backpressure.Limit, served bool, sent, received time.Duration) bool {
+		st, holds := backpressure.Told(life, l, served, begin.Add(sent), begin.Add(received))
 		if !holds {
 			return false
 		}
@@ -36,7 +36,7 @@
 	g.Expect(hear(limited(4.1), true, time.Second, 2*time.Second)).To(BeTrue())
 	g.Expect(hear(limited(4.1), true, time.Second, 3*time.Second)).To(BeFalse(), "no news")
 	g.Expect(hear(backpressure.Limit{}, true, 2500*time.Millisecond, 4*time.Second)).To(BeFalse(), "sent before it was named last")
-	g.Expect(hear(backpressure.Limit{}, false, 3500*time.Millisecond, 4*time.Second)).To(BeFalse(), "nobody vouches for it")
+	g.Expect(hear(backpressure.Limit{}, false, 3500*time.Millisecond, 4*time.Second)).To(BeFalse(), "an error")
 	g.Expect(hear(backpressure.Limit{Kind: backpressure.Unreadable}, true, 3500*time.Millisecond, 4*time.Second)).To(BeFalse())
 	g.Expect(hear(limited(2), false, time.Second, 4*time.Second)).To(BeTrue(), "any answer may name one")
 	g.Expect(hear(backpressure.Limit{}, true, 5*time.Second, 6*time.Second)).To(BeTrue())
@@ -56,3 +56,37 @@
 	last, _ := s.Hear(later, backpressure.Statement{Life: life, At: later}, backpressure.FromAnswer)
 	g.Expect(last).To(Equal(backpressure.Change{Life: life, Before: limited(4), For: 3 * time.Second, Sent: 2}))
 }
+
+// TestALimitOutlastsALapsedRecord, and is forgotten when its endpoint stays away.
+func TestALimitOutlastsALapsedRecord(t *testing.T) {
+	g := NewWithT(t)
+	s := backpressure.New()
+	s.Hear(begin, backpressure.Statement{Life: life, Limit: limited(4), At: begin}, backpressure.FromAnswer)
+	none := func(fleet.Life) bool { return false }
+	for _, after := range []time.Duration{0, time.Minute, 119 * time.Second} {
+		s.Listed(begin.Add(after), none)
+		s.Forget(begin.Add(after))
+		g.Expect(s.Idle()).To(BeFalse(), "after %v", after)
+	}
+	g.Expect(s.Told()).To(HaveLen(1))
+	s.Forget(begin.Add(2 * time.Minute))
+	g.Expect(s.Idle()).To(BeTrue())
+}
+
+// TestWhoKnowsBetterTellsIt: an entry that hears something older than it knows tells what it
+// knows, also if another one had told it that.
+func TestWhoKnowsBetterTellsIt(t *testing.T) {
+	g := NewWithT(t)
+	s := backpressure.New()
+	hear := func(l backpressure.Limit, at time.Duration, from backpressure.Source) {
+		s.Hear(begin, backpressure.Statement{Life: life, Limit: l, At: begin.Add(at)}, from)
+	}
+	hear(limited(4), time.Second, backpressure.FromNear)
+	g.Expect(s.Told()).To(BeEmpty(), "that entry tells all others here")
+	hear(limited(4), 0, backpressure.FromNear)
+	g.Expect(s.Told()).To(BeEmpty(), "the same")
+	hear(backpressure.Limit{}, 0, backpressure.FromNear)
+	g.Expect(s.Told()).To(Equal([]backpressure.Statement{{Life: life, Limit: limited(4), At: begin.Add(time.Second)}}))
+	hear(backpressure.Limit{}, 2*time.Second, backpressure.FromNear)
+	g.Expect(s.Told()).To(BeEmpty())
+}
--- a/pkg/scheduler/limit_test.go
+++ b/pkg/scheduler/limit_test.go
@@ -37,6 +37,15 @@
 	limitStep = 20 * time.Millisecond
 )
 
+// limitedKind is a kind of endpoints and of requests to them.
+type limitedKind struct {
+	name     string
+	endpoint func(id, dataCenter string) fleet.Endpoint
+	request  func(id int, now time.Time) scheduler.Request
+}
+
+var limitedKinds = []limitedKind{{"plain", service, plainRequest}, {"engine", engine, longRequest}}
+
 // limitedFleet is a fleet of entries, all of which were told a limit by an answer.
 type limitedFleet struct {
 	entries []*scheduler.Scheduler
@@ -76,14 +85,14 @@
 
 // play has callers send so many requests a second, to entries in turn, and the endpoints answer
 // each within a step.
-func (f *limitedFleet) play(lasts time.Duration, perSecond int, isLimited func(id string) bool) {
+func (f *limitedFleet) play(lasts time.Duration, perSecond int, kind limitedKind, isLimited func(id string) bool) {
 	owed := 0.0
 	for at := time.Duration(0); at < lasts; at += limitStep {
 		now := f.begin.Add(at)
 		for owed += float64(perSecond) * limitStep.Seconds(); owed >= 1; owed-- {
 			f.serial++
 			s := f.entries[f.serial%len(f.entries)]
-			if err := s.Submit(now, plainRequest(f.serial, now)); err != nil {
+			if err := s.Submit(now, kind.request(f.serial, now)); err != nil {
 				f.refused = append(f.refused, err)
 			}
 		}
@@ -124,19 +133,21 @@
 // TestLimitedEndpointsGetWhatTheyTake: whatever the number of entries, an endpoint that names
 // a limit gets no more of all that were told, while others serve what it doesn't take.
 func TestLimitedEndpointsGetWhatTheyTake(t *testing.T) {
-	for _, entries := range []int{1, 6, 9, 66, 295} {
-		for _, limit := range []float64{0, 0.5, 3.3, 4.1, 40} {
-			t.Run(fmt.Sprint(entries, " entries, ", limit), func(t *testing.T) {
-				g := NewWithT(t)
-				endpoints := []fleet.Endpoint{service("limited", "dc0"), service("b", "dc0"), service("c", "dc0")}
-				f := newLimitedFleet(entries, endpoints, map[string]float64{"limited": limit})
-				const perSecond = 150
-				f.play(12*time.Second, perSecond, func(id string) bool { return id == "limited" })
-				allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
-				g.Expect(f.most()).To(BeNumerically("<=", allowed), "in %v", limitWindow)
-				g.Expect(f.refused).To(BeEmpty(), "others have room")
-				g.Expect(f.waited).To(BeZero(), "others have room")
-			})
+	for _, kind := range limitedKinds {
+		for _, entries := range []int{1, 6, 9, 66, 295} {
+			for _, limit := range []float64{0, 0.5, 3.3, 4.1, 40} {
+				t.Run(fmt.Sprint(kind.name, ", ", entries, " entries, ", limit), func(t *testing.T) {
+					g := NewWithT(t)
+					endpoints := []fleet.Endpoint{kind.endpoint("limited", "dc0"), kind.endpoint("b", "dc0"), kind.endpoint("c", "dc0")}
+					f := newLimitedFleet(entries, endpoints, map[string]float64{"limited": limit})
+					const perSecond = 150
+					f.play(12*time.Second, perSecond, kind, func(id string) bool { return id == "limited" })
+					allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
+					g.Expect(f.most()).To(BeNumerically("<=", allowed), "in %v", limitWindow)
+					g.Expect(f.refused).To(BeEmpty(), "others have room")
+					g.Expect(f.waited).To(BeZero(), "others have room")
+				})
+			}
 		}
 	}
 }
@@ -144,22 +155,24 @@
 // TestWhereAllAreLimitedTheRoomIsUsedAndTheRestRefused: no endpoint has room but what its limit
 // leaves. That is used, and who finds none is refused when it comes, with a time to come back.
 func TestWhereAllAreLimitedTheRoomIsUsedAndTheRestRefused(t *testing.T) {
-	for _, entries := range []int{1, 6, 9, 66, 295} {
-		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
-			g := NewWithT(t)
-			const limit = 4.1
-			f := newLimitedFleet(entries, []fleet.Endpoint{service("limited", "dc0")}, map[string]float64{"limited": limit})
-			const lasts = 20 * time.Second
-			// Twenty times as many as the endpoint takes; every entry has some.
-			f.play(lasts, 82, func(id string) bool { return id == "limited" })
-			g.Expect(f.most()).To(BeNumerically("<=", limitFactor*limit*limitWindow.Seconds()+limitSlack))
-			g.Expect(len(f.sends)).To(BeNumerically(">=", limit*lasts.Seconds()/2), "the room is used")
-			g.Expect(f.refused).NotTo(BeEmpty())
-			g.Expect(f.waited).To(BeZero(), "refused when they came")
-			for _, err := range f.refused {
-				g.Expect(err.Outcome).To(Equal(outcome.NotRun))
-				g.Expect(err.RetryAfter).To(BeNumerically(">", 0))
-			}
-		})
+	for _, kind := range limitedKinds {
+		for _, entries := range []int{1, 6, 9, 66, 295} {
+			t.Run(fmt.Sprint(kind.name, ", ", entries, " entries"), func(t *testing.T) {
+				g := NewWithT(t)
+				const limit = 4.1
+				f := newLimitedFleet(entries, []fleet.Endpoint{kind.endpoint("limited", "dc0")}, map[string]float64{"limited": limit})
+				const lasts = 20 * time.Second
+				// Twenty times as many as the endpoint takes; every entry has some.
+				f.play(lasts, 82, kind, func(id string) bool { return id == "limited" })
+				g.Expect(f.most()).To(BeNumerically("<=", limitFactor*limit*limitWindow.Seconds()+limitSlack))
+				g.Expect(len(f.sends)).To(BeNumerically(">=", limit*lasts.Seconds()/2), "the room is used")
+				g.Expect(f.refused).NotTo(BeEmpty())
+				g.Expect(f.waited).To(BeZero(), "refused when they came")
+				for _, err := range f.refused {
+					g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+					g.Expect(err.RetryAfter).To(BeNumerically(">", 0))
+				}
+			})
+		}
 	}
 }
--- a/pkg/scheduler/withheld.go
+++ b/pkg/scheduler/withheld.go
@@ -25,6 +25,11 @@
 	return true
 }
 
+// turnDelay is how much later than it could a request goes at the most: the time between two
+// looks at the queue, and a little. Without it those that are counted on to go at the last
+// moment wait in vain.
+const turnDelay = 25 * time.Millisecond
+
 // withheld refuses a request that no endpoint takes before its time is up, behind so many
 // that wait.
 func (s *Scheduler) withheld(now time.Time, it *item, ahead int) *outcome.Error {
@@ -32,8 +37,9 @@
 		return nil
 	}
 	room := s.roomFor(now, it)
+	within := max(it.startBy.Sub(now)-time.Duration(ahead+1)*turnDelay, 0)
 	// Without any endpoint there is nothing to wait for but that one is back.
-	if room.None() || room.Within(it.startBy.Sub(now), ahead) {
+	if room.None() || room.Within(within, ahead) {
 		return nil
 	}
 	s.pressedAt = now
