logtrace: endpoints in need explain refusals for them

Cause: a request refused with endpoints_in_need led to its reason alone; which endpoints had said what stood in lines that bear no request.

Change: believed and why tell the limits and pauses that held at the time.

--- a/internal/logtrace/believed.go
+++ b/internal/logtrace/believed.go
@@ -14,7 +14,8 @@
 
 // Fact is one thing that an entry believed, and the line that says so.
 type Fact struct {
-	// About names the thing: process, store, table, fleet, reach, readiness or leaving.
+	// About names the thing: process, store, table, fleet, reach, readiness, leaving, limit or
+	// pause.
 	About string
 	// Says tells it in words.
 	Says string
@@ -41,7 +42,13 @@
 }
 
 // factOrder is the order in which facts are told.
-var factOrder = []string{"process", "store", "table", "fleet", "reach", "readiness", "leaving"}
+var factOrder = []string{"process", "store", "table", "fleet", "reach", "readiness", "leaving", aboutLimit, aboutPause}
+
+// What endpoints say of how much they take.
+const (
+	aboutLimit = "limit"
+	aboutPause = "pause"
+)
 
 // Believed reads logs and returns what an entry believed at a time. It is nil if no line is
 // of that entry.
@@ -66,7 +73,7 @@
 		return nil, err
 	}
 	for _, f := range latest {
-		if f.About != "leaving" || at.Sub(f.Line.At) <= recently {
+		if f.holds(at) {
 			b.Facts = append(b.Facts, f)
 		}
 	}
@@ -80,6 +87,22 @@
 	return b, nil
 }
 
+// holds reports whether a fact still holds at a time after its line.
+func (f Fact) holds(at time.Time) bool {
+	since := at.Sub(f.Line.At)
+	switch f.About {
+	case "leaving":
+		return since <= recently
+	case aboutLimit:
+		return f.Line.fields["per_second"] != "none"
+	case aboutPause:
+		lasts, err := time.ParseDuration(f.Line.fields["lasts"])
+		return err == nil && since <= lasts
+	default:
+		return true
+	}
+}
+
 func (b *Belief) saw(at time.Time) {
 	if b.From.IsZero() || at.Before(b.From) {
 		b.From = at
@@ -108,6 +131,12 @@
 	case "endpoint leaving":
 		f.About, f.Says = "leaving", leavingSays(l.fields)
 		return "leaving " + l.fields["endpoint"], f, true
+	case "endpoint limit":
+		f.About, f.Says = aboutLimit, limitSays(l.fields)
+		return "limit of " + l.fields["endpoint"], f, true
+	case "endpoint wants a pause":
+		f.About, f.Says = aboutPause, pauseSays(l.fields)
+		return "pause of " + l.fields["endpoint"], f, true
 	default:
 		return "", f, false
 	}
@@ -142,3 +171,11 @@
 	source := cmp.Or(from[fields["source"]], fields["source"])
 	return fmt.Sprintf("endpoint %s ends, by %s", fields["endpoint"], source)
 }
+
+func limitSays(fields map[string]string) string {
+	return fmt.Sprintf("endpoint %s takes %s requests a second of all entries", fields["endpoint"], fields["per_second"])
+}
+
+func pauseSays(fields map[string]string) string {
+	return fmt.Sprintf("endpoint %s refused a request and wants nothing from this entry for %s", fields["endpoint"], fields["lasts"])
+}
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -115,6 +115,7 @@
 	"no_table":                func(*story) []string { return []string{"the entry had no table yet: it had just started"} },
 	"no_endpoint":             (*story).noEndpoint,
 	"endpoint_lost":           (*story).endpointLost,
+	"endpoints_in_need":       (*story).inNeed,
 	"endpoint_refused":        func(*story) []string { return []string{"the endpoint was full and refused it"} },
 	"deadline_unreachable":    (*story).deadline,
 	"queue_time_exceeded":     (*story).queueTime,
@@ -191,6 +192,20 @@
 	return "the endpoint was slower than the route allows; `grep kind=" + w.end.fields["kind"] + "` shows whether always"
 }
 
+// inNeed tells which endpoints had said that they take less.
+func (w *story) inNeed() []string {
+	out := w.reason()
+	if w.belief == nil {
+		return out
+	}
+	for _, f := range w.belief.Facts {
+		if f.About == aboutLimit || f.About == aboutPause {
+			out = append(out, fmt.Sprintf("%s, for %v", f.Says, w.age(f)))
+		}
+	}
+	return append(out, w.attemptsTold()...)
+}
+
 // quarantined tells where to look for the ends that brought the request there.
 func (w *story) quarantined() []string {
 	out := append(w.reason(), w.attemptsTold()...)
