--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -104,7 +104,7 @@
 	w.g.Expect(e.stream("asked").status).To(Equal(http.StatusOK))
 	source := w.endpointBorn("engine-source", "engine", firstStart)
 	source.Events, source.Every = movedEvents, 5*time.Millisecond
-	w.awaitEndpoints(2)
+	w.awaitAnnounced()
 	const streams = 6
 	var got []<-chan answer
 	for i := range streams {
@@ -113,7 +113,7 @@
 	w.g.Eventually(source.Running, eventually).Should(Equal(streams))
 	target := w.endpointBorn("engine-target", "engine", firstStart)
 	target.Events, target.Every = movedEvents, time.Millisecond
-	w.awaitEndpoints(3)
+	w.awaitAnnounced()
 	w.announce(source, "engine", true)
 	for _, one := range got {
 		var a answer
@@ -123,9 +123,3 @@
 	w.g.Expect(needy.Arrivals()).To(HaveLen(1))
 	w.g.Expect(target.Arrivals()).To(HaveLen(streams))
 }
-
-// awaitEndpoints waits until the gateway has taken so many changes of the list, one for each
-// endpoint.
-func (w *world) awaitEndpoints(count int) {
-	w.g.Eventually(func() int { return len(w.lists()) }, eventually).Should(BeNumerically(">=", count))
-}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -40,6 +40,8 @@
 
 	// entries are the gateways in the order of their starts.
 	entries []*entry
+	// announced is the revision of the newest record that was announced.
+	announced uint64
 
 	mu        sync.Mutex
 	endpoints map[string]*standin.Endpoint
@@ -167,7 +169,19 @@
 }
 
 func (w *world) announce(e *standin.Endpoint, target string, leaving bool) {
-	w.store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target, "dc", leaving))
+	w.announceIn(e, target, "dc", leaving)
+}
+
+// announceIn writes the record of an endpoint in a data centre.
+func (w *world) announceIn(e *standin.Endpoint, target, dataCenter string, leaving bool) {
+	w.announced = w.store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target, dataCenter, leaving))
+}
+
+// awaitAnnounced waits until a gateway has a list with the newest record in force. Changes in
+// quick succession may come as one list.
+func (w *world) awaitAnnounced() {
+	newest := fmt.Sprintf("revision=%d ", w.announced)
+	w.g.Eventually(func() []string { return w.logs.with("value in force", "name=fleet", newest) }, eventually).ShouldNot(BeEmpty())
 }
 
 // entry is a running gateway.
