The soak closes a data centre

Change: the soak's plan of endpoints in need has its last endpoints in a data centre of their own, which operators close for four seconds; from two seconds on nothing may reach them.

--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -37,7 +37,7 @@
 func (w *world) newGateway(i int, seeds []string) *gateway {
 	port := freeport.Port(w.t)
 	g := &gateway{w: w, file: filepath.Join(w.dir, fmt.Sprintf("vm-%d.json", i)), vm: platform.Settings{
-		VM: fmt.Sprintf("vm-%d", i), DataCenter: "dc", Seeds: seeds, Store: w.storeProxy.address, FirstStart: true,
+		VM: fmt.Sprintf("vm-%d", i), DataCenter: homeOfGateways, Seeds: seeds, Store: w.storeProxy.address, FirstStart: true,
 		PortLow: port, PortHigh: port,
 		Callers: freeport.Address(w.t), Readiness: freeport.Address(w.t), Peers: freeport.Address(w.t),
 		Bounds: platform.Bounds{Grace: 8 * time.Second, Drain: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 58},
--- a/internal/soak/lives_test.go
+++ b/internal/soak/lives_test.go
@@ -37,7 +37,7 @@
 
 // announce writes the record of an endpoint.
 func (w *world) announce(e *standin.Endpoint, leaving bool) {
-	w.store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target(e), "dc", leaving))
+	w.store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target(e), w.dataCenterOf(e), leaving))
 }
 
 // announceLate writes the record of an endpoint that has started again, unless it has
--- a/internal/soak/needs_test.go
+++ b/internal/soak/needs_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -26,6 +27,14 @@
 	// pauseSlack is how many requests may reach an endpoint while it wants a pause.
 	pauseSlack = 2
 	drainBound = 2 * time.Second
+	// closedFor is how long a data centre is closed, and closedBound after what time its
+	// endpoints get nothing any more.
+	closedFor   = 4 * time.Second
+	closedBound = 2 * time.Second
+	// homeOfGateways is the data centre of all gateways and most endpoints, and farDataCenter,
+	// where endpoints get into need, that of the last ones.
+	homeOfGateways = "dc"
+	farDataCenter  = "far"
 )
 
 // planNeeds has endpoints in need, and nothing that excuses a gateway.
@@ -35,6 +44,7 @@
 	{"desk names a limit", planned, func(w *world, r *rand.Rand) { w.nameLimit(pick(r, w.desks), r) }},
 	{"desk wants pauses", planned, func(w *world, r *rand.Rand) { w.wantPauses(pick(r, w.desks), r) }},
 	{"desk leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.desks, r) }},
+	{"data centre closes", planned, func(w *world, _ *rand.Rand) { w.closeFar() }},
 	{"engine leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.engines, r) }},
 }
 
@@ -118,6 +128,43 @@
 	leaving.SetAsks(http.Header{platform.HeaderLeaving: {"1"}})
 }
 
+// dataCenterOf is the data centre of an endpoint.
+func (w *world) dataCenterOf(e *standin.Endpoint) string {
+	if w.drawn.needs && strings.HasSuffix(e.ID, "-2") && !strings.Contains(e.ID, "new") {
+		return farDataCenter
+	}
+	return homeOfGateways
+}
+
+// closeFar has the operators close the far data centre for a time, unless it is closed.
+func (w *world) closeFar() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n := len(w.closings); n > 0 && time.Now().Before(w.closings[n-1].to) {
+		return
+	}
+	w.closings = append(w.closings, closing{time.Now(), time.Now().Add(closedFor)})
+	w.store.Put(platform.ClosingPrefix+farDataCenter, []byte(`{}`))
+	w.after(closedFor, func() { w.store.Delete(platform.ClosingPrefix + farDataCenter) })
+}
+
+// closing is a time in which a data centre is closed.
+type closing struct{ from, to time.Time }
+
+// checkClosings holds that endpoints of a closed data centre get nothing.
+func (w *world) checkClosings(e *standin.Endpoint, arrivals []standin.Arrival) {
+	if w.dataCenterOf(e) != farDataCenter {
+		return
+	}
+	for _, a := range arrivals {
+		for _, c := range w.closings {
+			if a.At.After(c.from.Add(closedBound)) && a.At.Before(c.to) {
+				w.t.Errorf("%s reached %s %v after its data centre was closed", a.RequestID, e.ID, a.At.Sub(c.from))
+			}
+		}
+	}
+}
+
 // checkNeeds holds that what endpoints said bound each gateway that was told.
 func (w *world) checkNeeds() {
 	if w.plan != planNeeds {
@@ -127,12 +174,13 @@
 	for _, e := range w.endpoints {
 		arrivals := e.Arrivals()
 		w.checkLeaveByAnswers(e, arrivals)
+		w.checkClosings(e, arrivals)
 		kept += w.checkPauses(e, arrivals)
 	}
 	for _, n := range w.limitNeeds {
 		w.checkLimit(n)
 	}
-	w.t.Logf("%d limits, %d pauses", len(w.limitNeeds), kept)
+	w.t.Logf("%d limits, %d pauses, %d closings", len(w.limitNeeds), kept, len(w.closings))
 }
 
 func (w *world) checkLeaveByAnswers(e *standin.Endpoint, arrivals []standin.Arrival) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -74,6 +74,8 @@
 	// times in which one named a limit.
 	inNeed     map[*standin.Endpoint]bool
 	limitNeeds []limitNeed
+	// closings are the times in which the far data centre is closed.
+	closings []closing
 
 	// crashed are when endpoints ended under requests, by their paths.
 	crashed map[string][]time.Time
