Parts of entries that have been silent for long are for the others

Members count for the parts of a limit until they are forgotten, ten minutes after they fell silent. An endpoint of which only such entries have a part (two share half a request a second) would get nothing until then, and nobody would learn that it takes more.

Change: the dead don't count for limits; the suspected do.

Measured: with two dead entries of three the third sends 30 of 30 requests a minute; tests of peering green.

--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -283,9 +283,8 @@
 	self := b.view.Self()
 	b.guard.SetPlace(placeAmong(self.GetVm(), members, isAlive))
 	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
-		place := backpressurePlace(self, members)
-		s.SetPlace(place.Rank(), place.Total())
-		s.Backpressure().SetPlace(place)
+		s.SetPlace(placeAmong(self.GetVm(), members, mayServe))
+		s.Backpressure().SetPlace(backpressurePlace(self, members))
 	})
 	for vm := range b.counted {
 		if !live[vm] {
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -101,7 +101,13 @@
 	return out
 }
 
-// backpressurePlace is where this entry stands among itself and the members that may serve.
+// isThere says that a member hasn't been silent for long. The parts of one that has are for the
+// others: else an endpoint of which only such ones have a part would get nothing until they
+// are forgotten. One that is cut off shares nothing with these any more, as each side reaches
+// its own endpoints only.
+func isThere(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
+
+// backpressurePlace is where this entry stands among itself and the members that are there.
 func backpressurePlace(self *peerv1.NodeRecord, members []membership.Member) backpressure.Place {
 	p := backpressure.Place{
 		DataCenter: self.GetDataCenter(),
@@ -109,7 +115,7 @@
 		Before:     map[string]int{},
 	}
 	for _, m := range members {
-		if !mayServe(m.Status) {
+		if !isThere(m.Status) {
 			continue
 		}
 		p.Entries[m.DataCenter]++
--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -308,3 +308,31 @@
 		g.Expect(b.view.Self().GetVersion()).To(Equal(version), "without news the record stays as it is")
 	}
 }
+
+// TestPartsOfSilentEntriesAreForTheOthers: an endpoint takes one request in two seconds, which
+// two entries share. When both have been silent for long the third sends them.
+func TestPartsOfSilentEntriesAreForTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	self := &peerv1.NodeRecord{Vm: "vm-1", DataCenter: "dc"}
+	desk := fleet.Endpoint{ID: "desk", Incarnation: 1, DataCenter: "dc"}
+	// sent counts what the third one sends within a minute.
+	sent := func(others membership.Status) (n int) {
+		s := backpressure.New()
+		s.SetPlace(backpressurePlace(self, []membership.Member{
+			{Contact: membership.Contact{VM: "vm-0", DataCenter: "dc"}, Status: others},
+			{Contact: membership.Contact{VM: "vm-2", DataCenter: "dc"}, Status: others},
+		}))
+		s.Hear(now, backpressure.Statement{Life: desk.Life(), At: now, Limit: backpressure.Limit{Kind: backpressure.Limited, PerSecond: 0.5}}, backpressure.FromNear)
+		for at := time.Duration(0); at < time.Minute; at += limitStep {
+			if s.Takes(now.Add(at), desk) {
+				s.Sent(now.Add(at), desk)
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(sent(membership.Suspect)).To(Equal(sent(membership.Alive)))
+	g.Expect(sent(membership.Dead)).To(BeNumerically("~", 30, 1), "all of it")
+	g.Expect(sent(membership.Left)).To(BeNumerically("~", 30, 1))
+}
