Comments say why, not how values were tuned

Cause: comments of earlier work told figures and how they were measured, which belong in commits and the capacity page.

Measured: builds; no behaviour changes.

Conclusion: kept.

--- a/internal/controllers/catchup.go
+++ b/internal/controllers/catchup.go
@@ -8,9 +8,7 @@
 const (
 	// peersFirst is the time that peers have to tell the values before the platform is
 	// read. They answer within 100 ms if they are there; after a failure of all entries they
-	// know nothing, or one is silent, and each moment counts: 100 entries that were killed
-	// together knew the values after 0.65 s in place of 1.46 s when all peers were awaited,
-	// half of a second of it the start of the process (VMs of 0.192 cores).
+	// know nothing, or one is silent, and each moment counts.
 	peersFirst = 150 * time.Millisecond
 	// readyEvery is how often it is looked whether the values are known meanwhile.
 	readyEvery = 10 * time.Millisecond
--- a/internal/controllers/load.go
+++ b/internal/controllers/load.go
@@ -33,9 +33,7 @@
 	// everything; after a failure of many, all of them would read everything.
 	Settle time.Duration
 	// Pressed, if set, reports whether the engines are so full that requests wait or are
-	// refused. They are then read every PressedInterval. Over 12 plays of three days with
-	// bursts the mean worth was 0.614 with reads every 1.2 s throughout, and 0.617 to
-	// 0.618 with 600, 400 and 250 ms while pressed.
+	// refused. They are then read every PressedInterval.
 	Pressed         func() bool
 	PressedInterval time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,9 +50,7 @@
 	smallView = 24
 	// How many endpoints of the own and of other data centres a decision compares, up
 	// to smallView entries and beyond. A large fleet is told of the prompts in its own
-	// data centre only. Four local ones in place of two: mean worth 0.689 to 0.689
-	// with 9 entries, 0.474 to 0.485 with 6 (20 plays each); six in place of three: 0.868
-	// to 0.867 with 85 entries, 0.840 to 0.862 with 62 (one day each).
+	// data centre only.
 	localOfFew   = 4
 	remoteOfFew  = 3
 	localOfMany  = 6
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -102,9 +102,7 @@
 // Prompt prefers candidates that can begin soon.
 type Prompt struct {
 	// Tokens of backlog that cost one; more cost more, so that in a burst, when all
-	// engines have more, the shortest backlog still counts. (With a cost of one at most,
-	// urgent prompts all went to the emptiest engine: mean worth of 12 plays with bursts
-	// 0.599, without the limit 0.603.)
+	// engines have more, the shortest backlog still counts.
 	Tokens float64
 }
 
@@ -135,8 +133,7 @@
 }
 
 // Weights of Spread, in units of an engine's whole memory: a candidate of the own
-// data centre may be fuller by nearWeight. Mean worth of 20 plays: with 0.25 0.009 less
-// with 9 entries, the same with 6; 1.0 gains nothing with 66.
+// data centre may be fuller by nearWeight.
 const (
 	nearWeight   = 0.5
 	speedWeight  = 1.0
--- a/pkg/scheduler/reach.go
+++ b/pkg/scheduler/reach.go
@@ -18,7 +18,6 @@
 // dataCenterFailures is how many endpoints of a data centre in a row can't be reached
 // before it counts as cut off. Each has a breaker of its own that opens at once, so
 // these are different ones; of endpoints that fail together some answer in between.
-// With three in place of two, entries that were cut off found out a second later.
 const dataCenterFailures = 2
 
 // dataCenterBreaker returns the breaker of an endpoint's data centre, or nil for the
--- a/pkg/scheduler/readrate.go
+++ b/pkg/scheduler/readrate.go
@@ -7,11 +7,9 @@
 // refused for nothing. So what is read beyond ReadRate is learnt.
 //
 // And engines that read slower, for prompts that aren't urgent: because the engine is slow,
-// its batch is full, its memory has no room yet, or urgent prompts overtake. Prompts were
-// sent that began late, and kept those behind them waiting. So it is learnt how fast the
-// own prompts have got through what was before them. On a third of the large fleet with two
-// fifths of the engines leaving the mean worth rose from 0.639 to 0.672 (3 plays each; late
-// 214 to 173 of 1,394 long answers), on three other loads it stayed level.
+// its batch is full, its memory has no room yet, or urgent prompts overtake. Prompts sent there
+// would begin late, and keep those behind them waiting. So it is learnt how fast the own
+// prompts have got through what was before them.
 
 const (
 	// readRateSmoothing is the weight of one answer in the learnt rate.
--- a/pkg/scheduler/start.go
+++ b/pkg/scheduler/start.go
@@ -17,14 +17,11 @@
 // Urgent requests are not held to it where engines read them first, whatever else waits.
 // Where they are read in turn (Config.ReadInTurn) they go only where they begin in time as
 // well, else to the engine that has least to read, and are never refused: a late verdict is
-// better than none. Sent to the engine with the most memory left, as before, 33 to 100 in 100
-// of those that met 6,000 tokens and more began late, and the long ones behind them (60
-// engines, memory for six long answers each: mean worth of three days 0.645, and 0.673).
+// better than none. The engine with the most memory left may have most to read, and they and
+// the long ones behind them would begin late.
 
 // startMargin is left for what isn't known when a prompt is sent: one prompt that
-// another entry sends at the same moment, 2,200 to 3,000 tokens at ReadRate. In bursts
-// of 1.7 to 2.5 times the usual load for 3 to 10 s it raised the mean worth from 0.603
-// to 0.617 (12 plays of three days).
+// another entry sends at the same moment, 2,200 to 3,000 tokens at ReadRate.
 const startMargin = 350 * time.Millisecond
 
 // idle reports whether an engine has no more to read than the margin allows for.
--- a/pkg/scheduler/versions.go
+++ b/pkg/scheduler/versions.go
@@ -62,12 +62,10 @@
 	}},
 	{"v11", func(c *Config) {
 		c.TimeToRun = true
-		// Faster tokens are no reason where work goes to the emptiest of some engines: off,
-		// the mean worth of 10 plays was within 0.004 on four loads, and 0.739 against 0.734
-		// with a fifth of the engines four to eight times slower.
+		// Faster tokens are no reason where work goes to the emptiest of some engines.
 		c.dropScorer(isSpeed)
 		// Rows of the platform all weigh the same, so nobody is worth more than one who
-		// waits: off, the mean worth was within 0.006 on four loads, as equal code is.
+		// waits.
 		c.DisplaceRatio = math.Inf(1)
 	}},
 	{"v12", func(c *Config) {
