What engines say in answers binds on our own interface too

What callers saw: requests went to engines that had said in an answer that they drain, or that had refused with a time to come back, while others had room.

The sign that an engine drains was read from refusals alone, and Retry-After from none.

Change: the client tells of each answer that says something of its endpoint. A drain is a leave; Retry-After of a 503 is a pause, in which nothing new goes there. What looks at the scheduler through the dispatcher stood three times and is one method now.

Why it holds: one place reads the heads of all answers here too.

Tests of entry, gateway, e2e, peering, engineclient, runner green.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -73,6 +73,22 @@
 	read(clock.Now(), d.policy)
 }
 
+// ViewScheduler reads or sets what the scheduler believes; other policies are passed over.
+func (d *Dispatcher) ViewScheduler(view func(now time.Time, s *scheduler.Scheduler)) {
+	d.View(func(now time.Time, p scheduler.Policy) {
+		if s, ok := p.(*scheduler.Scheduler); ok {
+			view(now, s)
+		}
+	})
+}
+
+// Pause records that an endpoint wants nothing from this entry for some time, and reports
+// whether that is news.
+func (d *Dispatcher) Pause(l fleet.Life, lasts time.Duration) (news bool) {
+	d.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { news = s.Backpressure().Pause(now, l, lasts) })
+	return news
+}
+
 func (d *Dispatcher) pump(now time.Time) {
 	if len(d.waiting) == 0 {
 		return
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -17,7 +17,7 @@
 const (
 	// HeaderNotRun on a refusal is defined as: before execution.
 	HeaderNotRun = "X-Not-Run"
-	// HeaderDraining says that the endpoint takes no new work.
+	// HeaderDraining, in any reply, says that the endpoint takes no new work.
 	HeaderDraining = "X-Draining"
 	// HeaderIncarnation is the endpoint's incarnation.
 	HeaderIncarnation = "X-Incarnation"
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -40,12 +40,14 @@
 // Client speaks to endpoints.
 type Client struct {
 	http *http.Client
+	said func(from fleet.Endpoint, s Said)
 }
 
-// New makes a client.
-func New() *Client {
+// New makes a client. said, unless it is nil, is told of each answer by which an endpoint says
+// something of itself, whatever was asked.
+func New(said func(from fleet.Endpoint, s Said)) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{said: said, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
@@ -62,10 +64,10 @@
 func (onceBody) Close() error { return nil }
 
 // send makes one call. The failure is NotSent only if no connection was had.
-func (c *Client) send(ctx context.Context, method, url string, body []byte, header http.Header) (*http.Response, *attempt.Failure) {
+func (c *Client) send(ctx context.Context, to fleet.Endpoint, method, path string, body []byte, header http.Header) (*http.Response, *attempt.Failure) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+to.Address+path, nil)
 	if err != nil {
 		return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 	}
@@ -78,6 +80,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err == nil {
+		c.tell(to, resp)
 		return resp, nil
 	}
 	if !connected.Load() {
@@ -125,7 +128,7 @@
 		engineapi.HeaderRequestID:         {requestID},
 		http.CanonicalHeaderKey("Accept"): {"text/event-stream"},
 	}
-	resp, f := c.send(ctx, http.MethodPost, "http://"+e.Address+engineapi.PathCompletions, body, header)
+	resp, f := c.send(ctx, e, http.MethodPost, engineapi.PathCompletions, body, header)
 	if f != nil {
 		return nil, f
 	}
@@ -137,8 +140,8 @@
 
 // Resume follows a generation again, from an index on.
 func (c *Client) Resume(ctx context.Context, e fleet.Endpoint, requestID string, g stream.Generation, from int) (*Stream, *attempt.Failure) {
-	url := "http://" + e.Address + engineapi.PathGenerations + g.ID + "?from=" + strconv.Itoa(from)
-	resp, f := c.send(ctx, http.MethodGet, url, nil, nil)
+	path := engineapi.PathGenerations + g.ID + "?from=" + strconv.Itoa(from)
+	resp, f := c.send(ctx, e, http.MethodGet, path, nil, nil)
 	if f != nil {
 		// The request itself was sent long ago; only the link is missing.
 		f.Kind = retry.LinkLost
@@ -233,7 +236,7 @@
 func (c *Client) Cancel(e fleet.Endpoint, g stream.Generation) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	resp, f := c.send(ctx, http.MethodDelete, "http://"+e.Address+engineapi.PathGenerations+g.ID, nil, nil)
+	resp, f := c.send(ctx, e, http.MethodDelete, engineapi.PathGenerations+g.ID, nil, nil)
 	if f == nil {
 		resp.Body.Close()
 	}
@@ -252,7 +255,7 @@
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
 	}
-	resp, f := c.send(ctx, method, "http://"+e.Address+path, body, header)
+	resp, f := c.send(ctx, e, method, path, body, header)
 	if f != nil {
 		return nil, f
 	}
@@ -275,7 +278,7 @@
 
 // Load reads an endpoint's load report.
 func (c *Client) Load(ctx context.Context, e fleet.Endpoint) (*engineapi.LoadReport, error) {
-	resp, f := c.send(ctx, http.MethodGet, "http://"+e.Address+engineapi.PathLoad, nil, nil)
+	resp, f := c.send(ctx, e, http.MethodGet, engineapi.PathLoad, nil, nil)
 	if f != nil {
 		return nil, f
 	}
--- a/internal/engineclient/engineclient_test.go
+++ b/internal/engineclient/engineclient_test.go
@@ -44,7 +44,7 @@
 		w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
 	}))
 	defer s.Close()
-	c := New()
+	c := New(nil)
 	_, f := c.Call(context.Background(), endpoint(s), "1", http.MethodPost, "/", "", []byte("x"))
 	g.Expect(f).To(BeNil())
 	_, f = c.Call(context.Background(), endpoint(s), "2", http.MethodPost, "/", "", []byte("x"))
@@ -58,7 +58,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	gone := fleet.Endpoint{ID: "gone", Address: l.Addr().String()}
 	l.Close()
-	_, f := New().Call(context.Background(), gone, "1", http.MethodPost, "/", "", nil)
+	_, f := New(nil).Call(context.Background(), gone, "1", http.MethodPost, "/", "", nil)
 	g.Expect(f.Kind).To(Equal(retry.NotSent))
 
 	for name, want := range map[string]retry.Failure{
@@ -77,9 +77,9 @@
 		}))
 		var f *attempt.Failure
 		if name == "status" {
-			_, f = New().Start(context.Background(), endpoint(s), "1", &engineapi.CompletionRequest{})
+			_, f = New(nil).Start(context.Background(), endpoint(s), "1", &engineapi.CompletionRequest{})
 		} else {
-			_, f = New().Call(context.Background(), endpoint(s), "1", http.MethodPost, "/", "", nil)
+			_, f = New(nil).Call(context.Background(), endpoint(s), "1", http.MethodPost, "/", "", nil)
 		}
 		g.Expect(f.Kind).To(Equal(want), name)
 		s.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,9 +79,9 @@
 		log:     logger,
 		started: clock.Now(),
 		metrics: metrics.New(),
-		client:  engineclient.New(),
 		traffic: &peering.Traffic{},
 	}
+	e.client = engineclient.New(e.onSaid)
 	var err error
 	if e.peerTLS, err = cfg.PeerTLS.Load(); err != nil {
 		return nil, err
--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -27,7 +27,7 @@
 		g.beliefs.Leave(drain.Leave{Endpoint: from.ID, Incarnation: from.Incarnation}, peering.SourceEndpoint)
 	}
 	if a.Pause > 0 {
-		g.pause(now, from, a.Pause)
+		g.pause(from, a.Pause)
 	}
 	served := a.Signed && status < http.StatusMultipleChoices
 	st, holds := backpressure.Told(from.Life(), a.Limit, served, sent, now)
@@ -37,10 +37,8 @@
 }
 
 // pause takes the news that an endpoint wants nothing from this entry for some time.
-func (g *Gateway) pause(now time.Time, from fleet.Endpoint, lasts time.Duration) {
-	news := false
-	g.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { news = s.Backpressure().Pause(now, from.Life(), lasts) })
-	if news {
+func (g *Gateway) pause(from fleet.Endpoint, lasts time.Duration) {
+	if g.dispatcher.Pause(from.Life(), lasts) {
 		g.metrics.Pauses.Inc()
 		g.log.Info("endpoint wants a pause", "endpoint", from.ID, "lasts", lasts, "fleet", g.fleetRevision())
 	}
@@ -48,7 +46,7 @@
 
 // admits reports whether an endpoint takes a request that isn't dispatched, and counts it.
 func (g *Gateway) admits(l fleet.Life) (yes bool) {
-	g.viewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Admit(now, l) })
+	g.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Admit(now, l) })
 	return yes
 }
 
@@ -68,7 +66,7 @@
 // so not counted there, is counted against its limit: it comes together at the endpoint with
 // all else.
 func (g *Gateway) admit(to fleet.Endpoint, s upstream.Sending) (err error) {
-	g.viewScheduler(func(now time.Time, sch *scheduler.Scheduler) {
+	g.dispatcher.ViewScheduler(func(now time.Time, sch *scheduler.Scheduler) {
 		asked := sch.Backpressure()
 		if left := asked.PausedFor(now, to.Life()); left > 0 {
 			err = pausedError{to.ID, left}
@@ -81,7 +79,7 @@
 
 // pausedFor is for how much longer an endpoint wants nothing.
 func (g *Gateway) pausedFor(l fleet.Life) (left time.Duration) {
-	g.viewScheduler(func(now time.Time, s *scheduler.Scheduler) { left = s.Backpressure().PausedFor(now, l) })
+	g.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { left = s.Backpressure().PausedFor(now, l) })
 	return left
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,15 +144,6 @@
 	return g
 }
 
-// viewScheduler reads or sets what the scheduler believes.
-func (g *Gateway) viewScheduler(view func(now time.Time, s *scheduler.Scheduler)) {
-	g.dispatcher.View(func(now time.Time, p scheduler.Policy) {
-		if s, ok := p.(*scheduler.Scheduler); ok {
-			view(now, s)
-		}
-	})
-}
-
 // Run serves until the context ends, then stops without cutting any request.
 func (g *Gateway) Run(ctx context.Context, reload <-chan platform.Settings) error {
 	work, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -94,7 +94,7 @@
 // pressed reports whether requests have waited or been refused lately, because engines
 // were full.
 func (g *Gateway) pressed() (yes bool) {
-	g.viewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Pressed(now) })
+	g.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { yes = s.Pressed(now) })
 	return yes
 }
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -60,7 +60,7 @@
 			targets = append(targets, row.Target)
 		}
 	}
-	g.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
+	g.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
 		for _, target := range targets {
 			if s.OutOfReach(target) {
 				unservable = append(unservable, target)
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -93,7 +93,7 @@
 // keepApart tells the scheduler which requests are to be kept apart.
 func (b *Beliefs) keepApart() {
 	requests := b.guard.KeptApart()
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetKeptApart(requests) })
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetKeptApart(requests) })
 }
 
 // Guard holds what the entries know of requests that crash what runs them.
@@ -282,7 +282,7 @@
 	b.setDoubt(doubt)
 	self := b.view.Self()
 	b.guard.SetPlace(placeAmong(self.GetVm(), members, isAlive))
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
 		s.SetPlace(placeAmong(self.GetVm(), members, mayServe))
 		s.Backpressure().SetPlace(backpressurePlace(self, members))
 	})
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -84,17 +84,8 @@
 	}
 }
 
-// viewScheduler reads or sets what the scheduler believes; other policies are passed over.
-func (b *Beliefs) viewScheduler(view func(now time.Time, s *scheduler.Scheduler)) {
-	b.dispatcher.View(func(now time.Time, p scheduler.Policy) {
-		if s, ok := p.(*scheduler.Scheduler); ok {
-			view(now, s)
-		}
-	})
-}
-
 func (b *Beliefs) waitingTargets() (out []string) {
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { out = s.WaitingTargets() })
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { out = s.WaitingTargets() })
 	return out
 }
 
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -28,7 +28,7 @@
 }
 
 func (b *Beliefs) noneInNeed() (none bool) {
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { none = s.Backpressure().Idle() })
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { none = s.Backpressure().Idle() })
 	return none
 }
 
@@ -39,7 +39,7 @@
 func (b *Beliefs) hearLimit(now time.Time, st backpressure.Statement, from backpressure.Source, source string) {
 	var change backpressure.Change
 	changed := false
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) { change, changed = s.Backpressure().Hear(now, st, from) })
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { change, changed = s.Backpressure().Hear(now, st, from) })
 	if changed && b.onLimit != nil {
 		b.onLimit(change, source)
 	}
@@ -81,7 +81,7 @@
 // tellLimits puts what this entry tells into its own record, if there is something new. Else
 // the record stays as it is, ages included.
 func (b *Beliefs) tellLimits(now time.Time, r *peerv1.NodeRecord) {
-	b.viewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
+	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) {
 		s.Backpressure().Forget(now)
 		if version := s.Backpressure().Version(); version != b.limitsVersion {
 			b.limitsVersion = version
--- a/internal/peering/loads.go
+++ b/internal/peering/loads.go
@@ -117,7 +117,7 @@
 // pick, which gives a number below its argument, chooses a part if there are many.
 func (b *Beliefs) Loads(pick func(below int) int) *peerv1.Loads {
 	out := &peerv1.Loads{}
-	b.viewScheduler(func(now time.Time, s *scheduler.Scheduler) {
+	b.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) {
 		for _, l := range part(s.Loads(now), pick) {
 			appendLoad(out, now, l.Report)
 			out.Unread = append(out.Unread, uint32(l.Unread))
@@ -142,7 +142,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.viewScheduler(func(now time.Time, s *scheduler.Scheduler) {
+	b.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) {
 		b.eachLoad(now, l, func(i int, r scheduler.Report) {
 			s.TakeLoad(now, scheduler.Load{Report: r, Unread: int(l.GetUnread()[i])})
 		})
