Who knows something newer of a limit tells it anew

An entry that was told a limit at 8 s, and again at 10 s without a change, kept telling the 8 s. When another one took the limit back by an answer to a request of 9 s, the first knew better and its record stayed as it was, so that all others believed the end of the limit until their own next answer.

Change: hearing something older and contrary has what is known told with its newer time. The statement of an answer and the list of what is to be told have names of their own.

--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -30,7 +30,7 @@
 		g.pause(from, a.Pause)
 	}
 	served := a.Signed && status < http.StatusMultipleChoices
-	st, holds := backpressure.Told(from.Life(), a.Limit, served, sent, now)
+	st, holds := backpressure.StatementOf(from.Life(), a.Limit, served, sent, now)
 	if holds {
 		g.beliefs.HearLimit(now, st)
 	}
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -85,7 +85,7 @@
 		s.Backpressure().Forget(now)
 		if version := s.Backpressure().Version(); version != b.limitsVersion {
 			b.limitsVersion = version
-			r.Limits = limitsOut(now, s.Backpressure().Told())
+			r.Limits = limitsOut(now, s.Backpressure().ToTell())
 		}
 	})
 }
--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -175,7 +175,7 @@
 			later = append(later, a)
 			continue
 		}
-		st, _ := backpressure.Told(a.of.Life(), a.limit, true, a.sent, f.now)
+		st, _ := backpressure.StatementOf(a.of.Life(), a.limit, true, a.sent, f.now)
 		a.to.beliefs.HearLimit(f.now, st)
 		if a.limit.Kind == backpressure.Limited && a.to.told.IsZero() {
 			a.to.told = f.now
--- a/pkg/backpressure/statements.go
+++ b/pkg/backpressure/statements.go
@@ -20,10 +20,10 @@
 	At time.Time
 }
 
-// Told makes the statement of an answer, if it holds one. Any answer may name a limit. That
+// StatementOf makes the statement of an answer, if it holds one. Any answer may name a limit. That
 // there is none is told only by one that serves its request: errors, refusals and reports of
 // its state may be written by other parts of an endpoint, which don't know that it is in need.
-func Told(l fleet.Life, limit Limit, served bool, sent, received time.Time) (s Statement, holds bool) {
+func StatementOf(l fleet.Life, limit Limit, served bool, sent, received time.Time) (s Statement, holds bool) {
 	switch {
 	case limit.Kind == Limited:
 		return Statement{Life: l, Limit: limit, At: received}, true
@@ -87,7 +87,9 @@
 		s.states[st.Life] = known
 	case !st.At.After(known.at):
 		if from != FromAnswer && st.Limit.Kind != known.limit.Kind {
-			s.setTell(known, true)
+			// Told anew if it was told before, since it is newer now.
+			known.tell = true
+			s.version++
 		}
 		return Change{}, false
 	}
@@ -102,16 +104,9 @@
 	return c, true
 }
 
-func (s *Set) setTell(known *state, tell bool) {
-	if known.tell != tell {
-		known.tell = tell
-		s.version++
-	}
-}
-
-// Told lists what this entry tells others, by the names of the endpoints: what it was told
+// ToTell lists what this entry tells others, by the names of the endpoints: what it was told
 // itself, and what it heard from another data centre.
-func (s *Set) Told() []Statement {
+func (s *Set) ToTell() []Statement {
 	var out []Statement
 	for l, known := range s.states {
 		if known.tell {
@@ -154,8 +149,8 @@
 		gone := !known.unlisted.IsZero() && now.Sub(known.unlisted) >= unlistedFor
 		over := known.limit.Kind == Unlimited && now.Sub(known.since) >= toldOver
 		if gone || over {
-			s.setTell(known, false)
 			delete(s.states, l)
+			s.version++
 		}
 	}
 }
--- a/pkg/backpressure/statements_test.go
+++ b/pkg/backpressure/statements_test.go
@@ -25,7 +25,7 @@
 	g := NewWithT(t)
 	s := backpressure.New()
 	hear := func(l backpressure.Limit, served bool, sent, received time.Duration) bool {
-		st, holds := backpressure.Told(life, l, served, begin.Add(sent), begin.Add(received))
+		st, holds := backpressure.StatementOf(life, l, served, begin.Add(sent), begin.Add(received))
 		if !holds {
 			return false
 		}
@@ -68,7 +68,7 @@
 		s.Forget(begin.Add(after))
 		g.Expect(s.Idle()).To(BeFalse(), "after %v", after)
 	}
-	g.Expect(s.Told()).To(HaveLen(1))
+	g.Expect(s.ToTell()).To(HaveLen(1))
 	s.Forget(begin.Add(2 * time.Minute))
 	g.Expect(s.Idle()).To(BeTrue())
 }
@@ -82,11 +82,16 @@
 		s.Hear(begin, backpressure.Statement{Life: life, Limit: l, At: begin.Add(at)}, from)
 	}
 	hear(limited(4), time.Second, backpressure.FromNear)
-	g.Expect(s.Told()).To(BeEmpty(), "that entry tells all others here")
+	g.Expect(s.ToTell()).To(BeEmpty(), "that entry tells all others here")
 	hear(limited(4), 0, backpressure.FromNear)
-	g.Expect(s.Told()).To(BeEmpty(), "the same")
+	g.Expect(s.ToTell()).To(BeEmpty(), "the same")
 	hear(backpressure.Limit{}, 0, backpressure.FromNear)
-	g.Expect(s.Told()).To(Equal([]backpressure.Statement{{Life: life, Limit: limited(4), At: begin.Add(time.Second)}}))
-	hear(backpressure.Limit{}, 2*time.Second, backpressure.FromNear)
-	g.Expect(s.Told()).To(BeEmpty())
+	g.Expect(s.ToTell()).To(Equal([]backpressure.Statement{{Life: life, Limit: limited(4), At: begin.Add(time.Second)}}))
+	hear(limited(4), 2*time.Second, backpressure.FromAnswer)
+	version := s.Version()
+	hear(backpressure.Limit{}, time.Second+time.Millisecond, backpressure.FromNear)
+	g.Expect(s.Version()).NotTo(Equal(version), "told anew")
+	g.Expect(s.ToTell()[0].At).To(Equal(begin.Add(2 * time.Second)))
+	hear(backpressure.Limit{}, 3*time.Second, backpressure.FromNear)
+	g.Expect(s.ToTell()).To(BeEmpty())
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -191,7 +191,7 @@
 mutant "endpoints in need: limits not kept" $N/set.go 's/return known.bucket.holds()/return true/' "./pkg/scheduler -run Limited"
 mutant "endpoints in need: each entry takes all" $N/part.go 's/own := rate \/ float64(sharers)/own := rate/' "./pkg/scheduler -run Limited"
 mutant "endpoints in need: all entries share" $N/part.go 's/if s.place.turn(e) >= sharers {/if false {/' "./pkg/scheduler ./internal/peering -run Limit"
-mutant "endpoints in need: not told to others" internal/peering/limits.go 's/r.Limits = limitsOut(now, s.Backpressure().Told())/_ = limitsOut/' "./internal/peering -run Limit"
+mutant "endpoints in need: not told to others" internal/peering/limits.go 's/r.Limits = limitsOut(now, s.Backpressure().ToTell())/_ = limitsOut/' "./internal/peering -run Limit"
 mutant "endpoints in need: not told to other data centres" internal/peering/limits.go 's/from = backpressure.FromFar/from = backpressure.FromNear/' "./internal/peering -run Limit"
 mutant "endpoints in need: taken back by an earlier request's answer" $N/statements.go 's/Limit: limit, At: sent}, true/Limit: limit, At: received}, true/' ./pkg/backpressure
 mutant "endpoints in need: taken back by an error" $N/statements.go 's/case limit.Kind == Unlimited \&\& served:/case limit.Kind == Unlimited:/' ./pkg/backpressure
