Limits hold while members of the fleet change

Cause: reading the mend again. Who shares a limit follows from the members, and entries that know of a stop and those that don't may choose others.

Change: a test that stops 20 entries of 66, and 7 of 9, one every two seconds, while three endpoints are in need.

No change is needed: a sharer's bucket begins empty, so that one who becomes a sharer sends later, not more.

Conclusion: kept as a test.

--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -44,6 +44,8 @@
 	owed   float64
 	// told is when it first passed on an answer with a limit.
 	told time.Time
+	// gone says that it was stopped.
+	gone bool
 }
 
 // needyFleet is a fleet in virtual time in front of plain endpoints, some of which get into
@@ -117,6 +119,9 @@
 	e.beliefs.Beat(f.now, nil)
 	for _, c := range e.beliefs.view.Round(f.now) {
 		peer := f.byName[c.VM]
+		if peer.gone {
+			continue
+		}
 		scope := e.beliefs.view.ScopeWith(c)
 		theirs := e.beliefs.view.Digests(f.now, scope)
 		peer.beliefs.view.Heard(f.now, theirs)
@@ -132,6 +137,9 @@
 	for end := f.now.Add(lasts); f.now.Before(end); f.now = f.now.Add(limitStep) {
 		f.answer()
 		for _, e := range f.entries {
+			if e.gone {
+				continue
+			}
 			if regular := !f.now.Before(e.round); regular || e.kicked {
 				e.kicked = false
 				if regular {
@@ -185,6 +193,50 @@
 	f.answers = later
 }
 
+// stop has an entry tell two others that it leaves, and end.
+func (f *needyFleet) stop(e *needyEntry) {
+	e.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEFT)
+	f.exchange(e)
+	e.gone = true
+}
+
+// TestAFleetKeepsLimitsWhileItsMembersChange: while endpoints are in need, entries are stopped
+// one after the other, and the news of it takes its time. Those who have it and those who don't
+// must agree, but for a few, on who shares a limit.
+func TestAFleetKeepsLimitsWhileItsMembersChange(t *testing.T) {
+	for _, size := range []struct{ entries, dataCenters int }{{9, 3}, {66, 3}} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(size.entries, " entries, ", seed), func(t *testing.T) {
+				g := NewWithT(t)
+				var endpoints []fleet.Endpoint
+				for i := range 3 {
+					endpoints = append(endpoints, fleet.Endpoint{
+						ID: fmt.Sprint("desk-", i), Incarnation: 1, Type: fleet.Service, State: fleet.Live, DataCenter: fmt.Sprint("dc-", i), Targets: []string{"desk"}, MaxRunning: 6,
+					})
+				}
+				f := newNeedyFleet(rand.New(rand.NewPCG(seed, uint64(size.entries))), size.entries, size.dataCenters, endpoints)
+				// Each entry has more callers than it may send.
+				perSecond := 20 * float64(size.entries)
+				const limit = 4.1
+				for _, e := range endpoints {
+					f.limits[e.ID] = limit
+				}
+				f.play(time.Second, perSecond)
+				first := f.now
+				for i := range min(size.entries-2, 20) {
+					f.stop(f.entries[i])
+					f.play(2*time.Second, perSecond)
+				}
+				for _, e := range endpoints {
+					most := f.most(e.ID, first.Add(limitCountsAfter))
+					t.Logf("%s: %d in %v", e.ID, most, limitWindow)
+					g.Expect(most).To(BeNumerically("<=", limitFactor*limit*limitWindow.Seconds()+limitSlack), e.ID)
+				}
+			})
+		}
+	}
+}
+
 // most counts the requests of told entries to an endpoint in the fullest window after since.
 func (f *needyFleet) most(endpoint string, since time.Time) int {
 	var counted []time.Time
