One reader of the length of JSON texts; a field of a test that nobody used

Cause: the linter, and the list of what stands twice: the splitting of encoded registries had its own copy of the adapter's reader of texts.

Change: package jsontext; both use it.

--- a/internal/published/changes_test.go
+++ b/internal/published/changes_test.go
@@ -18,7 +18,6 @@
 type reader struct {
 	store    *published.Store
 	registry *fleet.Registry
-	conflict int
 }
 
 func newReader() *reader {
--- a/pkg/fleet/changes.go
+++ b/pkg/fleet/changes.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/pkg/jsontext"
 )
 
 // A registry of 3,000 endpoints is 600 KB, and one record of it changes at a time. What
@@ -98,7 +100,7 @@
 	for i := 0; i < len(body); i++ {
 		switch body[i] {
 		case '"':
-			i += quotedBytes(body[i:]) - 1
+			i += jsontext.QuotedBytes(body[i:]) - 1
 		case '{', '[':
 			depth++
 		case '}', ']':
@@ -115,16 +117,3 @@
 	}
 	return append(out, body[from:]), nil
 }
-
-// quotedBytes is the length, with its quotes, of the text that data begins with.
-func quotedBytes(data []byte) int {
-	for i := 1; i < len(data); i++ {
-		switch data[i] {
-		case '\\':
-			i++
-		case '"':
-			return i + 1
-		}
-	}
-	return len(data)
-}
