One count of the fullest window for the tests of limits

Cause: reading the whole change again. How many requests fall into the fullest four seconds was counted by three loops, in the tests of the scheduler, of the exchange and in the soak, the first without the window's end.

The scheduler's test counts the window's end too now, which is stricter; bounds and expectations are as they were.

Conclusion: no behaviour changes.

--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -11,6 +11,7 @@
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
+	"github.com/bridgehoist/bridgehoist/internal/window"
 	"github.com/bridgehoist/bridgehoist/pkg/backpressure"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -245,17 +246,7 @@
 			counted = append(counted, a.at)
 		}
 	}
-	most := 0
-	for i, at := range counted {
-		within := 0
-		for _, later := range counted[i:] {
-			if later.Sub(at) <= limitWindow {
-				within++
-			}
-		}
-		most = max(most, within)
-	}
-	return most
+	return window.Most(counted, limitWindow)
 }
 
 func (f *needyFleet) since(endpoint string, since time.Time) (n int) {
--- a/internal/soak/needs_test.go
+++ b/internal/soak/needs_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/window"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -233,16 +234,7 @@
 		}
 	}
 	allowed := limitFactor*n.perSecond*limitWindow.Seconds() + limitSlack
-	for i, at := range counted {
-		within := 0
-		for _, later := range counted[i:] {
-			if later.Sub(at) <= limitWindow {
-				within++
-			}
-		}
-		if float64(within) > allowed {
-			w.t.Errorf("%s named %.1f a second and got %d in %v of %v", n.endpoint.ID, n.perSecond, within, limitWindow, slices.Sorted(maps.Keys(told)))
-			return
-		}
+	if most := window.Most(counted, limitWindow); float64(most) > allowed {
+		w.t.Errorf("%s named %.1f a second and got %d in %v of %v", n.endpoint.ID, n.perSecond, most, limitWindow, slices.Sorted(maps.Keys(told)))
 	}
 }
--- a/pkg/scheduler/limit_test.go
+++ b/pkg/scheduler/limit_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/window"
 	"github.com/bridgehoist/bridgehoist/pkg/backpressure"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -116,19 +117,7 @@
 }
 
 // most counts the sends in the fullest window.
-func (f *limitedFleet) most() int {
-	most := 0
-	for i, at := range f.sends {
-		within := 0
-		for _, later := range f.sends[i:] {
-			if later.Sub(at) < limitWindow {
-				within++
-			}
-		}
-		most = max(most, within)
-	}
-	return most
-}
+func (f *limitedFleet) most() int { return window.Most(f.sends, limitWindow) }
 
 // TestLimitedEndpointsGetWhatTheyTake: whatever the number of entries, an endpoint that names
 // a limit gets no more of all that were told, while others serve what it doesn't take.
