Logs tell the era of the store and values that were ignored as older

Change: the adapter reads the era of each answer; gateways log `store restored` when it changes and count it; `value refused` with the verdict `stale` tells of a whole value that is ignored as older, once a revision. Package revision holds an era and a number as one ID, so far for these lines only. No decision changes.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -21,6 +21,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -250,6 +251,13 @@
 	g.log.Warn("store lost", "error", err)
 }
 
+// onEra logs that the store was restored from a copy: it lost what it had acknowledged after
+// that, and gives those revisions out again.
+func (g *Gateway) onEra(before, now revision.ID) {
+	g.metrics.Restores.Inc()
+	g.log.Warn("store restored", "era", now.Era(), "before", before, "revision", now, "fleet", g.fleetRevision())
+}
+
 func (g *Gateway) onViolation(name invariant.Name, detail string) {
 	g.log.Error("invariant violated", "invariant", name, "detail", detail)
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -65,6 +65,7 @@
 	}
 	source := platform.NewPublished(platform.NewStore(g.vm.Store, g.metrics.PlatformCalls.Inc))
 	g.reader = newReader(source, func() (published.Value, bool) { return g.store.Get(published.Fleet) })
+	g.reader.onEra = g.onEra
 	g.config = &controllers.Config{
 		Reader:  g.reader,
 		Store:   g.store,
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -10,6 +10,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -21,9 +22,14 @@
 	source *platform.Published
 	held   func() (published.Value, bool)
 
+	// onEra, if set, is told of a store that was restored, and of which revisions its answers
+	// were before and now.
+	onEra func(before, now revision.ID)
+
 	mu       sync.Mutex
 	registry *fleet.Registry
 	since    uint64
+	answered revision.ID
 }
 
 var _ controllers.Reader = (*reader)(nil)
@@ -50,6 +56,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observe(news)
 	r.since = news.Revision
 	return r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Endpoints) })
 }
@@ -66,10 +73,24 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observe(all)
 	r.since = all.Revision
 	return r.values(all, nil, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
 }
 
+// observe compares the era of an answer with that of the one before.
+func (r *reader) observe(news platform.News) {
+	now, err := revision.New(news.Era, news.Revision)
+	if err != nil {
+		return
+	}
+	before := r.answered
+	r.answered = now
+	if before != 0 && before.Era() != now.Era() && r.onEra != nil {
+		r.onEra(before, now)
+	}
+}
+
 // values gives the values that news leads to; changes are those of the endpoints where the
 // news is of changes only.
 func (r *reader) values(news platform.News, changes []fleet.Record, apply func() bool) ([]published.Value, error) {
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -41,7 +41,7 @@
 // beliefs are the messages that say what an entry believes from then on.
 var beliefs = map[string]bool{
 	"started": true, "caught up": true, "stopping": true, "readiness": true,
-	"store lost": true, "store regained": true, "value in force": true, "value refused": true,
+	"store lost": true, "store regained": true, "store restored": true, "value in force": true, "value refused": true,
 	"reach of data centres": true, "endpoints vanished together are kept for now": true,
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,8 @@
 	PlatformCalls prometheus.Counter
 	// PlatformErrors counts those that failed.
 	PlatformErrors prometheus.Counter
+	// Restores counts the restores of the platform's store that were noticed.
+	Restores prometheus.Counter
 	// Values counts offered values by name and verdict.
 	Values *prometheus.CounterVec
 	// Leaves counts news of leaving endpoints by source.
@@ -91,6 +93,7 @@
 	m.Steps = counters("attempt_steps_total", "What followed failed attempts.", "step")
 	m.PlatformCalls = counter("platform_calls_total", "Reads and watches of the platform.")
 	m.PlatformErrors = counter("platform_errors_total", "Reads and watches of the platform that failed.")
+	m.Restores = counter("platform_restores_total", "Restores of the platform's store that were noticed.")
 	m.Values = counters("values_total", "Published values offered, by verdict.", "name", "verdict")
 	m.Leaves = counters("leaves_total", "News of leaving endpoints, by source.", "source")
 	m.Limits = counters("endpoint_limit_changes_total", "Changes of the limits that endpoints name, by what they name now.", "now")
@@ -107,7 +110,7 @@
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions,
-		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
+		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
 		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.Notices, m.HandoffPause,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Event tells of an offered value that changed something, or was bad.
+// Event tells of an offered value that changed something, was bad, or was ignored as older.
 type Event struct {
 	Name     string
 	Revision uint64
@@ -67,6 +67,8 @@
 	table *register.Register[*table.Table]
 	fleet *register.Register[*fleet.List]
 	raw   map[string]Value
+	// stale is the newest revision by name that was ignored as older than another.
+	stale map[string]uint64
 	log   changeLog
 	// whole says that what is known of the fleet differs from what others know, so that the
 	// whole value is needed.
@@ -75,13 +77,14 @@
 	onFleet func(list *fleet.List, since time.Time)
 }
 
-// New makes an empty store. onEvent is told of adoptions, rejections and
-// conflicts; onFleet of each new fleet list.
+// New makes an empty store. onEvent is told of adoptions, rejections, conflicts and
+// whole values that were ignored as older; onFleet of each new fleet list.
 func New(p Parsers, onEvent func(Event), onFleet func(list *fleet.List, since time.Time)) *Store {
 	return &Store{
 		table:   register.New(p.Table),
 		fleet:   register.New(p.Fleet),
 		raw:     map[string]Value{},
+		stale:   map[string]uint64{},
 		onEvent: onEvent,
 		onFleet: onFleet,
 	}
@@ -112,12 +115,22 @@
 	if verdict == register.Adopted && v.Name == Fleet {
 		s.onFleet(s.fleet.Current().Value, v.Since)
 	}
-	if verdict == register.Adopted || verdict == register.Rejected || verdict == register.Conflict {
+	if verdict == register.Adopted || verdict == register.Rejected || verdict == register.Conflict || s.staleNews(v, verdict) {
 		s.onEvent(Event{v.Name, v.Revision, source, verdict, err})
 	}
 	return verdict
 }
 
+// staleNews reports whether a value was ignored as older than another one that is known, and
+// hasn't been told of yet. The caller holds the lock.
+func (s *Store) staleNews(v Value, verdict register.Verdict) bool {
+	if verdict != register.Stale || s.stale[v.Name] == v.Revision {
+		return false
+	}
+	s.stale[v.Name] = v.Revision
+	return true
+}
+
 func (s *Store) offer(now time.Time, v Value) (register.Verdict, error) {
 	switch v.Name {
 	case Table:
