Red tests: what is written after a restore of the store isn't in force

Symptom: callers got 404 for a route of a configuration that had been acknowledged more than two seconds before.

Their logs hold `store restored`, then `value refused` with the verdicts `stale` and `conflict`: hypothesis 1, revisions are given out again and order what they don't order any more.

Conclusion: the mend is to order by what outlasts a restore.

--- /dev/null
+++ b/internal/gateway/restore_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+// startThree starts three gateways that know each other, and waits until they are ready.
+func (w *world) startThree() []*entry {
+	one := w.start(w.settings("vm-1"))
+	entries := []*entry{one, w.start(w.settings("vm-2", one.vm.Peers)), w.start(w.settings("vm-3", one.vm.Peers))}
+	for _, e := range entries {
+		e.waitReady()
+	}
+	return entries
+}
+
+// addRoute publishes a configuration with one more route, and returns a path on it.
+func (w *world) addRoute() string {
+	name := fmt.Sprintf("route-%d", w.config.Version+1)
+	w.config.Routes = append(w.config.Routes, route(name, "/"+name+"/", standin.Safe, "desk", 1))
+	w.publish()
+	return "/" + name + "/x"
+}
+
+// expectServed waits until every gateway serves a path.
+func (w *world) expectServed(entries []*entry, path string) {
+	for _, e := range entries {
+		n := 0
+		status := func() int {
+			n++
+			return e.call(fmt.Sprint(e.vm.VM, path, n), http.MethodPost, path, nil).status
+		}
+		w.g.Eventually(status, eventually).Should(Equal(http.StatusOK), "%s at %s", path, e.vm.VM)
+	}
+}
+
+// restore has the store away for a moment and brings it back from a copy.
+func (w *world) restore(from standin.Snapshot) {
+	w.store.SetMode(standin.Mode{Down: true})
+	time.Sleep(200 * time.Millisecond)
+	w.store.Restore(from)
+	w.store.SetMode(standin.Mode{})
+}
+
+// Routes of configurations that were acknowledged after the store's restore weren't served.
+func TestConfigurationsWrittenAfterARestoreComeIntoForce(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("desk-1", "desk")
+	entries := w.startThree()
+	copied := w.store.Snapshot()
+	var newest string
+	for range 5 {
+		newest = w.addRoute()
+	}
+	w.expectServed(entries, newest)
+	w.restore(copied)
+	w.store.Put(platform.ConfigurationKey, w.config.Encode())
+	for range 3 {
+		w.expectServed(entries, w.addRoute())
+	}
+	w.expectServed(entries, newest)
+}
+
+// An endpoint whose leave was acknowledged after the store's restore got requests.
+func TestLeavesWrittenAfterARestoreHold(t *testing.T) {
+	w := newWorld(t)
+	leaving, staying := w.endpointBorn("desk-leaving", "desk", 1000), w.endpointBorn("desk-staying", "desk", 1000)
+	entries := w.startThree()
+	copied := w.store.Snapshot()
+	for n := range 5 {
+		w.endpointBorn(fmt.Sprint("engine-", n), "engine", 1000)
+	}
+	w.awaitAnnounced()
+	w.restore(copied)
+	w.announce(leaving, "desk", true)
+	for _, e := range entries {
+		told := func() []string { return w.logs.with("endpoint leaving", "vm="+e.vm.VM+" ", "desk-leaving") }
+		w.g.Eventually(told, eventually).ShouldNot(BeEmpty(), e.vm.VM)
+	}
+	since := time.Now()
+	for _, a := range send(entries, "after-", 60, pace) {
+		w.g.Expect(a.status).To(Equal(http.StatusOK))
+	}
+	w.g.Expect(arrivedSince(leaving, since)).To(BeZero())
+	w.g.Expect(arrivedSince(staying, since)).To(Equal(60))
+}
