Endpoints' records are ordered by the era of the store before its revision

Callers saw: after a restore of the store, requests went to an endpoint whose leave had been acknowledged; endpoints that came, left or closed under revisions that had been used before were ignored until the store's revisions had caught up.

Whatever ordered by the store's revision alone took what was written after a restore for older: the registry of endpoints, the registers, the changes that entries pass on, the place where a watch goes on. A watch from a revision that the store had given out again got no 410 and missed what came before it.

Change: a revision is an ID of era and number (package revision) wherever values are ordered: reader, registry, registers, published values, digests and documents between entries (same fields of the protocol), logs, and the fencing numbers of orders, which engines would have refused after a restore. A watch whose answer is of another era is a lost history and is followed by a list; pages of two eras are no list; a list of an earlier era than others have told of isn't followed; what a stale list shows may be from before the restore, so that no watch begins there, and one with revisions beyond the store's own is read anew.

Without an era IDs are the numbers that they were.

Conclusion: records and leaves follow a restored store.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,6 +30,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fencing"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 const (
@@ -165,7 +166,7 @@
 func (c *Controller) refresh(ctx context.Context) (fencing.Belief, bool) {
 	req := connect.NewRequest(&peerv1.ExchangeRequest{})
 	if held := c.fleet.Current(); held != nil {
-		req.Msg.DocumentDigests = []*peerv1.DocumentDigest{{Name: published.Fleet, Revision: held.Revision}}
+		req.Msg.DocumentDigests = []*peerv1.DocumentDigest{{Name: published.Fleet, Revision: uint64(held.Revision)}}
 	}
 	if c.cfg.PeerToken != "" {
 		req.Header().Set("Authorization", "Bearer "+c.cfg.PeerToken)
@@ -176,7 +177,7 @@
 	}
 	for _, d := range resp.Msg.GetDocuments() {
 		if d.GetName() == published.Fleet {
-			_, _ = c.fleet.Offer(time.Now(), d.GetRevision(), d.GetContent())
+			_, _ = c.fleet.Offer(time.Now(), revision.ID(d.GetRevision()), d.GetContent())
 		}
 	}
 	held := c.fleet.Current()
@@ -208,7 +209,7 @@
 func (c *Controller) send(ctx context.Context, o fencing.Order) bool {
 	b, ok := c.refresh(ctx)
 	checked := time.Now()
-	if !ok || b.Revision != o.Fencing || !c.isOrderer(b) {
+	if !ok || uint64(b.Revision) != o.Fencing || !c.isOrderer(b) {
 		return false
 	}
 	body, err := json.Marshal(engineapi.Order{Fencing: o.Fencing, Desired: o.Desired})
--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -19,6 +19,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
@@ -122,7 +123,7 @@
 
 func (b *busy) Read(context.Context, time.Duration) ([]published.Value, error) {
 	b.at = append(b.at, time.Now())
-	return []published.Value{{Name: published.Fleet, Revision: uint64(len(b.at))}}, nil
+	return []published.Value{{Name: published.Fleet, Revision: revision.ID(len(b.at))}}, nil
 }
 
 // TestChangesInQuickSuccessionAreReadTogether: each call is priced.
--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -22,7 +22,7 @@
 	})
 	e.metrics.Gauge("table_revision", "Revision of the table in force.", func() float64 {
 		if h := e.store.Table(); h != nil {
-			return float64(h.Revision)
+			return float64(h.Revision.Number())
 		}
 		return 0
 	})
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -17,6 +17,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
@@ -82,20 +83,21 @@
 	seen := e.store.Seen()
 	var out []operatorapi.Value
 	if h := e.store.Table(); h != nil {
-		out = append(out, operatorapi.Value{
-			Name: published.Table, Revision: h.Revision,
-			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[published.Table],
-		})
+		out = append(out, valueStatus(published.Table, h.Revision, seen[published.Table], now.Sub(h.Since)))
 	}
 	if h := e.store.Fleet(); h != nil {
-		out = append(out, operatorapi.Value{
-			Name: published.Fleet, Revision: h.Revision,
-			AgeMS: now.Sub(h.Since).Milliseconds(), SeenRevision: seen[published.Fleet],
-		})
+		out = append(out, valueStatus(published.Fleet, h.Revision, seen[published.Fleet], now.Sub(h.Since)))
 	}
 	return out
 }
 
+func valueStatus(name string, held, seen revision.ID, age time.Duration) operatorapi.Value {
+	return operatorapi.Value{
+		Name: name, Era: held.Era(), Revision: held.Number(), AgeMS: age.Milliseconds(),
+		SeenEra: seen.Era(), SeenRevision: seen.Number(),
+	}
+}
+
 func violations() map[string]int {
 	out := map[string]int{}
 	for _, name := range invariant.Names() {
@@ -129,7 +131,7 @@
 	}
 	workspace, kind := q.Get(operatorapi.ParamWorkspace), q.Get(operatorapi.ParamKind)
 	row, ok := held.Value.Lookup(workspace, kind)
-	out := operatorapi.Explanation{Found: ok, Revision: held.Revision}
+	out := operatorapi.Explanation{Found: ok, Era: held.Revision.Era(), Revision: held.Revision.Number()}
 	if ok {
 		e.explainRow(&out, row, workspace, kind, tokens)
 	}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -272,7 +272,7 @@
 		"table", j.Revision, "fleet", g.fleetRevision())
 }
 
-func (g *Gateway) fleetRevision() uint64 {
+func (g *Gateway) fleetRevision() revision.ID {
 	if held := g.store.Fleet(); held != nil {
 		return held.Revision
 	}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -28,7 +28,8 @@
 
 	mu       sync.Mutex
 	registry *fleet.Registry
-	since    uint64
+	// since is where the next watch begins; zero if a list has to come first.
+	since    revision.ID
 	answered revision.ID
 }
 
@@ -56,14 +57,20 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.adopt()
 	r.observe(news)
 	r.since = news.Revision
-	return r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Endpoints) })
+	return r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Revision.Era(), news.Endpoints) })
 }
 
-// ReadStale returns all values as they were at most some seconds ago.
+// ReadStale returns all values as they were at most some seconds ago. The next read lists them
+// as they are: what is stale may be from before the last restore of the store.
 func (r *reader) ReadStale(ctx context.Context) ([]published.Value, error) {
-	return r.list(ctx, r.source.ListStale)
+	values, err := r.list(ctx, r.source.ListStale)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = 0
+	return values, err
 }
 
 func (r *reader) list(ctx context.Context, from func(context.Context) (platform.News, error)) ([]published.Value, error) {
@@ -73,31 +80,39 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.adopt()
+	if all.Revision.Era() < r.registry.Revision().Era() {
+		return nil, errEarlierEra
+	}
 	r.observe(all)
 	r.since = all.Revision
 	return r.values(all, nil, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
 }
 
+// errEarlierEra says that a replica of the store hasn't been restored yet: others have told of a
+// later era. It isn't followed, since what it shows may be lost.
+var errEarlierEra = errors.New("the store answers from before its restore")
+
+// adopt takes the newest registry that peers have passed on.
+func (r *reader) adopt() {
+	if v, ok := r.held(); ok {
+		// One that can't be read was refused and logged when it came; it changes nothing.
+		_ = r.registry.Adopt(v.Content, v.Revision)
+	}
+}
+
 // observe compares the era of an answer with that of the one before.
 func (r *reader) observe(news platform.News) {
-	now, err := revision.New(news.Era, news.Revision)
-	if err != nil {
-		return
-	}
 	before := r.answered
-	r.answered = now
-	if before != 0 && before.Era() != now.Era() && r.onEra != nil {
-		r.onEra(before, now)
+	r.answered = news.Revision
+	if before != 0 && before.Era() != r.answered.Era() && r.onEra != nil {
+		r.onEra(before, r.answered)
 	}
 }
 
 // values gives the values that news leads to; changes are those of the endpoints where the
 // news is of changes only.
 func (r *reader) values(news platform.News, changes []fleet.Record, apply func() bool) ([]published.Value, error) {
-	if v, ok := r.held(); ok {
-		// One that can't be read was refused and logged when it came; it changes nothing.
-		_ = r.registry.Adopt(v.Content, v.Revision)
-	}
 	var out []published.Value
 	base := r.registry.Revision()
 	if apply() {
@@ -114,7 +129,7 @@
 }
 
 // fleetSince is the registry as a value, with the changes since a revision if there are any.
-func (r *reader) fleetSince(base uint64, changes []fleet.Record) (published.Value, error) {
+func (r *reader) fleetSince(base revision.ID, changes []fleet.Record) (published.Value, error) {
 	content, err := r.registry.Encode()
 	if err != nil {
 		return published.Value{}, err
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -10,6 +10,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
@@ -34,7 +35,7 @@
 	// whatever becomes of the table.
 	Kind     string
 	Row      table.Row
-	Revision uint64
+	Revision revision.ID
 	// ServicePath is what a plain service is asked for.
 	ServicePath string
 	// Model and Prompt are set for engines.
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -36,11 +36,14 @@
 
 // Value is one published value.
 type Value struct {
-	Name     string `json:"name"`
+	Name string `json:"name"`
+	// Era counts the restores of the platform's store; the revisions are of it.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// AgeMS is the time since this entry adopted it.
 	AgeMS int64 `json:"age_ms"`
-	// SeenRevision is the highest revision seen, good or bad.
+	// SeenRevision is the highest revision seen, good or bad, of SeenEra.
+	SeenEra      uint64 `json:"seen_era,omitempty"`
 	SeenRevision uint64 `json:"seen_revision"`
 }
 
@@ -82,6 +85,7 @@
 type Explanation struct {
 	Found        bool        `json:"found"`
 	Row          string      `json:"row"`
+	Era          uint64      `json:"table_era,omitempty"`
 	Revision     uint64      `json:"table_revision"`
 	InFlight     int         `json:"in_flight"`
 	MaxInFlight  int         `json:"max_in_flight"`
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -15,6 +15,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 const (
@@ -125,8 +126,8 @@
 		req.All = scope == ""
 		req.Digests = v.Digests(clock.Now(), scope)
 	})
-	for name, revision := range c.cfg.Store.Seen() {
-		req.DocumentDigests = append(req.DocumentDigests, &peerv1.DocumentDigest{Name: name, Revision: revision})
+	for name, newest := range c.cfg.Store.Seen() {
+		req.DocumentDigests = append(req.DocumentDigests, &peerv1.DocumentDigest{Name: name, Revision: uint64(newest)})
 	}
 	return req
 }
@@ -173,9 +174,9 @@
 	})
 	var wanted []published.Value
 	for i, name := range resp.GetWantedDocuments() {
-		since := uint64(0)
+		since := revision.ID(0)
 		if i < len(resp.GetWantedSince()) {
-			since = resp.GetWantedSince()[i]
+			since = revision.ID(resp.GetWantedSince()[i])
 		}
 		if v, ok := c.cfg.Store.Since(name, since); ok {
 			wanted = append(wanted, v)
--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -11,6 +11,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/limits"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // setUsage writes the own use of the limits under pressure.
@@ -61,9 +62,9 @@
 	out := make([]*peerv1.Document, 0, len(in))
 	for _, v := range in {
 		age := max(now.Sub(v.Since).Milliseconds(), 0)
-		d := &peerv1.Document{Name: v.Name, Revision: v.Revision, Content: v.Content, AgeMs: uint32(min(age, math.MaxUint32))}
+		d := &peerv1.Document{Name: v.Name, Revision: uint64(v.Revision), Content: v.Content, AgeMs: uint32(min(age, math.MaxUint32))}
 		if v.Content == nil {
-			d.Base, d.Content, d.Sum = v.Base, v.Changes, v.Sum
+			d.Base, d.Content, d.Sum = uint64(v.Base), v.Changes, v.Sum
 		}
 		out = append(out, d)
 	}
@@ -72,9 +73,9 @@
 
 func documentIn(now time.Time, d *peerv1.Document) published.Value {
 	age := time.Duration(d.GetAgeMs()) * time.Millisecond
-	v := published.Value{Name: d.GetName(), Revision: d.GetRevision(), Content: d.GetContent(), Since: now.Add(-age)}
+	v := published.Value{Name: d.GetName(), Revision: revision.ID(d.GetRevision()), Content: d.GetContent(), Since: now.Add(-age)}
 	if d.GetBase() > 0 {
-		v.Base, v.Content, v.Changes, v.Sum = d.GetBase(), nil, d.GetContent(), d.GetSum()
+		v.Base, v.Content, v.Changes, v.Sum = revision.ID(d.GetBase()), nil, d.GetContent(), d.GetSum()
 	}
 	return v
 }
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -26,6 +26,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 const (
@@ -107,16 +108,16 @@
 	})
 	missing, wanted := s.beliefs.guard.Compare(keysIn(msg.GetRequestFactKeys()))
 	resp.RequestFacts, resp.WantedRequestFacts = factsOut(now, missing), keysOut(wanted)
-	theirs := map[string]uint64{}
+	theirs := map[string]revision.ID{}
 	for _, d := range msg.GetDocumentDigests() {
-		theirs[d.GetName()] = d.GetRevision()
+		theirs[d.GetName()] = revision.ID(d.GetRevision())
 	}
 	resp.Documents = documentsOut(now, s.store.Newer(theirs, msg.GetTakesChanges()))
 	ours := s.store.Seen()
-	for name, revision := range theirs {
-		if revision > ours[name] {
+	for name, newest := range theirs {
+		if newest > ours[name] {
 			resp.WantedDocuments = append(resp.WantedDocuments, name)
-			resp.WantedSince = append(resp.WantedSince, ours[name])
+			resp.WantedSince = append(resp.WantedSince, uint64(ours[name]))
 		}
 	}
 }
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // world is virtual time, a faulty network, and the entries on it.
@@ -247,17 +248,17 @@
 
 func (n *node) held() uint64 {
 	if h := n.table.Current(); h != nil {
-		return h.Revision
+		return uint64(h.Revision)
 	}
 	return 0
 }
 
-func (n *node) offer(revision uint64) {
-	if revision == 0 {
+func (n *node) offer(version uint64) {
+	if version == 0 {
 		return
 	}
 	before := n.held()
-	_, _ = n.table.Offer(n.w.Now(), revision, fmt.Appendf(nil, "table %d", revision))
+	_, _ = n.table.Offer(n.w.Now(), revision.ID(version), fmt.Appendf(nil, "table %d", version))
 	if n.held() > before {
 		n.kick()
 	}
--- a/internal/published/changes.go
+++ b/internal/published/changes.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // maxLogged bounds the changes that are kept for others, and maxShare the share of the whole
@@ -18,7 +19,7 @@
 // changeLog holds the newest changes of the registry of endpoints.
 type changeLog struct {
 	// from is the revision after which the changes lead to the newest one.
-	from    uint64
+	from    revision.ID
 	changes []fleet.Record
 }
 
@@ -29,7 +30,7 @@
 	}
 	before := s.raw[Fleet].Revision
 	changes, err := fleet.DecodeChanges(v.Changes)
-	if v.Base == 0 || v.Base > before || err != nil {
+	if v.Base == 0 || v.Base > before || v.Base.Era() != v.Revision.Era() || err != nil {
 		s.log = changeLog{from: v.Revision}
 		return
 	}
@@ -40,20 +41,21 @@
 }
 
 // add appends the changes after a revision.
-func (l *changeLog) add(after uint64, changes []fleet.Record) {
+func (l *changeLog) add(after revision.ID, changes []fleet.Record) {
 	l.changes = append(l.changes, later(changes, after)...)
 	if more := len(l.changes) - maxLogged; more > 0 {
-		l.from = l.changes[more-1].Revision
+		l.from = l.from.At(l.changes[more-1].Revision)
 		l.changes = slices.Clone(l.changes[more:])
 	}
 }
 
-// later lists the changes after a revision.
-func later(changes []fleet.Record, revision uint64) []fleet.Record {
+// later lists the changes after a revision of the era that they are of.
+func later(changes []fleet.Record, after revision.ID) []fleet.Record {
+	newest := after.Number()
 	var out []fleet.Record
 	for _, c := range changes {
-		if c.Revision > revision {
-			revision = c.Revision
+		if c.Revision > newest {
+			newest = c.Revision
 			out = append(out, c)
 		}
 	}
@@ -62,15 +64,16 @@
 
 // since gives a value as changes since a revision, if they are asked for, known and short, and
 // else as it is. The caller holds the lock.
-func (s *Store) since(v Value, revision uint64, changes bool) Value {
-	if !changes || v.Name != Fleet || revision == 0 || s.log.from == 0 || revision < s.log.from {
+func (s *Store) since(v Value, after revision.ID, changes bool) Value {
+	known := after != 0 && s.log.from != 0 && after >= s.log.from && after.Era() == v.Revision.Era()
+	if !changes || v.Name != Fleet || !known {
 		return v
 	}
-	data, err := fleet.EncodeChanges(later(s.log.changes, revision))
+	data, err := fleet.EncodeChanges(later(s.log.changes, after))
 	if err != nil || float64(len(data)) > maxShare*float64(len(v.Content)) {
 		return v
 	}
-	return Value{Name: v.Name, Revision: v.Revision, Base: revision, Changes: data, Sum: xxhash.Sum64(v.Content), Since: v.Since}
+	return Value{Name: v.Name, Revision: v.Revision, Base: after, Changes: data, Sum: xxhash.Sum64(v.Content), Since: v.Since}
 }
 
 // patch makes a whole value of changes. It can't if they begin after what is known here, or if
@@ -82,11 +85,11 @@
 		return v, false
 	}
 	changes, err := fleet.DecodeChanges(v.Changes)
-	if err != nil || v.Base > before.Revision || v.Name != Fleet {
+	if err != nil || v.Base > before.Revision || v.Base.Era() != before.Revision.Era() || v.Name != Fleet {
 		s.whole = true
 		return v, false
 	}
-	v.Content, err = fleet.Patch(before.Content, before.Revision, changes)
+	v.Content, err = fleet.Patch(before.Content, before.Revision.Number(), changes)
 	if err != nil || xxhash.Sum64(v.Content) != v.Sum {
 		s.whole = true
 		return v, false
--- a/internal/published/changes_test.go
+++ b/internal/published/changes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
@@ -41,8 +42,8 @@
 		g.Expect(r.registry.Adopt(v.Content, v.Revision)).To(Succeed())
 	}
 	base := r.registry.Revision()
-	i, _ := slices.BinarySearchFunc(history, base+1, func(c fleet.Record, revision uint64) int { return int(c.Revision) - int(revision) })
-	if !r.registry.Apply(history[i:]) {
+	i, _ := slices.BinarySearchFunc(history, base.Number()+1, func(c fleet.Record, revision uint64) int { return int(c.Revision) - int(revision) })
+	if !r.registry.Apply(base.Era(), history[i:]) {
 		return
 	}
 	content, err := r.registry.Encode()
@@ -113,7 +114,7 @@
 		for _, e := range entries[1:] {
 			e.take(entries[0])
 			g.Expect(e.content()).To(Equal(entries[0].content()), "seed %d", seed)
-			g.Expect(e.store.Fleet().Revision).To(Equal(uint64(len(history))))
+			g.Expect(e.store.Fleet().Revision).To(Equal(revision.ID(len(history))))
 		}
 	}
 	t.Logf("%d exchanges of changes, %d others", sent[true], sent[false])
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -9,6 +9,7 @@
 
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
@@ -24,12 +25,12 @@
 // Value is one published value. Its content is in the platform's format.
 type Value struct {
 	Name     string
-	Revision uint64
+	Revision revision.ID
 	// Content is the whole value; nil if only Changes are given.
 	Content []byte
 	// Base, unless it is zero, is the revision after which Changes, encoded changes of the
 	// registry of endpoints, lead to this value.
-	Base    uint64
+	Base    revision.ID
 	Changes []byte
 	// Sum is a hash of the whole value, where only Changes are given.
 	Sum uint64
@@ -55,7 +56,7 @@
 // Event tells of an offered value that changed something, was bad, or was ignored as older.
 type Event struct {
 	Name     string
-	Revision uint64
+	Revision revision.ID
 	Source   string
 	Verdict  register.Verdict
 	Findings error
@@ -68,7 +69,7 @@
 	fleet *register.Register[*fleet.List]
 	raw   map[string]Value
 	// stale is the newest revision by name that was ignored as older than another.
-	stale map[string]uint64
+	stale map[string]revision.ID
 	log   changeLog
 	// whole says that what is known of the fleet differs from what others know, so that the
 	// whole value is needed.
@@ -84,7 +85,7 @@
 		table:   register.New(p.Table),
 		fleet:   register.New(p.Fleet),
 		raw:     map[string]Value{},
-		stale:   map[string]uint64{},
+		stale:   map[string]revision.ID{},
 		onEvent: onEvent,
 		onFleet: onFleet,
 	}
@@ -153,10 +154,10 @@
 
 // Seen returns the highest revision seen per value, bad ones included. One that is needed
 // whole counts as not seen.
-func (s *Store) Seen() map[string]uint64 {
+func (s *Store) Seen() map[string]revision.ID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string]uint64{}
+	out := map[string]revision.ID{}
 	for name, v := range s.raw {
 		if name != Fleet || !s.whole {
 			out[name] = v.Revision
@@ -168,7 +169,7 @@
 // Newer returns the values seen that are newer than the given revisions, as changes where
 // that is asked for and possible. Bad ones are passed on too: each entry checks and counts
 // them for itself.
-func (s *Store) Newer(than map[string]uint64, changes bool) []Value {
+func (s *Store) Newer(than map[string]revision.ID, changes bool) []Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Value
@@ -189,15 +190,15 @@
 }
 
 // Since returns the newest value seen by name, as changes since a revision if that is possible.
-func (s *Store) Since(name string, revision uint64) (Value, bool) {
+func (s *Store) Since(name string, after revision.ID) (Value, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.raw[name]
-	return s.since(v, revision, true), ok
+	return s.since(v, after, true), ok
 }
 
 // Findings returns what was wrong with the newest bad table, if any.
-func (s *Store) Findings() (revision uint64, err error) {
+func (s *Store) Findings() (at revision.ID, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.table.Findings()
--- a/pkg/fencing/fencing.go
+++ b/pkg/fencing/fencing.go
@@ -5,7 +5,8 @@
 // There is no election. Every controller computes from the published fleet
 // list who gives the orders of a data centre: one of its live entry VMs, by
 // rendezvous hashing. The fencing number of an order is the revision of the
-// list that it was computed from. Controllers that see the same revision agree
+// list that it was computed from, with the era of the store above it, so that numbers rise
+// also when the store is restored and its revisions go back. Controllers that see the same revision agree
 // on the orderer and on the orders; one that wakes late believes in an older
 // revision, so its number is lower, and an engine that checks numbers refuses
 // it once it has seen a newer one.
@@ -28,11 +29,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // Belief is a fleet list and its revision.
 type Belief struct {
-	Revision uint64
+	Revision revision.ID
 	List     *fleet.List
 }
 
@@ -85,7 +87,7 @@
 		if !ok || e.DataCenter != dataCenter || e.Type != fleet.Engine || len(e.Desired) == 0 {
 			continue
 		}
-		if o.Fencing > b.Revision || settled(e.Desired, o) {
+		if o.Fencing > uint64(b.Revision) || settled(e.Desired, o) {
 			continue
 		}
 		if needsLoad(e.Desired, o) {
@@ -96,7 +98,7 @@
 				loading++
 			}
 		}
-		out = append(out, Order{Endpoint: e, Fencing: b.Revision, Desired: e.Desired})
+		out = append(out, Order{Endpoint: e, Fencing: uint64(b.Revision), Desired: e.Desired})
 	}
 	return out
 }
--- a/pkg/fencing/fencing_test.go
+++ b/pkg/fencing/fencing_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bridgehoist/bridgehoist/pkg/fencing"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 func list(g *WithT, vms, engines int, desired ...string) *fleet.List {
@@ -103,3 +104,16 @@
 	_, ok = fencing.Orderer(l, "elsewhere")
 	g.Expect(ok).To(BeFalse())
 }
+
+// Engines refused all orders after a restore, whose numbers were below those before.
+func TestOrdersAfterARestoreHaveHigherNumbers(t *testing.T) {
+	g := NewWithT(t)
+	before, err := revision.New(1, 37)
+	g.Expect(err).NotTo(HaveOccurred())
+	after, err := revision.New(2, 33)
+	g.Expect(err).NotTo(HaveOccurred())
+	observed := []fencing.Observed{{Endpoint: "e0", Fencing: uint64(before)}}
+	plan := fencing.Plan(fencing.Belief{Revision: after, List: list(g, 1, 1, "m")}, "hall", observed, 1)
+	g.Expect(plan).To(HaveLen(1))
+	g.Expect(plan[0].Fencing).To(BeNumerically(">", uint64(before)))
+}
--- a/pkg/fleet/changes_test.go
+++ b/pkg/fleet/changes_test.go
@@ -28,7 +28,7 @@
 
 func encoded(t *rapid.T, changes []fleet.Record) []byte {
 	r := fleet.NewRegistry()
-	r.Apply(changes)
+	r.Apply(0, changes)
 	data, err := r.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"maps"
@@ -8,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // Record is what the platform publishes of one endpoint, as it was published, or the
@@ -17,7 +20,7 @@
 	// Closes names the data centre whose endpoints are to get no requests for as long as the
 	// record is there; empty in records of endpoints, and the id is empty where it isn't.
 	Closes string `json:"closes,omitempty"`
-	// Revision of the record's last change.
+	// Revision of the record's last change, in the era of the registry.
 	Revision uint64          `json:"revision"`
 	Content  json.RawMessage `json:"content"`
 	// Deleted marks, in a change, that the record is gone.
@@ -35,10 +38,10 @@
 
 // Registry keeps the published records of endpoints up to a revision. Readers
 // that have applied the same changes hold the same registry, whether they read
-// the platform themselves or took the registry of a peer. The caller serialises
-// calls.
+// the platform themselves or took the registry of a peer. A list of a later era replaces all
+// that is known of earlier ones. The caller serialises calls.
 type Registry struct {
-	revision uint64
+	revision revision.ID
 	records  map[recordKey]Record
 }
 
@@ -46,17 +49,20 @@
 func NewRegistry() *Registry { return &Registry{records: map[recordKey]Record{}} }
 
 // Revision is that of the newest change that has been applied.
-func (r *Registry) Revision() uint64 { return r.revision }
+func (r *Registry) Revision() revision.ID { return r.revision }
 
-// Apply takes changes in the order of their revisions, and reports whether one
-// of them was news.
-func (r *Registry) Apply(changes []Record) bool {
+// Apply takes changes of an era in the order of their revisions, and reports whether one of
+// them was news. Changes of another era than the registry's say nothing of what it holds.
+func (r *Registry) Apply(era uint64, changes []Record) bool {
+	if era != r.revision.Era() {
+		return false
+	}
 	news := false
 	for _, c := range changes {
-		if c.Revision <= r.revision {
+		if c.Revision <= r.revision.Number() {
 			continue
 		}
-		r.revision = c.Revision
+		r.revision = r.revision.At(c.Revision)
 		news = true
 		if c.Deleted {
 			delete(r.records, c.key())
@@ -68,32 +74,38 @@
 }
 
 // Replace takes a full list as of a revision, unless something newer is known.
-// It reports whether the records changed; a list that changes nothing leaves
-// the revision as it is.
-func (r *Registry) Replace(list []Record, revision uint64) bool {
-	if revision < r.revision {
+// It reports whether the records changed or the list is the first of an era; another one that
+// changes nothing leaves the revision as it is.
+func (r *Registry) Replace(list []Record, at revision.ID) bool {
+	if at < r.revision {
 		return false
 	}
 	next := make(map[recordKey]Record, len(list))
-	newest := uint64(0)
+	newest := at.At(0)
 	for _, rec := range list {
 		next[rec.key()] = rec
-		newest = max(newest, rec.Revision)
+		newest = max(newest, at.At(rec.Revision))
 	}
-	if maps.EqualFunc(next, r.records, func(a, b Record) bool { return a.Revision == b.Revision }) {
+	if at.Era() == r.revision.Era() && maps.EqualFunc(next, r.records, sameRecord) {
 		return false
 	}
 	// A first list is known by its newest record, so that readers that start at
 	// different times agree. Otherwise records may be gone, which leaves no revision
 	// in the list, so the list's own counts.
-	if len(r.records) > 0 || newest == 0 {
-		newest = revision
+	if len(r.records) > 0 || newest.Number() == 0 {
+		newest = at
 	}
 	r.records = next
-	r.revision = max(min(newest, revision), r.revision)
+	r.revision = max(min(newest, at), r.revision)
 	return true
 }
 
+// sameRecord compares two records of one era. Contents are compared as well, since a list that
+// may be stale can be of the era before.
+func sameRecord(a, b Record) bool {
+	return a.Revision == b.Revision && bytes.Equal(a.Content, b.Content)
+}
+
 // Encode writes the registry for peers. Equal registries encode to equal bytes.
 func (r *Registry) Encode() ([]byte, error) {
 	list := make([]Record, 0, len(r.records))
@@ -105,8 +117,8 @@
 }
 
 // Adopt takes the encoded registry of a peer as of a revision.
-func (r *Registry) Adopt(data []byte, revision uint64) error {
-	if revision <= r.revision {
+func (r *Registry) Adopt(data []byte, at revision.ID) error {
+	if at <= r.revision {
 		return nil
 	}
 	list, err := DecodeRecords(data)
@@ -117,7 +129,7 @@
 	for _, rec := range list {
 		r.records[rec.key()] = rec
 	}
-	r.revision = revision
+	r.revision = at
 	return nil
 }
 
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/fixedseed"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 func init() { fixedseed.Set() }
@@ -30,7 +31,7 @@
 			history = append(history, c)
 		}
 		full := fleet.NewRegistry()
-		full.Apply(history)
+		full.Apply(0, history)
 		from := rapid.IntRange(0, len(history)).Draw(t, "from")
 		for _, c := range history[:from] {
 			if c.Deleted {
@@ -42,7 +43,7 @@
 		late := fleet.NewRegistry()
 		if rapid.Bool().Draw(t, "from a peer") {
 			peer := fleet.NewRegistry()
-			peer.Apply(history[:from])
+			peer.Apply(0, history[:from])
 			data, err := peer.Encode()
 			if err != nil {
 				t.Fatal(err)
@@ -55,9 +56,9 @@
 			for _, c := range state {
 				list = append(list, c)
 			}
-			late.Replace(list, uint64(from))
+			late.Replace(list, revision.ID(from))
 		}
-		late.Apply(history)
+		late.Apply(0, history)
 		a, _ := full.Encode()
 		b, _ := late.Encode()
 		if string(a) != string(b) || full.Revision() != late.Revision() {
@@ -69,13 +70,13 @@
 func TestRegistryNeverGoesBack(t *testing.T) {
 	g := NewWithT(t)
 	r := fleet.NewRegistry()
-	g.Expect(r.Apply([]fleet.Record{rec("a", 5), rec("b", 6)})).To(BeTrue())
-	g.Expect(r.Apply([]fleet.Record{rec("a", 3)})).To(BeFalse())
+	g.Expect(r.Apply(0, []fleet.Record{rec("a", 5), rec("b", 6)})).To(BeTrue())
+	g.Expect(r.Apply(0, []fleet.Record{rec("a", 3)})).To(BeFalse())
 	g.Expect(r.Replace([]fleet.Record{rec("a", 5)}, 4)).To(BeFalse(), "a list of a stale replica")
 	g.Expect(r.Adopt([]byte("[]"), 2)).To(Succeed())
-	g.Expect(r.Revision()).To(Equal(uint64(6)))
+	g.Expect(r.Revision()).To(Equal(revision.ID(6)))
 	g.Expect(r.Adopt([]byte("{"), 9)).NotTo(Succeed())
-	g.Expect(r.Revision()).To(Equal(uint64(6)), "a registry that can't be read changes nothing")
+	g.Expect(r.Revision()).To(Equal(revision.ID(6)), "a registry that can't be read changes nothing")
 }
 
 func TestBadRecordsAreLeftOutAndReported(t *testing.T) {
@@ -171,3 +172,35 @@
 	use, _ = grace.Apply(now.Add(time.Second), endpoints("b", "d"))
 	g.Expect(ids(use)).To(ConsistOf("a", "b", "c", "d"), "good again")
 }
+
+// TestARegistryOverARestore: a list of a later era replaces whatever is known, and changes count
+// in their era only.
+func TestARegistryOverARestore(t *testing.T) {
+	g := NewWithT(t)
+	at := func(era, number uint64) revision.ID {
+		id, err := revision.New(era, number)
+		g.Expect(err).NotTo(HaveOccurred())
+		return id
+	}
+	rec := func(id string, revision uint64, content string) fleet.Record {
+		return fleet.Record{ID: id, Revision: revision, Content: []byte(content)}
+	}
+	r := fleet.NewRegistry()
+	g.Expect(r.Replace([]fleet.Record{rec("a", 5, "1"), rec("b", 7, "1")}, at(1, 9))).To(BeTrue())
+	g.Expect(r.Apply(1, []fleet.Record{rec("c", 10, "1")})).To(BeTrue())
+	g.Expect(r.Apply(2, []fleet.Record{rec("d", 11, "1")})).To(BeFalse(), "no list of that era yet")
+	g.Expect(r.Replace([]fleet.Record{rec("a", 5, "1"), rec("b", 7, "2")}, at(2, 8))).To(BeTrue())
+	g.Expect(r.Revision()).To(Equal(at(2, 8)))
+	g.Expect(r.Apply(1, []fleet.Record{rec("c", 11, "1")})).To(BeFalse(), "an answer from before the restore")
+	g.Expect(r.Replace([]fleet.Record{rec("a", 5, "1")}, at(1, 99))).To(BeFalse(), "a list from before the restore")
+	g.Expect(r.Adopt([]byte("[]"), at(1, 99))).To(Succeed())
+	g.Expect(r.Revision()).To(Equal(at(2, 8)))
+	g.Expect(r.Apply(2, []fleet.Record{rec("c", 9, "2")})).To(BeTrue(), "a revision that is given out again")
+	data, err := r.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal(`[{"id":"a","revision":5,"content":1},{"id":"b","revision":7,"content":2},{"id":"c","revision":9,"content":2}]`))
+	same, err := fleet.DecodeRecords(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Replace(same, at(3, 9))).To(BeTrue(), "later changes are of this era")
+	g.Expect(r.Revision()).To(Equal(at(3, 9)))
+}
--- a/pkg/register/register.go
+++ b/pkg/register/register.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 // Verdict is what a register did with an offered value.
@@ -46,7 +47,7 @@
 
 // Held is a value in force.
 type Held[T any] struct {
-	Revision uint64
+	Revision revision.ID
 	Content  []byte
 	Value    T
 	// Since is when this process adopted it.
@@ -57,12 +58,12 @@
 type Register[T any] struct {
 	check    func([]byte) (T, error)
 	held     atomic.Pointer[Held[T]]
-	seen     uint64
-	rejected uint64
+	seen     revision.ID
+	rejected revision.ID
 	findings error
 	// unorderedSum is a hash of the newest value without a revision.
 	unorderedSum uint64
-	heard    time.Time
+	heard        time.Time
 }
 
 // New makes an empty register with the check of its values.
@@ -74,40 +75,40 @@
 func (r *Register[T]) Current() *Held[T] { return r.held.Load() }
 
 // Seen returns the highest revision seen, good or bad.
-func (r *Register[T]) Seen() uint64 { return r.seen }
+func (r *Register[T]) Seen() revision.ID { return r.seen }
 
 // Findings returns what was wrong with the newest rejected revision, if it
 // has not been followed by a good one.
-func (r *Register[T]) Findings() (revision uint64, err error) { return r.rejected, r.findings }
+func (r *Register[T]) Findings() (at revision.ID, err error) { return r.rejected, r.findings }
 
 // Heard returns when a value was last offered, new or not.
 func (r *Register[T]) Heard() time.Time { return r.heard }
 
 // Offer gives the register a value. The error holds the findings of a
 // rejected value.
-func (r *Register[T]) Offer(now time.Time, revision uint64, content []byte) (Verdict, error) {
+func (r *Register[T]) Offer(now time.Time, at revision.ID, content []byte) (Verdict, error) {
 	r.heard = now
 	held := r.held.Load()
-	if revision == 0 {
+	if at == 0 {
 		return r.unordered(content)
 	}
-	if held != nil && revision == held.Revision {
+	if held != nil && at == held.Revision {
 		return r.same(held, content)
 	}
-	if revision == r.rejected {
+	if at == r.rejected {
 		return Known, nil
 	}
-	if revision <= r.seen {
+	if at <= r.seen {
 		return Stale, nil
 	}
-	r.seen = revision
+	r.seen = at
 	value, err := r.check(content)
 	if err != nil {
-		r.rejected = revision
+		r.rejected = at
 		r.findings = err
 		return Rejected, err
 	}
-	r.adopt(now, held, &Held[T]{Revision: revision, Content: bytes.Clone(content), Value: value, Since: now})
+	r.adopt(now, held, &Held[T]{Revision: at, Content: bytes.Clone(content), Value: value, Since: now})
 	return Adopted, nil
 }
 
@@ -139,7 +140,7 @@
 func (r *Register[T]) adopt(now time.Time, before, next *Held[T]) {
 	if before != nil {
 		invariant.Check(next.Revision > before.Revision, invariant.RevisionMonotone,
-			"revision %d after %d", next.Revision, before.Revision)
+			"revision %v after %v", next.Revision, before.Revision)
 	}
 	r.rejected = 0
 	r.findings = nil
--- a/pkg/register/register_test.go
+++ b/pkg/register/register_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/pkg/register"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 )
 
 func TestRegister(t *testing.T) {
@@ -20,7 +21,7 @@
 	})
 	now := time.Unix(0, 0)
 	for _, step := range []struct {
-		revision uint64
+		revision revision.ID
 		content  string
 		verdict  register.Verdict
 		inForce  string
