What a restored store's copy shows doesn't bring back what had left or was closed

Callers saw: after a restore of the store, requests went to an endpoint that had left, and into a data centre that operators had closed, until both were written again.

Cause: the copy is some seconds old. It lists endpoints that have left since, and doesn't show what operators have closed since; both were believed at once.

Change: package fleet, Restored. After a restore, lives that had left the list stay out and data centres that were closed stay closed, for five seconds or four heartbeats; a record that nobody renews has lapsed by then. Most of a target at once are not kept out: their records had lapsed in an outage. The log says what is held back.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -72,6 +72,7 @@
 	}
 	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
+	era := held.Revision.Era()
 	use, lapsed := g.grace.Apply(now, held.Value.Endpoints)
 	if !lapsed.IsZero() {
 		g.log.Warn("endpoints vanished together are kept for now", "revision", held.Revision,
@@ -81,15 +82,22 @@
 	if !earlier.IsZero() {
 		g.log.Warn("records of earlier lives are held back", "revision", held.Revision, "until", earlier.Format(time.RFC3339Nano))
 	}
-	g.applyAgain(lapsed, earlier)
+	bridged := g.restored.Apply(now, era, use, held.Value.ClosedDataCenters())
+	if !bridged.Again.IsZero() {
+		g.log.Warn("what the store's copy shows is held back", "revision", held.Revision, "endpoints", bridged.KeptOut,
+			"closed", bridged.KeptClosed, "until", bridged.Again.Format(time.RFC3339Nano))
+	}
+	use = bridged.Endpoints
+	g.applyAgain(lapsed, earlier, bridged.Again)
 	if t := g.store.Table(); t != nil {
 		use = withTable(use, t.Value)
 		if f := g.unnamed.Findings(use, t.Value.Names); len(f) > 0 {
 			g.log.Warn("endpoint records of unnamed services", "table", t.Revision, "findings", f.Error())
 		}
 	}
-	list := held.Value.WithEndpoints(g.placed(use, held.Value))
-	g.logClosed(held)
+	published := held.Value.WithClosed(bridged.Closed)
+	list := published.WithEndpoints(g.placed(use, published))
+	g.logClosed(list, held.Revision)
 	before := g.inForce.Swap(list)
 	g.beliefs.ApplyFleet(list)
 	g.evacuateVanished(before, list)
@@ -118,12 +126,12 @@
 }
 
 // logClosed logs which data centres operators have closed and opened again.
-func (g *Gateway) logClosed(held *register.Held[*fleet.List]) {
-	closed := held.Value.ClosedDataCenters()
+func (g *Gateway) logClosed(list *fleet.List, at revision.ID) {
+	closed := list.ClosedDataCenters()
 	if slices.Equal(closed, g.closed) {
 		return
 	}
-	g.log.Info("closed data centres", "closed", closed, "before", g.closed, "fleet", held.Revision)
+	g.log.Info("closed data centres", "closed", closed, "before", g.closed, "fleet", at)
 	g.closed = closed
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,11 @@
 	// writes its record about once a heartbeat (PROTOCOL, service discovery), which is some
 	// seconds at most; a late word of the earlier life is overwritten by then.
 	earlierLifeHold = 5 * time.Second
+	// minCopyHold and copyHoldHeartbeats are for how long what was known goes before a restored
+	// store's copy. Records that nobody renews lapse after three heartbeats, and operators write
+	// again within moments.
+	minCopyHold        = 5 * time.Second
+	copyHoldHeartbeats = 4
 )
 
 // Gateway is one entry process.
@@ -108,11 +113,12 @@
 	notices *notices.Notifier
 	config  *controllers.Config
 
-	// grace, lives and their timer, and what follows, are guarded by mu.
-	mu      sync.Mutex
-	grace   fleet.Grace
-	lives   fleet.Lives
-	unnamed platform.Unnamed
+	// grace, lives, restored and their timer, and what follows, are guarded by mu.
+	mu       sync.Mutex
+	grace    fleet.Grace
+	lives    fleet.Lives
+	restored fleet.Restored
+	unnamed  platform.Unnamed
 	// noticed is since when the newest list of endpoints is known to any entry.
 	noticed time.Time
 	// closed are the data centres that operators have closed, by name.
@@ -132,6 +138,8 @@
 		traffic: &peering.Traffic{},
 		grace:   fleet.Grace{Hold: cfg.lapseHold()},
 		lives:   fleet.Lives{Hold: earlierLifeHold},
+
+		restored: fleet.Restored{Hold: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat)},
 	}
 	policy := scheduler.Version(scheduler.Forwarding).Without(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -92,3 +92,73 @@
 	w.g.Expect(arrivedSince(leaving, since)).To(BeZero())
 	w.g.Expect(arrivedSince(staying, since)).To(Equal(60))
 }
+
+// awaitList waits until every gateway has a list of endpoints of some era in force.
+func (w *world) awaitList(entries []*entry, era int) {
+	for _, e := range entries {
+		listed := func() []string {
+			return w.logs.with("value in force", "name=fleet", "vm="+e.vm.VM+" ", fmt.Sprintf("revision=%d.", era))
+		}
+		w.g.Eventually(listed, eventually).ShouldNot(BeEmpty(), e.vm.VM)
+	}
+}
+
+// An endpoint that had left before the store's restore got requests again: the copy listed it.
+func TestAnEndpointGoneBeforeARestoreStaysOut(t *testing.T) {
+	w := newWorld(t)
+	gone := w.endpointBorn("desk-gone", "desk", 1000)
+	w.endpointBorn("desk-one", "desk", 1000)
+	w.endpointBorn("desk-two", "desk", 1000)
+	entries := w.startThree()
+	copied := w.store.Snapshot()
+	w.store.Delete(platform.EndpointPrefix + gone.ID)
+	for _, e := range entries {
+		deleted := func() []string {
+			return w.logs.with("value in force", "name=fleet", "vm="+e.vm.VM+" ", fmt.Sprintf("revision=%d ", w.announced+1))
+		}
+		w.g.Eventually(deleted, eventually).ShouldNot(BeEmpty(), e.vm.VM)
+	}
+	w.restore(copied)
+	w.awaitList(entries, 1)
+	since := time.Now()
+	for _, a := range send(entries, "after-", 60, pace) {
+		w.g.Expect(a.status).To(Equal(http.StatusOK))
+	}
+	w.g.Expect(arrivedSince(gone, since)).To(BeZero())
+	n := 0
+	used := func() int {
+		n++
+		send(entries, fmt.Sprint("later-", n, "-"), 6, pace)
+		return arrivedSince(gone, since)
+	}
+	w.g.Eventually(used, eventually).Should(BeNumerically(">", 0), "its record stands, so it lives")
+}
+
+// A data centre that operators had closed got requests again after the store's restore.
+func TestAClosedDataCenterStaysClosedOverARestore(t *testing.T) {
+	w := newWorld(t)
+	here, there := w.endpoint("desk-here", "desk"), w.endpoint("desk-there", "desk")
+	w.announceIn(there, "desk", "other", false)
+	entries := w.startThree()
+	copied := w.store.Snapshot()
+	w.store.Put(platform.ClosingPrefix+"dc", []byte(`{}`))
+	for _, e := range entries {
+		w.g.Eventually(func() []string { return w.logs.with("closed data centres", "vm="+e.vm.VM+" ", "closed=[dc]") }, eventually).ShouldNot(BeEmpty())
+	}
+	w.restore(copied)
+	w.awaitList(entries, 1)
+	since := time.Now()
+	for _, a := range send(entries, "after-", 60, pace) {
+		w.g.Expect(a.status).To(Equal(http.StatusOK))
+	}
+	w.g.Expect(arrivedSince(here, since)).To(BeZero())
+	w.store.Put(platform.ClosingPrefix+"dc", []byte(`{}`))
+	w.store.Delete(platform.ClosingPrefix + "dc")
+	n := 0
+	used := func() int {
+		n++
+		send(entries, fmt.Sprint("opened-", n, "-"), 6, pace)
+		return arrivedSince(here, since)
+	}
+	w.g.Eventually(used, eventually).Should(BeNumerically(">", 0))
+}
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -44,8 +44,8 @@
 	// Settle is for how long the first values after a restore of the platform's store are in
 	// doubt, where only revisions order them; see package register.
 	Settle time.Duration
-	Table func([]byte) (*table.Table, error)
-	Fleet func([]byte) (*fleet.List, error)
+	Table  func([]byte) (*table.Table, error)
+	Fleet  func([]byte) (*fleet.List, error)
 }
 
 // settle is longer than publishers take to write again what a restored store has lost, and
@@ -56,8 +56,8 @@
 func OwnParsers() Parsers {
 	return Parsers{
 		Settle: settle,
-		Table: func(b []byte) (*table.Table, error) { return table.Parse(Table, b) },
-		Fleet: func(b []byte) (*fleet.List, error) { return fleet.Parse(Fleet, b) },
+		Table:  func(b []byte) (*table.Table, error) { return table.Parse(Table, b) },
+		Fleet:  func(b []byte) (*fleet.List, error) { return fleet.Parse(Fleet, b) },
 	}
 }
 
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -195,6 +195,16 @@
 // ClosedDataCenters lists those that are closed, by name.
 func (l *List) ClosedDataCenters() []string { return slices.Sorted(maps.Keys(l.closed)) }
 
+// WithClosed returns a copy of the list with other closed data centres.
+func (l *List) WithClosed(dataCenters []string) *List {
+	out := *l
+	out.closed = make(map[string]bool, len(dataCenters))
+	for _, name := range dataCenters {
+		out.closed[name] = true
+	}
+	return &out
+}
+
 // Bad returns the records that name no endpoint, of a list made by FromRecords.
 func (l *List) Bad() []BadRecord { return l.bad }
 
