What had left is known by what was in use; fleets of 3 to 295 entries over restores

Callers saw: nothing yet; found by fleets in virtual time.

Cause: what had left was noted from the list alone. Endpoints that Grace kept because the copy lacked them came back as gone ones, and Grace kept what the copy had shown of gone ones over the next restore, so that it was used again.

Change: the bridge over a restore comes before Grace and is told what is used in the end; records count as lapsed if more than three times as many had left as are in use; the hold is 10 s or eight heartbeats. Ruled out: keeping out whatever the last list before the restore didn't show. Endpoints that had come while an entry was cut off were kept out with the rest.

TestFleetsFollowARestoredStore runs gateways' own controllers, readers and exchange in virtual time and without sockets against the stand-in: configurations, leaves and closed data centres change while the store is restored in series from copies up to 8 s old, entries are cut off from it and from each other, and start again. No entry goes back, and what is acknowledged is in force within 2 s (3 s from 66 entries on) unless a disturbance is near. Two expectations of the decision's tests are replaced: nearly all of a target count as lapsed in place of half.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -72,22 +72,21 @@
 	}
 	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
-	era := held.Revision.Era()
-	use, lapsed := g.grace.Apply(now, held.Value.Endpoints, g.restored.IsRestore(era))
+	bridged := g.restored.Apply(now, held.Revision.Era(), held.Value.Endpoints, held.Value.ClosedDataCenters())
+	if !bridged.Again.IsZero() {
+		g.log.Warn("what the store's copy shows is held back", "revision", held.Revision, "endpoints", bridged.KeptOut,
+			"closed", bridged.KeptClosed, "until", bridged.Again.Format(time.RFC3339Nano))
+	}
+	use, lapsed := g.grace.Apply(now, bridged.Endpoints, bridged.First)
 	if !lapsed.IsZero() {
 		g.log.Warn("endpoints vanished together are kept for now", "revision", held.Revision,
-			"kept", len(use)-len(held.Value.Endpoints), "until", lapsed.Format(time.RFC3339Nano))
+			"kept", len(use)-len(bridged.Endpoints), "until", lapsed.Format(time.RFC3339Nano))
 	}
 	use, earlier := g.lives.Apply(now, use)
 	if !earlier.IsZero() {
 		g.log.Warn("records of earlier lives are held back", "revision", held.Revision, "until", earlier.Format(time.RFC3339Nano))
 	}
-	bridged := g.restored.Apply(now, era, use, held.Value.ClosedDataCenters())
-	if !bridged.Again.IsZero() {
-		g.log.Warn("what the store's copy shows is held back", "revision", held.Revision, "endpoints", bridged.KeptOut,
-			"closed", bridged.KeptClosed, "until", bridged.Again.Format(time.RFC3339Nano))
-	}
-	use = bridged.Endpoints
+	g.restored.Use(now, use)
 	g.applyAgain(lapsed, earlier, bridged.Again)
 	if t := g.store.Table(); t != nil {
 		use = withTable(use, t.Value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,10 +63,10 @@
 	// seconds at most; a late word of the earlier life is overwritten by then.
 	earlierLifeHold = 5 * time.Second
 	// minCopyHold and copyHoldHeartbeats are for how long what was known goes before a restored
-	// store's copy. Records that nobody renews lapse after three heartbeats, and operators write
-	// again within moments.
-	minCopyHold        = 5 * time.Second
-	copyHoldHeartbeats = 4
+	// store's copy. Records that nobody renews lapse after three heartbeats, but not while the
+	// store is away once more.
+	minCopyHold        = 10 * time.Second
+	copyHoldHeartbeats = 8
 )
 
 // Gateway is one entry process.
--- /dev/null
+++ b/internal/gateway/restored_fleet_test.go
@@ -0,0 +1,542 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+// Times of the fleets that are played.
+const (
+	fleetStep = 20 * time.Millisecond
+	oneWay    = time.Millisecond
+	// rewriteWithin is how soon operators and endpoints write again what was lost, and
+	// lapseWithin how soon a record lapses that nobody renews.
+	rewriteWithin = 1500 * time.Millisecond
+	lapseWithin   = 3600 * time.Millisecond
+	// longestOutage and oldestCopy bound what a drill does.
+	longestOutage = 3 * time.Second
+	oldestCopy    = 8 * time.Second
+	heartbeat     = 1200 * time.Millisecond
+	// minToggle is the time between closing a data centre and opening it, so that every entry
+	// has heard of one before the other.
+	minToggle = 8 * time.Second
+	// quietEnd is the time without disturbance after which all must agree.
+	quietEnd = 18 * time.Second
+)
+
+// playedFleet is a fleet of gateways with their own controllers, in virtual time and without
+// sockets, whose store is restored again and again.
+type playedFleet struct {
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	// within is the time in which a configuration has to be in force, contact the time
+	// without disturbance from which on that binds.
+	within, contact time.Duration
+
+	store   *standin.Store
+	down    bool
+	entries []*playedEntry
+	// handlers serve entries' exchanges, by address.
+	handlers map[string]http.Handler
+	// storeCut and peersCut are the entries that are cut off.
+	storeCut, peersCut map[string]bool
+
+	// truth is what operators and endpoints have written last.
+	version   int
+	endpoints map[string]*standin.Endpoint
+	states    map[string]int
+	closed    bool
+	toggled   time.Time
+	serial    int
+
+	copies    []agedCopy
+	disturbed time.Time
+	due       []dueWrite
+	acked     []ackedVersion
+	restores  int
+	// timely counts the configurations that were checked to be in force in time.
+	timely int
+}
+
+type agedCopy struct {
+	at   time.Time
+	copy standin.Snapshot
+}
+
+type dueWrite struct {
+	at    time.Time
+	write func()
+	// needsStore says that it waits for the store to be back.
+	needsStore bool
+}
+
+type ackedVersion struct {
+	version int
+	at      time.Time
+}
+
+// States of endpoints.
+const (
+	stateLive = iota
+	stateLeaving
+	stateGone
+)
+
+// playedEntry is one gateway.
+type playedEntry struct {
+	name, dc string
+	life     int
+	g        *Gateway
+	logs     bytes.Buffer
+	stop     context.CancelFunc
+	version  uint64
+	// used are the endpoints that it uses, and unusable those that it came to know to be leaving
+	// or gone.
+	used, unusable map[string]bool
+	// knewClosed says that it knew the data centre to be closed.
+	knewClosed bool
+}
+
+// inProcess is a transport to handlers of the same process; a nil handler can't be reached.
+type inProcess func(*http.Request) http.Handler
+
+// RoundTrip implements http.RoundTripper.
+func (f inProcess) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(oneWay)
+	handler := f(r)
+	if handler == nil {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, r)
+	time.Sleep(oneWay)
+	if f(r) == nil {
+		return nil, errors.New("reset")
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
+func newPlayedFleet(t *testing.T, seed uint64, size, dataCenters int) *playedFleet {
+	f := &playedFleet{
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), within: 2 * time.Second, contact: 3 * time.Second,
+		store: standin.New(), handlers: map[string]http.Handler{}, storeCut: map[string]bool{}, peersCut: map[string]bool{},
+		endpoints: map[string]*standin.Endpoint{}, states: map[string]int{},
+	}
+	if size > 60 {
+		f.within, f.contact = 3*time.Second, 4*time.Second
+	}
+	f.publish()
+	for range 6 {
+		f.addEndpoint()
+	}
+	f.store.KeepCopy()
+	for i := range size {
+		f.entries = append(f.entries, &playedEntry{name: fmt.Sprintf("vm-%03d", i), dc: fmt.Sprintf("dc-%d", i%dataCenters)})
+	}
+	for _, e := range f.entries {
+		f.start(e, true)
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *playedFleet) address(e *playedEntry) string {
+	return fmt.Sprintf("10.0.%d.%d:1", slices.Index(f.entries, e)/200, slices.Index(f.entries, e)%200)
+}
+
+// start starts a gateway, in place of the one before.
+func (f *playedFleet) start(e *playedEntry, first bool) {
+	if e.stop != nil {
+		e.stop()
+	}
+	var cfg Config
+	set := settings.New("test")
+	cfg.Register(set)
+	if err := set.Read([]string{"-poll-every", "1m", "-loads-every", "1m"}); err != nil {
+		f.t.Fatal(err)
+	}
+	var seeds []string
+	for _, s := range f.entries[:3] {
+		seeds = append(seeds, f.address(s))
+	}
+	e.life++
+	e.version, e.used, e.unusable, e.knewClosed = 0, map[string]bool{}, map[string]bool{}, false
+	address := f.address(e)
+	e.g = New(cfg, platform.Settings{
+		VM: e.name, DataCenter: e.dc, Peers: address, Seeds: seeds, Store: "10.9.9.9:1", FirstStart: first, Heartbeat: heartbeat,
+		Bounds: platform.Bounds{ConfigApply: f.within},
+	}, log.NewWithOptions(&e.logs, log.Options{ReportTimestamp: true, TimeFormat: "04:05.000"}))
+	store := inProcess(func(*http.Request) http.Handler {
+		if f.down || f.storeCut[e.name] {
+			return nil
+		}
+		return f.store.Handler()
+	})
+	e.g.reader = newReader(platform.NewPublished(platform.NewStoreOver(store, e.g.vm.Store, func() {})), e.g.reader.held)
+	e.g.reader.onEra = e.g.onEra
+	e.g.config.Reader = e.g.reader
+	e.g.peersHTTP.Transport = inProcess(func(r *http.Request) http.Handler {
+		if f.peersCut[e.name] || f.peersCut[r.URL.Host] {
+			return nil
+		}
+		return f.handlers[r.URL.Host]
+	})
+	f.handlers[address] = peering.NewServer(e.g.beliefs, e.g.store, nil, nil, e.g.traffic).Handler("")
+	ctx, cancel := context.WithCancel(f.t.Context())
+	e.stop, e.g.work = cancel, ctx
+	go e.g.start(ctx)
+}
+
+// cutPeers cuts an entry off from all others, or heals that.
+func (f *playedFleet) cutPeers(e *playedEntry, cut bool) {
+	f.peersCut[e.name], f.peersCut[f.address(e)] = cut, cut
+}
+
+// write has the store acknowledge what is written, or write it when it is back.
+func (f *playedFleet) write(put func()) {
+	if f.down {
+		f.later(0, put)
+		return
+	}
+	put()
+}
+
+func (f *playedFleet) publish() {
+	f.version += 1 + f.random.IntN(3)
+	version := f.version
+	f.write(func() {
+		if version != f.version {
+			return
+		}
+		f.putConfiguration()
+	})
+}
+
+func (f *playedFleet) putConfiguration() {
+	config := standin.Configuration{
+		Version: f.version, Services: []string{"desk"},
+		Routes: []standin.Route{{Name: "r", Host: "h", Prefix: "/" + strconv.Itoa(f.version) + "/", Kind: standin.Safe, Target: "desk", Attempts: 1, Timeout: time.Second}},
+	}
+	f.store.Put(platform.ConfigurationKey, config.Encode())
+	f.acked = append(f.acked, ackedVersion{f.version, time.Now()})
+}
+
+func (f *playedFleet) addEndpoint() {
+	f.serial++
+	e := &standin.Endpoint{ID: fmt.Sprintf("e-%03d", f.serial), Address: fmt.Sprintf("10.1.%d.%d:1", f.serial/200, f.serial%200)}
+	e.SetBorn(uint64(time.Now().UnixMilli()))
+	f.endpoints[e.ID] = e
+	f.states[e.ID] = stateLive
+	f.write(func() { f.putEndpoint(e.ID) })
+}
+
+func (f *playedFleet) putEndpoint(id string) {
+	key := platform.EndpointPrefix + id
+	switch f.states[id] {
+	case stateLive:
+		f.store.Put(key, standin.Record(f.endpoints[id], "desk", "dc-0", false))
+	case stateLeaving:
+		f.store.Put(key, standin.Record(f.endpoints[id], "desk", "dc-0", true))
+	case stateGone:
+		f.store.Delete(key)
+	}
+}
+
+// leave has an endpoint leave: it says so, or its record just goes.
+func (f *playedFleet) leave() {
+	var live []string
+	for id, s := range f.states {
+		if s == stateLive {
+			live = append(live, id)
+		}
+	}
+	if len(live) < 4 {
+		return
+	}
+	slices.Sort(live)
+	id := live[f.random.IntN(len(live))]
+	f.states[id] = stateLeaving + f.random.IntN(2)
+	f.write(func() { f.putEndpoint(id) })
+	if f.states[id] == stateLeaving {
+		f.later(time.Duration(1+f.random.IntN(5))*time.Second, func() {
+			f.states[id] = stateGone
+			f.putEndpoint(id)
+		})
+	}
+}
+
+const closedDataCenter = "dc-far"
+
+func (f *playedFleet) toggleClosed() {
+	if time.Since(f.toggled) < minToggle {
+		return
+	}
+	f.closed, f.toggled = !f.closed, time.Now()
+	f.write(f.putClosed)
+}
+
+func (f *playedFleet) putClosed() {
+	key := platform.ClosingPrefix + closedDataCenter
+	if f.closed {
+		f.store.Put(key, []byte(`{}`))
+		return
+	}
+	for _, e := range f.entries {
+		e.knewClosed = false
+	}
+	f.store.Delete(key)
+}
+
+// later writes something after a time, when the store is there.
+func (f *playedFleet) later(after time.Duration, write func()) {
+	f.due = append(f.due, dueWrite{time.Now().Add(after), write, true})
+}
+
+// change changes something else after a time.
+func (f *playedFleet) change(after time.Duration, change func()) {
+	f.due = append(f.due, dueWrite{time.Now().Add(after), change, false})
+}
+
+// drill has the store away and back from a copy. What was lost is written again.
+func (f *playedFleet) drill() {
+	away := time.Duration(f.random.Int64N(int64(longestOutage)))
+	f.down, f.disturbed = true, time.Now().Add(away)
+	f.change(away, f.restore)
+}
+
+func (f *playedFleet) restore() {
+	f.down, f.disturbed = false, time.Now()
+	f.restores++
+	oldest := time.Now().Add(-time.Duration(f.random.Int64N(int64(oldestCopy))))
+	i := 0
+	for i < len(f.copies)-1 && f.copies[i].at.Before(oldest) {
+		i++
+	}
+	if len(f.copies) > 0 {
+		f.store.Restore(f.copies[i].copy)
+	}
+	soon := func() time.Duration { return time.Duration(f.random.Int64N(int64(rewriteWithin))) }
+	f.later(soon(), f.putConfiguration)
+	f.later(soon(), f.putClosed)
+	for id, state := range f.states {
+		after := soon()
+		if state == stateGone {
+			after = time.Duration(f.random.Int64N(int64(lapseWithin)))
+		}
+		f.later(after, func() { f.putEndpoint(id) })
+	}
+}
+
+// step goes on for a moment: what is due is written, something may happen, and every entry is
+// looked at.
+func (f *playedFleet) step(events bool) {
+	time.Sleep(fleetStep)
+	synctest.Wait()
+	now := time.Now()
+	due := f.due
+	f.due = nil
+	for _, d := range due {
+		switch {
+		case now.Before(d.at), f.down && d.needsStore:
+			f.due = append(f.due, d)
+		default:
+			d.write()
+		}
+	}
+	if len(f.copies) == 0 || now.Sub(f.copies[len(f.copies)-1].at) > 200*time.Millisecond {
+		f.copies = append(f.copies, agedCopy{now, f.store.Snapshot()})
+		f.copies = f.copies[max(0, len(f.copies)-int(2*oldestCopy/(200*time.Millisecond))):]
+	}
+	if events {
+		f.happen()
+	}
+	for _, e := range f.entries {
+		f.look(e)
+	}
+	f.checkAcked(now)
+}
+
+// happen draws what happens in a step; the rates are a second's.
+func (f *playedFleet) happen() {
+	chance := func(perSecond float64) bool { return f.random.Float64() < perSecond*fleetStep.Seconds() }
+	switch {
+	case chance(0.8):
+		f.publish()
+	case chance(0.4):
+		f.leave()
+	case chance(0.4):
+		f.addEndpoint()
+	case chance(0.2):
+		f.toggleClosed()
+	case !f.down && chance(0.15):
+		f.drill()
+	case chance(0.2):
+		e := f.entries[f.random.IntN(len(f.entries))]
+		f.disturbed = time.Now().Add(2 * time.Second)
+		if f.random.IntN(2) == 0 {
+			f.storeCut[e.name] = true
+			f.change(2*time.Second, func() { f.storeCut[e.name] = false })
+			return
+		}
+		f.cutPeers(e, true)
+		f.change(2*time.Second, func() { f.cutPeers(e, false) })
+	case chance(0.1):
+		f.disturbed = time.Now()
+		f.start(f.entries[f.random.IntN(len(f.entries))], false)
+	}
+}
+
+// look checks that an entry hasn't gone back.
+func (f *playedFleet) look(e *playedEntry) {
+	if held := e.g.store.Table(); held != nil {
+		version := held.Revision.Number()
+		if version < e.version {
+			f.fail(e, "from configuration %d back to %d", e.version, version)
+		}
+		e.version = version
+	}
+	list := e.g.inForce.Load()
+	if list == nil {
+		return
+	}
+	leaves := map[string]bool{}
+	for _, l := range e.g.beliefs.Leaves() {
+		leaves[l.Endpoint] = true
+	}
+	for id, state := range f.states {
+		listed, ok := list.Endpoint(id)
+		usable := ok && !leaves[id] && listed.State != fleet.Leaving
+		if usable && e.unusable[id] {
+			f.fail(e, "endpoint %s is used again", id)
+		}
+		// One that is only missing in the copy is no such news.
+		if e.used[id] && !usable && state != stateLive {
+			e.unusable[id] = true
+		}
+		e.used[id] = usable
+	}
+	closed := list.Closed(closedDataCenter)
+	if e.knewClosed && f.closed && !closed {
+		f.fail(e, "the data centre is open again")
+	}
+	e.knewClosed = e.knewClosed || f.closed && e.g.store.Fleet().Value.Closed(closedDataCenter)
+}
+
+// checkAcked checks that configurations are in force in time, at entries that nothing has
+// disturbed.
+func (f *playedFleet) checkAcked(now time.Time) {
+	for len(f.acked) > 0 && now.Sub(f.acked[0].at) >= f.within {
+		a := f.acked[0]
+		f.acked = f.acked[1:]
+		if a.at.Sub(f.disturbed) < f.contact {
+			continue
+		}
+		f.timely++
+		for _, e := range f.entries {
+			if e.version < uint64(a.version) {
+				f.fail(e, "configuration %d of %s isn't in force, %d is", a.version, a.at.Format("04:05.000"), e.version)
+			}
+		}
+	}
+}
+
+func (f *playedFleet) fail(e *playedEntry, format string, args ...any) {
+	f.t.Helper()
+	logged := e.logs.Bytes()
+	f.t.Fatalf("seed %d, %s, %s (life %d), %d restores: %s\n%s", f.seed, time.Now().Format("04:05.000"), e.name, e.life, f.restores,
+		fmt.Sprintf(format, args...), logged[max(0, len(logged)-6000):])
+}
+
+// expectAgreed checks that every entry has all that is written.
+func (f *playedFleet) expectAgreed() {
+	var want []string
+	for id, state := range f.states {
+		if state == stateLive {
+			want = append(want, id)
+		}
+	}
+	slices.Sort(want)
+	for _, e := range f.entries {
+		if e.version != uint64(f.version) {
+			f.fail(e, "ends with configuration %d of %d", e.version, f.version)
+		}
+		list := e.g.inForce.Load()
+		var usable []string
+		for _, x := range list.Endpoints {
+			if !e.g.beliefs.Leaving(x) {
+				usable = append(usable, x.ID)
+			}
+		}
+		slices.Sort(usable)
+		if !slices.Equal(usable, want) {
+			f.fail(e, "ends with endpoints %v of %v", usable, want)
+		}
+		if list.Closed(closedDataCenter) != f.closed {
+			f.fail(e, "ends with a data centre closed: %v", !f.closed)
+		}
+	}
+}
+
+func (f *playedFleet) play(lasts time.Duration) {
+	for begin := time.Now(); time.Since(begin) < lasts; {
+		f.step(time.Since(begin) > 4*time.Second)
+	}
+	for begin := time.Now(); time.Since(begin) < quietEnd; {
+		f.step(false)
+	}
+	f.expectAgreed()
+	f.t.Logf("%d restores, %d configurations in force in time", f.restores, f.timely)
+}
+
+// stop ends all entries, and waits until what they had begun is over.
+func (f *playedFleet) stop() {
+	for _, e := range f.entries {
+		e.stop()
+	}
+	time.Sleep(quietEnd)
+}
+
+// TestFleetsFollowARestoredStore plays fleets of 3 to 295 entries: configurations, leaves and
+// closed data centres change while the store is restored in series, entries are cut off from
+// it and from each other, and start again. No entry returns to what it knew to be over, and
+// what is acknowledged is in force in time. FLEET_SEEDS=N plays more seeds of each size.
+func TestFleetsFollowARestoredStore(t *testing.T) {
+	more, _ := strconv.Atoi(os.Getenv("FLEET_SEEDS"))
+	for _, size := range []struct {
+		entries, dataCenters, seeds int
+		lasts                       time.Duration
+	}{{3, 1, 12, 40 * time.Second}, {9, 3, 6, 40 * time.Second}, {66, 3, 1, 30 * time.Second}, {295, 5, 1, 12 * time.Second}} {
+		for seed := range uint64(max(size.seeds, more)) {
+			t.Run(fmt.Sprintf("%d entries, seed %d", size.entries, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					newPlayedFleet(t, seed, size.entries, size.dataCenters).play(size.lasts)
+				})
+			})
+		}
+	}
+}
--- a/pkg/fleet/restored.go
+++ b/pkg/fleet/restored.go
@@ -11,9 +11,10 @@
 // closed a data centre since. Who wrote that writes it again, within moments; until then what
 // was known before holds:
 //
-//   - An endpoint that had left the list isn't used again because the copy lists it. Its record
-//     in the copy lapses within Hold, unless the endpoint lives and renews it. If most endpoints
-//     of a target had left, records had lapsed in an outage, and those in the copy are used.
+//   - An endpoint that had left isn't used again because the first list after the restore shows
+//     it. Its record in the copy lapses within Hold, unless the endpoint lives and renews it.
+//     If more than three times as many had left as are in use of their target, records had
+//     lapsed in an outage, and they are used.
 //   - A data centre that was closed stays closed for Hold.
 //
 // The caller serialises calls.
@@ -22,18 +23,23 @@
 	// longer than a record lives that nobody renews.
 	Hold time.Duration
 
-	era    uint64
-	until  time.Time
-	listed map[Life]bool
-	// left are the lives that have left the list, and when.
+	era   uint64
+	until time.Time
+	// used are the lives in use, and inUse counts them by target; both are nil before the first
+	// list.
+	used  map[Life]bool
+	inUse map[string]int
+	// left are the lives that were in use and aren't, and since when.
 	left   map[Life]time.Time
 	closed []string
+	// out are the lives that the copy shows and that had left.
+	out map[Life]bool
 	// kept are the data centres that were closed before the restore.
 	kept []string
 }
 
-// leftFor is for how long it is remembered that a life has left the list: longer than any copy
-// of the store is old.
+// leftFor is for how long it is remembered that a life has left: longer than any copy of the
+// store is old.
 const leftFor = 2 * time.Minute
 
 // Bridged is what holds of a list.
@@ -44,91 +50,98 @@
 	// are closed though the list doesn't show it.
 	KeptOut    []Life
 	KeptClosed []string
+	// First says that the list is the first after a restore.
+	First bool
 	// Again, unless zero, is when to apply the same list once more.
 	Again time.Time
 }
 
 // Apply takes the endpoints and the closed data centres of a list, and the era of the store
-// that it is of.
+// that it is of. Use has to follow.
 func (r *Restored) Apply(now time.Time, era uint64, listed []Endpoint, closed []string) Bridged {
-	maps.DeleteFunc(r.left, func(_ Life, at time.Time) bool { return now.Sub(at) >= leftFor })
-	r.notice(now, era)
-	out := Bridged{Endpoints: listed, Closed: closed}
-	if now.Before(r.until) {
-		out = r.bridge(now, listed, closed)
-	}
-	r.remember(now, out)
-	return out
-}
-
-// IsRestore reports whether a list of an era would be the first after a restore.
-func (r *Restored) IsRestore(era uint64) bool { return r.listed != nil && era > r.era }
-
-func (r *Restored) notice(now time.Time, era uint64) {
-	if r.IsRestore(era) {
+	first := r.used != nil && era > r.era
+	if first {
 		r.until = now.Add(r.Hold)
+		r.out = r.hadLeft(now, listed)
 		r.kept = r.closed
 	}
 	r.era = max(r.era, era)
+	if !now.Before(r.until) {
+		r.out, r.kept = nil, nil
+	}
+	result := r.bridge(listed, closed)
+	result.First = first
+	r.closed = result.Closed
+	return result
 }
 
-func (r *Restored) bridge(now time.Time, listed []Endpoint, closed []string) Bridged {
-	out := Bridged{Closed: slices.Clone(closed)}
-	back := r.back(listed)
-	for _, e := range listed {
-		if back[e.Life()] {
-			out.KeptOut = append(out.KeptOut, e.Life())
-			continue
+// Use tells which endpoints are used, of the list and those that Grace keeps.
+func (r *Restored) Use(now time.Time, endpoints []Endpoint) {
+	before := r.used
+	r.used, r.inUse = make(map[Life]bool, len(endpoints)), map[string]int{}
+	for _, e := range endpoints {
+		r.used[e.Life()] = true
+		for _, t := range e.Targets {
+			r.inUse[t]++
 		}
-		out.Endpoints = append(out.Endpoints, e)
 	}
-	// One that the copy or a later list shows is told by the list from then on.
-	r.kept = slices.DeleteFunc(slices.Clone(r.kept), func(name string) bool { return slices.Contains(closed, name) })
-	for _, name := range r.kept {
-		out.KeptClosed = append(out.KeptClosed, name)
-		out.Closed = append(out.Closed, name)
+	if r.left == nil {
+		r.left = map[Life]time.Time{}
 	}
-	slices.Sort(out.Closed)
-	if len(out.KeptOut) > 0 || len(out.KeptClosed) > 0 {
-		out.Again = r.until
+	for life := range before {
+		if !r.used[life] {
+			r.left[life] = now
+		}
 	}
-	return out
+	maps.DeleteFunc(r.left, func(l Life, at time.Time) bool { return r.used[l] || now.Sub(at) >= leftFor })
 }
 
-// back tells which of the listed lives had left the list, unless they are most of their target.
-func (r *Restored) back(listed []Endpoint) map[Life]bool {
-	all, back := map[string]int{}, map[string]int{}
+// mostLeft is up to how many endpoints of a target may have left, for each that is in use.
+const mostLeft = 3
+
+// hadLeft tells which of the listed lives had left.
+func (r *Restored) hadLeft(now time.Time, listed []Endpoint) map[Life]bool {
+	had := func(e Endpoint) bool {
+		at, ok := r.left[e.Life()]
+		return ok && now.Sub(at) < leftFor
+	}
+	left := map[string]int{}
 	for _, e := range listed {
-		if len(e.Targets) == 0 {
-			continue
-		}
-		all[e.Targets[0]]++
-		if _, had := r.left[e.Life()]; had {
-			back[e.Targets[0]]++
+		for _, t := range e.Targets {
+			if had(e) {
+				left[t]++
+			}
 		}
 	}
+	lapsed := func(t string) bool { return left[t] > mostLeft*r.inUse[t] }
 	out := map[Life]bool{}
 	for _, e := range listed {
-		_, had := r.left[e.Life()]
-		out[e.Life()] = had && len(e.Targets) > 0 && back[e.Targets[0]]*2 <= all[e.Targets[0]]
+		if had(e) && !slices.ContainsFunc(e.Targets, lapsed) {
+			out[e.Life()] = true
+		}
 	}
 	return out
 }
 
-// remember notes which lives are in use and which have left.
-func (r *Restored) remember(now time.Time, out Bridged) {
-	use := make(map[Life]bool, len(out.Endpoints))
-	for _, e := range out.Endpoints {
-		use[e.Life()] = true
-		delete(r.left, e.Life())
-	}
-	if r.left == nil {
-		r.left = map[Life]time.Time{}
-	}
-	for life := range r.listed {
-		if !use[life] {
-			r.left[life] = now
+// bridge leaves out of a list what had left, and adds what was closed.
+func (r *Restored) bridge(listed []Endpoint, closed []string) Bridged {
+	result := Bridged{Closed: slices.Clone(closed)}
+	for _, e := range listed {
+		if r.out[e.Life()] {
+			result.KeptOut = append(result.KeptOut, e.Life())
+			continue
 		}
+		result.Endpoints = append(result.Endpoints, e)
+	}
+	// What isn't listed any more is news when it comes back.
+	maps.DeleteFunc(r.out, func(l Life, _ bool) bool { return !slices.Contains(result.KeptOut, l) })
+	// What the list shows is told by the list from then on.
+	r.kept = slices.DeleteFunc(slices.Clone(r.kept), func(name string) bool { return slices.Contains(closed, name) })
+	result.KeptClosed = r.kept
+	result.Closed = append(result.Closed, r.kept...)
+	slices.Sort(result.Closed)
+	if len(result.KeptOut) > 0 || len(result.KeptClosed) > 0 {
+		result.Again = r.until
 	}
-	r.listed, r.closed = use, out.Closed
+	return result
 }
--- a/pkg/fleet/restored_test.go
+++ b/pkg/fleet/restored_test.go
@@ -9,25 +9,32 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 )
 
+// apply is Restored as gateways use it, without what else they do with a list.
+func apply(r *fleet.Restored, now time.Time, era uint64, listed []fleet.Endpoint, closed []string) fleet.Bridged {
+	out := r.Apply(now, era, listed, closed)
+	r.Use(now, out.Endpoints)
+	return out
+}
+
 func TestWhatHadLeftBeforeARestoreStaysOut(t *testing.T) {
 	g := NewWithT(t)
 	const hold = 5 * time.Second
 	r := &fleet.Restored{Hold: hold}
 	now := time.Unix(1000, 0)
-	apply := func(after time.Duration, era uint64, use ...string) (used []string, again time.Time) {
-		out := r.Apply(now.Add(after), era, endpoints(use...), nil)
+	list := func(after time.Duration, era uint64, use ...string) (used []string, again time.Time) {
+		out := apply(r, now.Add(after), era, endpoints(use...), nil)
 		return ids(out.Endpoints), out.Again
 	}
-	apply(0, 1, "a", "b", "c", "d")
-	apply(time.Second, 1, "b", "c", "d")
-	used, again := apply(2*time.Second, 2, "a", "b", "c", "d")
+	list(0, 1, "a", "b", "c", "d")
+	list(time.Second, 1, "b", "c", "d")
+	used, again := list(2*time.Second, 2, "a", "b", "c", "d")
 	g.Expect(used).To(ConsistOf("b", "c", "d"))
 	g.Expect(again).To(Equal(now.Add(2*time.Second + hold)))
-	used, _ = apply(4*time.Second, 3, "a", "b", "c", "d")
+	used, _ = list(4*time.Second, 3, "a", "b", "c", "d")
 	g.Expect(used).To(ConsistOf("b", "c", "d"), "another restore")
-	used, _ = apply(4*time.Second+hold-1, 3, "a", "b", "c", "d", "e")
-	g.Expect(used).To(ConsistOf("b", "c", "d", "e"))
-	used, again = apply(4*time.Second+hold, 3, "a", "b", "c", "d", "e")
+	used, _ = list(4*time.Second+hold-1, 3, "a", "b", "c", "d", "e")
+	g.Expect(used).To(ConsistOf("b", "c", "d", "e"), "e comes after the copy's list")
+	used, again = list(4*time.Second+hold, 3, "a", "b", "c", "d", "e")
 	g.Expect(used).To(ConsistOf("a", "b", "c", "d", "e"), "its record stands")
 	g.Expect(again.IsZero()).To(BeTrue())
 }
@@ -36,32 +43,44 @@
 	g := NewWithT(t)
 	r := &fleet.Restored{Hold: 5 * time.Second}
 	now := time.Unix(1000, 0)
-	r.Apply(now, 1, endpoints("a", "b", "c"), nil)
-	r.Apply(now, 1, endpoints("b", "c"), nil)
-	g.Expect(ids(r.Apply(now, 1, endpoints("a", "b", "c"), nil).Endpoints)).To(ConsistOf("a", "b", "c"))
-	r.Apply(now, 1, endpoints("b", "c"), nil)
-	out := r.Apply(now.Add(3*time.Minute), 2, endpoints("a", "b", "c"), nil)
+	apply(r, now, 1, endpoints("a", "b", "c"), nil)
+	apply(r, now, 1, endpoints("b", "c"), nil)
+	g.Expect(ids(apply(r, now, 1, endpoints("a", "b", "c"), nil).Endpoints)).To(ConsistOf("a", "b", "c"))
+	apply(r, now, 1, endpoints("b", "c"), nil)
+	out := apply(r, now.Add(3*time.Minute), 2, endpoints("a", "b", "c"), nil)
 	g.Expect(ids(out.Endpoints)).To(ConsistOf("a", "b", "c"), "no copy is that old")
 }
 
-// TestMostOfATargetAreNotKeptOut: their records had lapsed in an outage.
-func TestMostOfATargetAreNotKeptOut(t *testing.T) {
+// TestNearlyAllOfATargetAreNotKeptOut: their records had lapsed in an outage.
+func TestNearlyAllOfATargetAreNotKeptOut(t *testing.T) {
+	g := NewWithT(t)
+	r := &fleet.Restored{Hold: 5 * time.Second}
+	now := time.Unix(1000, 0)
+	apply(r, now, 1, endpoints("a", "b", "c", "d", "e"), nil)
+	apply(r, now, 1, endpoints("e"), nil)
+	out := apply(r, now, 2, endpoints("a", "b", "c", "d", "e"), nil)
+	g.Expect(ids(out.Endpoints)).To(ConsistOf("a", "b", "c", "d", "e"))
+}
+
+// TestALapsedRecordThatComesBackIsNews: its endpoint has written it again.
+func TestALapsedRecordThatComesBackIsNews(t *testing.T) {
 	g := NewWithT(t)
 	r := &fleet.Restored{Hold: 5 * time.Second}
 	now := time.Unix(1000, 0)
-	r.Apply(now, 1, endpoints("a", "b", "c"), nil)
-	r.Apply(now, 1, endpoints("c"), nil)
-	out := r.Apply(now, 2, endpoints("a", "b", "c"), nil)
-	g.Expect(ids(out.Endpoints)).To(ConsistOf("a", "b", "c"))
+	apply(r, now, 1, endpoints("a", "b", "c"), nil)
+	apply(r, now, 1, endpoints("b", "c"), nil)
+	g.Expect(ids(apply(r, now, 2, endpoints("a", "b", "c"), nil).Endpoints)).To(ConsistOf("b", "c"))
+	apply(r, now.Add(time.Second), 2, endpoints("b", "c"), nil)
+	g.Expect(ids(apply(r, now.Add(2*time.Second), 2, endpoints("a", "b", "c"), nil).Endpoints)).To(ConsistOf("a", "b", "c"))
 }
 
 func TestAnotherLifeOfWhatHadLeftIsUsed(t *testing.T) {
 	g := NewWithT(t)
 	r := &fleet.Restored{Hold: 5 * time.Second}
 	now := time.Unix(1000, 0)
-	r.Apply(now, 1, append(endpoints("b"), started("a", 100, fleet.Live)), nil)
-	r.Apply(now, 1, endpoints("b"), nil)
-	out := r.Apply(now, 2, append(endpoints("b"), started("a", 200, fleet.Live)), nil)
+	apply(r, now, 1, append(endpoints("b"), started("a", 100, fleet.Live)), nil)
+	apply(r, now, 1, endpoints("b"), nil)
+	out := apply(r, now, 2, append(endpoints("b"), started("a", 200, fleet.Live)), nil)
 	g.Expect(ids(out.Endpoints)).To(ConsistOf("a", "b"))
 }
 
@@ -71,7 +90,7 @@
 	r := &fleet.Restored{Hold: hold}
 	now := time.Unix(1000, 0)
 	closed := func(after time.Duration, era uint64, listed ...string) []string {
-		return r.Apply(now.Add(after), era, endpoints("a"), listed).Closed
+		return apply(r, now.Add(after), era, endpoints("a"), listed).Closed
 	}
 	g.Expect(closed(0, 1, "x", "y")).To(Equal([]string{"x", "y"}))
 	g.Expect(closed(time.Second, 1, "x")).To(Equal([]string{"x"}), "opened again")
