The soak restores the store

Change: plans of their own, with seeds that end in r: the store is away for a moment and back from a copy up to 5 s old, sometimes twice in a row, and what was lost is written again within 1.5 s, in any order; an engine leaves by its record alone, the far data centre closes. Held: no process goes back to an older configuration, the newest is in force 2 s after it was acknowledged and leaves after 3 s, where the store had been there for 3 s (the users' rules bind then); closed data centres; nothing is lost or cut by a restore.

Traced: gateways don't watch the store while their view settles, the store was restored twice in that time, and the first list after that kept the engine in use for 1.8 s more as one that the copy lacks.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -112,6 +112,7 @@
 		newest := g.w.version
 		g.w.mu.Unlock()
 		for version := newest; version > 0 && version > newest-2; version-- {
+			sent := time.Now()
 			resp, err := client.Do(g.request(g.nextID(), fmt.Sprintf("/v/%d/", version)))
 			if err != nil {
 				break
@@ -123,6 +124,9 @@
 			if resp.StatusCode == http.StatusOK && same {
 				g.w.sawVersion(g, life, version)
 			}
+			if resp.StatusCode == http.StatusNotFound {
+				g.w.sawNone(g, version, sent)
+			}
 		}
 	}
 }
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.restores {
+		return restorePlans[s.number%uint64(len(restorePlans))]
+	}
 	if s.needs {
 		return needPlans[s.number%uint64(len(needPlans))]
 	}
@@ -131,6 +134,10 @@
 	if w.drawn.needs {
 		lasts += needFor
 	}
+	if w.drawn.restores {
+		lasts += restoresFor
+		defer w.copyStore()()
+	}
 	end := time.Now().Add(lasts)
 	for time.Now().Before(end) {
 		s := pick(w.rand, p.steps)
