Tests and mutants of restores

Cause: that an earlier era isn't followed, that no watch begins at a stale list and that changes are passed on over restores had no test of their own.

Conclusion: none further.

--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/revision"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -31,3 +34,50 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(list.Endpoints).To(HaveLen(1))
 }
+
+// TestAStoreThatHasNotBeenRestoredYetIsNotFollowed: others have told of a later era.
+func TestAStoreThatHasNotBeenRestoredYetIsNotFollowed(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.New()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	later, err := revision.New(1, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	told := published.Value{Name: published.Fleet, Revision: later, Content: []byte(`[]`)}
+	r := newReader(platform.NewPublished(platform.NewStore(server.URL, func() {})), func() (published.Value, bool) { return told, true })
+	store.Put(platform.EndpointPrefix+"a", []byte(`{}`))
+	_, err = r.Read(t.Context(), 0)
+	g.Expect(err).To(MatchError(platform.ErrEarlierEra))
+	store.Restore(store.Snapshot())
+	store.Put(platform.EndpointPrefix+"b", []byte(`{}`))
+	values, err := r.Read(t.Context(), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(values).To(HaveLen(1))
+	g.Expect(values[0].Revision).To(Equal(later.At(2)))
+}
+
+// TestNoWatchBeginsAtAStaleList: it may be from before a restore, with a revision that the
+// store has given out again since.
+func TestNoWatchBeginsAtAStaleList(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.New()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	r := newReader(platform.NewPublished(platform.NewStore(server.URL, func() {})), func() (published.Value, bool) { return published.Value{}, false })
+	none := store.Snapshot()
+	store.Put(platform.EndpointPrefix+"a", []byte(`{}`))
+	store.Put(platform.EndpointPrefix+"b", []byte(`{}`))
+	store.KeepCopy()
+	store.Restore(none)
+	store.Put(platform.EndpointPrefix+"c", []byte(`{}`))
+	store.Put(platform.EndpointPrefix+"d", []byte(`{}`))
+	_, err := r.ReadStale(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	values, err := r.Read(t.Context(), time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(values).To(HaveLen(1))
+	records, err := fleet.DecodeRecords(values[0].Content)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(HaveLen(2))
+	g.Expect(records[0].ID).To(Equal("c"))
+}
--- a/internal/published/changes_test.go
+++ b/internal/published/changes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -170,3 +171,103 @@
 	bytes, _ := wrong.take(right)
 	g.Expect(bytes).To(BeZero(), "and nothing more")
 }
+
+// platform is a store of records that is restored now and then; what is read of it is of an era.
+type platform struct {
+	era     uint64
+	history []fleet.Record
+}
+
+func (p *platform) records() []fleet.Record {
+	last := map[string]fleet.Record{}
+	for _, c := range p.history {
+		last[c.ID] = c
+		if c.Deleted {
+			delete(last, c.ID)
+		}
+	}
+	return slices.Collect(maps.Values(last))
+}
+
+// readOf has an entry read the platform: a list if it is of another era than what it knows, or
+// if it is drawn, and else the changes.
+func (r *reader) readOf(g *WithT, p *platform, list bool) {
+	if v, ok := r.store.Get(published.Fleet); ok {
+		g.Expect(r.registry.Adopt(v.Content, v.Revision)).To(Succeed())
+	}
+	base := r.registry.Revision()
+	at, err := revision.New(p.era, uint64(len(p.history)))
+	g.Expect(err).NotTo(HaveOccurred())
+	v := published.Value{Name: published.Fleet}
+	if list || base.Era() != p.era || base == 0 {
+		if !r.registry.Replace(p.records(), at) {
+			return
+		}
+	} else {
+		i, _ := slices.BinarySearchFunc(p.history, base.Number()+1, func(c fleet.Record, number uint64) int { return int(c.Revision) - int(number) })
+		if !r.registry.Apply(p.era, p.history[i:]) {
+			return
+		}
+		v.Base = base
+		v.Changes, err = fleet.EncodeChanges(p.history[i:])
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	v.Revision = r.registry.Revision()
+	v.Content, err = r.registry.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	r.store.Offer(time.Now(), v, "platform")
+}
+
+// TestChangesPassedOnOverRestores: whatever entries take from each other while the platform's
+// store is restored again and again, they end with what it holds, and none goes back.
+func TestChangesPassedOnOverRestores(t *testing.T) {
+	restores, changed := 0, 0
+	for seed := range uint64(100) {
+		g := NewWithT(t)
+		random := rand.New(rand.NewPCG(seed, 2))
+		p := &platform{}
+		for range 60 {
+			p.history = grow(random, p.history, 40)
+		}
+		entries := make([]*reader, 5)
+		seen := make([]revision.ID, len(entries))
+		for i := range entries {
+			entries[i] = newReader()
+		}
+		for range 300 {
+			switch random.IntN(8) {
+			case 0, 1:
+				p.history = grow(random, p.history, 40)
+			case 2:
+				if random.IntN(5) == 0 {
+					p.history = slices.Clone(p.history[:len(p.history)-random.IntN(min(20, len(p.history)))])
+					p.era++
+					restores++
+				}
+			case 3, 4:
+				entries[random.IntN(2)].readOf(g, p, random.IntN(10) == 0)
+			default:
+				if _, changes := entries[random.IntN(5)].take(entries[random.IntN(5)]); changes {
+					changed++
+				}
+			}
+			for i, e := range entries {
+				now := e.store.Seen()[published.Fleet]
+				g.Expect(now).To(BeNumerically(">=", seen[i]), "seed %d", seed)
+				seen[i] = now
+			}
+		}
+		entries[0].readOf(g, p, true)
+		want := fleet.NewRegistry()
+		want.Replace(p.records(), 1)
+		content, err := want.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, e := range entries {
+			e.take(entries[0])
+			e.take(entries[0])
+			g.Expect(e.content()).To(Equal(string(content)), "seed %d", seed)
+		}
+	}
+	t.Logf("%d restores, %d exchanges of changes", restores, changed)
+	NewWithT(t).Expect(changed).To(BeNumerically(">", 500))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -51,8 +51,8 @@
 mutant "at most once: signature not checked" pkg/claims/claims.go 's/if !hmac.Equal(t.mac, /if hmac.Equal(nil, /' ./pkg/claims
 mutant "leaving: a stale list brings back" pkg/drain/drain.go 's/return ok \&\& incarnation <= left/return ok \&\& incarnation < left/' "$P"
 mutant "leaving: not told to peers" internal/proof/world_test.go 's/added := n.drains.Add(drain.Leave/added := drain.New().Add(drain.Leave/' "$P"
-mutant "revision: adopted whatever its order" pkg/register/register.go 's/if revision <= r.seen {/if false {/' "$P ./pkg/register"
-mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if o.Fencing > b.Revision || settled/if settled/' ./pkg/fencing
+mutant "revision: adopted whatever its order" pkg/register/register.go 's/if at <= r.seen {/if false {/' "$P ./pkg/register"
+mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if o.Fencing > uint64(b.Revision) || settled/if settled/' ./pkg/fencing
 stop="./internal/e2e -run TestPlannedStop"
 mutant "planned stop: open requests cut" internal/entry/lifecycle.go 's/err := s.callers.Shutdown(drain)/err := s.callers.Close()/' "$stop"
 mutant "planned stop: tickets not handed over" internal/entry/lifecycle.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
@@ -210,4 +210,24 @@
 mutant "changes of the list: always the whole" internal/published/changes.go 's/^\tif !changes || v.Name != Fleet/\tif true || v.Name != Fleet/' ./internal/published
 mutant "changes of the list: records of the list before in another's place" platform/published.go 's/if bytes.Equal(p.elements\[i\], element) {/if len(p.elements[i]) == len(element) {/' ./platform
 
+R="./internal/gateway -run AfterARestore"
+mutant "restores: configurations ordered by the store" platform/published.go 's/Revision: configurationOrder(it.Value)/Revision: revision.ID(it.Revision)/' "$R"
+mutant "restores: eras not read" platform/store.go 's/if text == "" {/if true {/' ./platform
+mutant "restores: a watch of another era believed" platform/store.go 's/if era != since.Era() {/if false {/' "./platform -run Era"
+mutant "restores: pages of two eras taken for a list" platform/store.go 's/if at.Era() != out.Revision.Era() {/if false {/' "./platform -run Era"
+mutant "restores: a stale list of the era before believed" platform/store.go 's/if newest > out.Revision {/if false {/' "./platform -run Restore"
+mutant "restores: a watch begins at a stale list" internal/gateway/reader.go 's/^\tr.since = 0$/\tr.since += 0/' "./internal/gateway -run Stale"
+mutant "restores: an earlier era followed" internal/gateway/reader.go 's/if all.Revision.Era() < r.registry.Revision().Era() {/if false {/' "./internal/gateway -run NotBeenRestored"
+mutant "restores: changes of another era applied" pkg/fleet/registry.go 's/if era != r.revision.Era() {/if false {/' ./pkg/fleet
+mutant "restores: a list of a later era that is the same is no news" pkg/fleet/registry.go 's/if at.Era() == r.revision.Era() \&\& maps/if maps/' ./pkg/fleet
+mutant "restores: changes passed on to another era" internal/published/changes.go 's/ \&\& after.Era() == v.Revision.Era()//;s/ || v.Base.Era() != before.Revision.Era()//' "./internal/published -run Restores"
+mutant "restores: values in doubt taken at once" pkg/register/register.go 's/if now.Before(r.doubtedUntil) {/if false {/' ./pkg/register
+mutant "restores: values in doubt never taken" pkg/register/register.go 's/if now.Before(r.doubtedUntil) {/if true {/' ./pkg/register
+mutant "restores: values in doubt not looked at again" internal/published/published.go 's/for _, p := range s.pending {/for _, p := range map[string]pendingValue{} {/' "./internal/published -run Doubt"
+mutant "restores: what had left is used" pkg/fleet/restored.go 's/if r.out\[e.Life()\] {/if false {/' "./pkg/fleet ./internal/gateway -run AnEndpointGone"
+mutant "restores: most of a target kept out" pkg/fleet/restored.go 's/return left\[t\] > mostLeft\*r.inUse\[t\]/return false/' ./pkg/fleet
+mutant "restores: closed data centres open" pkg/fleet/restored.go 's/^\t\tr.kept = r.closed$/\t\tr.kept = nil/' "./pkg/fleet -run Closed"
+mutant "restores: what the copy lacks is gone" pkg/fleet/grace.go 's/all || live\[t\] > 1/live[t] > 1/' "./pkg/fleet ./internal/gateway -run Copy"
+mutant "restores: fencing numbers go back" pkg/fencing/fencing.go 's/Fencing: uint64(b.Revision), Desired/Fencing: b.Revision.Number(), Desired/' ./pkg/fencing
+
 exit $green
