why and believed tell of restores and of tables that weren't taken

Cause: from the incident's failed request the logs led to the table by which it was decided, and not to the two newer ones that the entry had read and ignored.

Measured: TestWhyAfterARestore, with the lines that the incident would have had.

Conclusion: such a request is explained by its id.

--- a/internal/logtrace/believed.go
+++ b/internal/logtrace/believed.go
@@ -42,7 +42,13 @@
 }
 
 // factOrder is the order in which facts are told.
-var factOrder = []string{"process", "store", "table", "fleet", "reach", "readiness", "leaving", aboutLimit, aboutPause}
+var factOrder = []string{"process", "store", aboutRestore, "table", aboutRefused, "fleet", "reach", "readiness", "leaving", aboutLimit, aboutPause}
+
+// What may keep a table from coming into force.
+const (
+	aboutRestore = "store restored"
+	aboutRefused = "table refused"
+)
 
 // What endpoints say of how much they take.
 const (
@@ -122,6 +128,13 @@
 		f.About, f.Says = "store", "out of reach: "+l.fields["error"]
 	case "store regained":
 		f.About, f.Says = "store", "in reach again after "+l.fields["away"]
+	case "store restored":
+		f.About, f.Says = aboutRestore, fmt.Sprintf("it came back from a copy, at %s after %s", l.fields["revision"], l.fields["before"])
+	case "value refused":
+		if l.fields["name"] != "table" {
+			return "", f, false
+		}
+		f.About, f.Says = aboutRefused, fmt.Sprintf("revision %s, from %s, was not taken (%s)", l.fields["revision"], l.fields["source"], l.fields["verdict"])
 	case "value in force":
 		f.About, f.Says = l.fields["name"], valueSays(l.fields)
 	case "reach of data centres":
--- a/internal/logtrace/why_test.go
+++ b/internal/logtrace/why_test.go
@@ -121,6 +121,28 @@
 	}
 }
 
+// restored are the lines of a request for a route of a table that the entry ignored.
+const restored = `
+time=2026-03-01T10:00:00Z level=info msg="value in force" vm=vm-1 name=table revision=37 source=platform
+time=2026-03-01T10:00:05Z level=warn msg="store restored" vm=vm-1 era=2 before=1.37 revision=2.33 fleet=1.31
+time=2026-03-01T10:00:08Z level=warn msg="value refused" vm=vm-1 name=fleet revision=2.30 source=platform verdict=stale findings=null
+time=2026-03-01T10:00:08Z level=warn msg="value refused" vm=vm-1 name=table revision=36 source=platform verdict=stale findings=null
+time=2026-03-01T10:00:10Z level=warn msg="request failed" vm=vm-1 request=new kind= target= outcome=not_run code=unknown_kind reason="no route for a/b" queued_ms=0 elapsed_ms=0 timeout_ms=0 table=37 fleet=1.31
+`
+
+// TestWhyAfterARestore: a route that isn't there leads to the table that wasn't taken.
+func TestWhyAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	a, err := logtrace.Why("new", opened(restored))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.Causes).To(Equal([]string{
+		"table revision 37, by which the entry decided, doesn't have it: no route for a/b",
+		"the entry had its table (revision 37, from platform) for 10s",
+		"table refused: revision 36, from platform, was not taken (stale), 2s before",
+		"store restored: it came back from a copy, at 2.33 after 1.37, 5s before",
+	}))
+}
+
 func TestWhyOfAnUnknownRequest(t *testing.T) {
 	g := NewWithT(t)
 	a, err := logtrace.Why("none", opened(failures))
