Endpoints that name limits throttle, watches without an answer are stalled

Cause: "in need" and "deaf" were words of our own for what the field names throttling and stalled; names that need explaining.

No behaviour, bound or check changes.

Conclusion: none.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -33,7 +33,7 @@
 	// Wait is how long one watch waits.
 	Wait time.Duration
 	// FirstWait, if above zero, is the longest that a watch of the first watcher of a data
-	// centre waits. Watches may all be deaf while changes are made, and begin at the same
+	// centre waits. Watches may all be stalled while changes are made, and begin at the same
 	// news, so that their waits alone don't keep all of them from ending too late: of five
 	// watchers with waits of 1.5 to 4.5 s none ended within 2.8 s in 6 of 100 cases.
 	FirstWait time.Duration
@@ -43,7 +43,7 @@
 	// most of the time.
 	Spacing time.Duration
 	// SecondSpacing is the same for a watcher that isn't the first of its data centre.
-	// It stands in while the first one is deaf, and hears of most news from it.
+	// It stands in while the first one is stalled, and hears of most news from it.
 	SecondSpacing time.Duration
 	// Settle is the time after the start in which nothing is watched, as in Load.
 	Settle time.Duration
@@ -102,7 +102,7 @@
 }
 
 // wait is how long the next watch waits. The jitter keeps the watches of all entries from
-// ending together: one that has gone deaf without being cut is then covered by another's.
+// ending together: one that has stalled without being cut is then covered by another's.
 func (c *Config) wait(now time.Time) time.Duration {
 	usual := jittered(c.Wait)
 	if c.FirstWait == 0 || !c.Beliefs.Assigned(now, watchJob, 1) {
--- a/internal/controllers/config_test.go
+++ b/internal/controllers/config_test.go
@@ -140,7 +140,7 @@
 	})
 }
 
-// TestTheSecondWatcherOfADataCentreAsksLess: both read news, so that one can be deaf, but
+// TestTheSecondWatcherOfADataCentreAsksLess: both read news, so that one can be stalled, but
 // the second leaves more time between its calls: 10 to 80 in a minute of news in place of
 // 160 to 480.
 func TestTheSecondWatcherOfADataCentreAsksLess(t *testing.T) {
@@ -243,7 +243,7 @@
 }
 
 // TestWatchesDoNotEndTogether: their waits are spread, so that an entry whose
-// watch has gone deaf is covered by others. Else a configuration is in force
+// watch has stalled is covered by others. Else a configuration is in force
 // too late when the store forgets its history.
 func TestWatchesDoNotEndTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/controllers/deaf_test.go
+++ b/internal/controllers/stalled_test.go
@@ -11,16 +11,16 @@
 	"github.com/bridgehoist/bridgehoist/internal/published"
 )
 
-// deaf is a store that answers lists, and whose watches end without an answer. It notes when
+// stalled is a store that answers lists, and whose watches end without an answer. It notes when
 // each call begins and ends.
-type deaf struct{ calls []call }
+type stalled struct{ calls []call }
 
 type call struct {
 	wait       time.Duration
 	begun, end time.Time
 }
 
-func (d *deaf) Read(ctx context.Context, wait time.Duration) ([]published.Value, error) {
+func (d *stalled) Read(ctx context.Context, wait time.Duration) ([]published.Value, error) {
 	c := call{wait: wait, begun: time.Now()}
 	time.Sleep(wait)
 	c.end = time.Now()
@@ -43,7 +43,7 @@
 func TestAWatchThatHearsNothingIsFollowedByAList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		d := &deaf{}
+		d := &stalled{}
 		follow(t, d, 30*time.Second, func(bool, time.Duration, error) {})
 		watches := 0
 		for i, c := range d.calls[:len(d.calls)-1] {
@@ -60,12 +60,12 @@
 }
 
 // TestTheFirstWatcherIsNeverDeafForLong: of the watchers of a data centre the first one asks
-// often enough, whatever the jitter, that a change is read in time though all are deaf.
+// often enough, whatever the jitter, that a change is read in time though all are stalled.
 func TestTheFirstWatcherIsNeverDeafForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const longest = 700 * time.Millisecond
-		d := &deaf{}
+		d := &stalled{}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		c := config(d, nil)
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -44,14 +44,14 @@
 // others serve the rest, and once its answers name no limit it is used as before.
 func TestAnEndpointThatNamesALimitGetsNoMore(t *testing.T) {
 	w := newWorld(t)
-	needy, other := w.endpoint("desk-needy", "desk"), w.endpoint("desk-other", "desk")
+	throttling, other := w.endpoint("desk-throttling", "desk"), w.endpoint("desk-other", "desk")
 	one := w.start(w.settings("vm-1"))
 	entries := []*entry{one, w.start(w.settings("vm-2", one.vm.Peers)), w.start(w.settings("vm-3", one.vm.Peers))}
 	for _, e := range entries {
 		e.waitReady()
 	}
 	const limit = 4
-	needy.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
+	throttling.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
 
 	send(entries, "told-", 90, pace)
 	for _, e := range entries {
@@ -64,33 +64,33 @@
 	for _, a := range answers {
 		w.g.Expect(a.status).To(Equal(http.StatusOK), "the other one has room")
 	}
-	arrived := arrivedSince(needy, since)
+	arrived := arrivedSince(throttling, since)
 	t.Logf("%d requests in %.1f s, %d a second named", arrived, lasted, limit)
 	w.g.Expect(arrived).To(BeNumerically("<=", 1.5*limit*lasted+5))
 	w.g.Expect(arrivedSince(other, since)).To(BeNumerically(">", 150))
-	needy.SetAsks(nil)
+	throttling.SetAsks(nil)
 	w.g.Eventually(func() int {
 		since := time.Now()
 		send(entries, fmt.Sprint("free-", since.UnixNano(), "-"), 60, pace)
-		return arrivedSince(needy, since)
+		return arrivedSince(throttling, since)
 	}, eventually).Should(BeNumerically(">", 12), "it takes as many as before")
 }
 
-// TestAnErrorTakesNoLimitBack: a part of the answers of an endpoint in need are errors, which
+// TestAnErrorTakesNoLimitBack: a part of the answers of a throttling endpoint are errors, which
 // don't name its limit.
 func TestAnErrorTakesNoLimitBack(t *testing.T) {
 	w := newWorld(t)
-	needy := w.endpoint("desk-needy", "desk")
+	throttling := w.endpoint("desk-throttling", "desk")
 	w.endpoint("desk-other", "desk")
 	one := []*entry{w.start(w.settings("vm-1")).waitReady()}
 	const limit = 2
-	needy.AnswerInstead(&standin.Reply{Status: http.StatusInternalServerError, OneIn: 2, NoAsks: true})
-	needy.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
+	throttling.AnswerInstead(&standin.Reply{Status: http.StatusInternalServerError, OneIn: 2, NoAsks: true})
+	throttling.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
 	send(one, "told-", 20, pace)
 	w.g.Eventually(func() []string { return w.logs.with("endpoint limit", "per_second=2") }, eventually).ShouldNot(BeEmpty())
 	since := time.Now()
 	send(one, "kept-", 300, pace)
-	w.g.Expect(arrivedSince(needy, since)).To(BeNumerically("<=", 1.5*limit*time.Since(since).Seconds()+5))
+	w.g.Expect(arrivedSince(throttling, since)).To(BeNumerically("<=", 1.5*limit*time.Since(since).Seconds()+5))
 	w.g.Expect(w.logs.with("endpoint limit", "per_second=none")).To(BeEmpty())
 }
 
@@ -98,8 +98,8 @@
 // has said that it takes nothing.
 func TestGenerationsMoveToEnginesThatTakeMore(t *testing.T) {
 	w := newWorld(t)
-	needy := w.endpointBorn("engine-needy", "engine", firstStart)
-	needy.SetAsks(http.Header{platform.HeaderLimit: {"0"}})
+	throttling := w.endpointBorn("engine-throttling", "engine", firstStart)
+	throttling.SetAsks(http.Header{platform.HeaderLimit: {"0"}})
 	e := w.start(w.settings("vm-1")).waitReady()
 	w.g.Expect(e.stream("asked").status).To(Equal(http.StatusOK))
 	source := w.endpointBorn("engine-source", "engine", firstStart)
@@ -120,6 +120,6 @@
 		w.g.Eventually(one, eventually).Should(Receive(&a))
 		w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
 	}
-	w.g.Expect(needy.Arrivals()).To(HaveLen(1))
+	w.g.Expect(throttling.Arrivals()).To(HaveLen(1))
 	w.g.Expect(target.Arrivals()).To(HaveLen(streams))
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -223,10 +223,10 @@
 }
 
 const (
-	// deafShare is the share of the time until a configuration must be in force that a
+	// stalledShare is the share of the time until a configuration must be in force that a
 	// watch which hears nothing may take. The rest is for the spacing before it, for the
 	// list that follows it and for telling the others.
-	deafShare = 0.6
+	stalledShare = 0.6
 	// minFirstWait bounds the calls of a first watcher to about three a second.
 	minFirstWait = 300 * time.Millisecond
 )
@@ -238,5 +238,5 @@
 	if bound == 0 {
 		return 0
 	}
-	return max(time.Duration(deafShare*float64(bound))-platform.WatchOverrun, minFirstWait)
+	return max(time.Duration(stalledShare*float64(bound))-platform.WatchOverrun, minFirstWait)
 }
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -115,7 +115,7 @@
 	"no_table":                func(*story) []string { return []string{"the entry had no table yet: it had just started"} },
 	"no_endpoint":             (*story).noEndpoint,
 	"endpoint_lost":           (*story).endpointLost,
-	"endpoints_in_need":       (*story).inNeed,
+	"endpoints_throttling":    (*story).throttling,
 	"endpoint_refused":        func(*story) []string { return []string{"the endpoint was full and refused it"} },
 	"deadline_unreachable":    (*story).deadline,
 	"queue_time_exceeded":     (*story).queueTime,
@@ -198,7 +198,7 @@
 }
 
 // inNeed tells which endpoints had said that they take less.
-func (w *story) inNeed() []string {
+func (w *story) throttling() []string {
 	out := w.reason()
 	if w.belief == nil {
 		return out
--- a/internal/logtrace/why_test.go
+++ b/internal/logtrace/why_test.go
@@ -47,7 +47,7 @@
 time=2026-03-01T10:00:43Z level=info msg="endpoint limit" vm=vm-1 endpoint=e-10 per_second=none before=3 held=1s sent=2 source=endpoint fleet=81
 time=2026-03-01T10:00:44Z level=info msg="endpoint wants a pause" vm=vm-1 endpoint=e-11 lasts=3s fleet=81
 time=2026-03-01T10:00:44Z level=info msg="endpoint wants a pause" vm=vm-1 endpoint=e-12 lasts=500ms fleet=81
-time=2026-03-01T10:00:46Z level=warn msg="request failed" vm=vm-1 request=needless kind=k target=desk outcome=not_run code=endpoints_in_need reason="the endpoints of \"desk\" take no more at present" queued_ms=0 elapsed_ms=0 timeout_ms=600 table=45 fleet=81
+time=2026-03-01T10:00:46Z level=warn msg="request failed" vm=vm-1 request=needless kind=k target=desk outcome=not_run code=endpoints_throttling reason="the endpoints of \"desk\" take no more at present" queued_ms=0 elapsed_ms=0 timeout_ms=600 table=45 fleet=81
 time=2026-03-01T10:00:46Z level=warn msg="request failed" vm=vm-1 request=other kind=k outcome=not_run code=a_new_code reason="who knows" queued_ms=0 elapsed_ms=0 timeout_ms=0 table=45 fleet=81
 `
 
@@ -63,7 +63,7 @@
 			"data centres out of reach: dc-b dc-c; this one is cut off, for 1.1s",
 			"the entry was stranded; no endpoint in reach for m, for 1.1s",
 		}},
-		"needless": {"it did not run (outcome not_run, code endpoints_in_need)", []string{
+		"needless": {"it did not run (outcome not_run, code endpoints_throttling)", []string{
 			"the log says: the endpoints of \"desk\" take no more at present",
 			"endpoint e-9 takes 4.1 requests a second of all entries, for 4s",
 			"endpoint e-11 refused a request and wants nothing from this entry for 3s, for 2s",
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -18,7 +18,7 @@
 
 // HearLimit takes what an answer that this entry had says of a limit.
 func (b *Beliefs) HearLimit(now time.Time, st backpressure.Statement) {
-	if st.Limit.Kind == backpressure.Unlimited && b.noneInNeed() {
+	if st.Limit.Kind == backpressure.Unlimited && b.noneThrottles() {
 		// As nearly all answers say, so that they wait for nobody.
 		return
 	}
@@ -27,7 +27,7 @@
 	b.hearLimit(now, st, backpressure.FromAnswer, SourceEndpoint)
 }
 
-func (b *Beliefs) noneInNeed() (none bool) {
+func (b *Beliefs) noneThrottles() (none bool) {
 	b.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { none = s.Backpressure().Idle() })
 	return none
 }
--- a/internal/peering/limits_test.go
+++ b/internal/peering/limits_test.go
@@ -33,8 +33,8 @@
 	limitStep        = 20 * time.Millisecond
 )
 
-// needyEntry is an entry of a simulated fleet.
-type needyEntry struct {
+// limitedEntry is an entry of a simulated fleet.
+type limitedEntry struct {
 	vm      string
 	beliefs *Beliefs
 	policy  *scheduler.Scheduler
@@ -49,39 +49,39 @@
 	gone bool
 }
 
-// needyFleet is a fleet in virtual time in front of plain endpoints, some of which get into
+// limitedFleet is a fleet in virtual time in front of plain endpoints, some of which get into
 // need.
-type needyFleet struct {
+type limitedFleet struct {
 	random  *rand.Rand
 	now     time.Time
-	entries []*needyEntry
-	byName  map[string]*needyEntry
+	entries []*limitedEntry
+	byName  map[string]*limitedEntry
 	serial  int
 	// limits are what endpoints name at present.
 	limits   map[string]float64
-	arrivals map[string][]needyArrival
+	arrivals map[string][]limitedArrival
 	refused  int
-	answers  []needyAnswer
+	answers  []limitedAnswer
 }
 
-type needyArrival struct {
+type limitedArrival struct {
 	at   time.Time
-	from *needyEntry
+	from *limitedEntry
 }
 
-// needyAnswer is an answer under way.
-type needyAnswer struct {
-	to          *needyEntry
+// limitedAnswer is an answer under way.
+type limitedAnswer struct {
+	to          *limitedEntry
 	id          scheduler.ID
 	of          fleet.Endpoint
 	sent, comes time.Time
 	limit       backpressure.Limit
 }
 
-func newNeedyFleet(random *rand.Rand, size, dataCenters int, endpoints []fleet.Endpoint) *needyFleet {
-	f := &needyFleet{
-		random: random, now: time.Unix(1000, 0), byName: map[string]*needyEntry{},
-		limits: map[string]float64{}, arrivals: map[string][]needyArrival{},
+func newLimitedFleet(random *rand.Rand, size, dataCenters int, endpoints []fleet.Endpoint) *limitedFleet {
+	f := &limitedFleet{
+		random: random, now: time.Unix(1000, 0), byName: map[string]*limitedEntry{},
+		limits: map[string]float64{}, arrivals: map[string][]limitedArrival{},
 	}
 	var records []*peerv1.NodeRecord
 	for i := range size {
@@ -99,7 +99,7 @@
 		cfg := scheduler.Version(scheduler.Forwarding)
 		cfg.DataCenter = r.GetDataCenter()
 		cfg.Rand = rand.New(rand.NewPCG(uint64(i), 7))
-		e := &needyEntry{vm: r.GetVm(), policy: scheduler.New(cfg), weight: random.ExpFloat64() + 0.2}
+		e := &limitedEntry{vm: r.GetVm(), policy: scheduler.New(cfg), weight: random.ExpFloat64() + 0.2}
 		e.beliefs = NewBeliefs(view, dispatch.New(e.policy), HomeEntries, func(drain.Leave, string) {})
 		e.beliefs.OnLimit(func(_ backpressure.Change, source string) { e.kicked = e.kicked || source == SourceEndpoint })
 		e.beliefs.ApplyFleet(list)
@@ -116,7 +116,7 @@
 }
 
 // exchange has an entry reconcile with those that its view picks.
-func (f *needyFleet) exchange(e *needyEntry) {
+func (f *limitedFleet) exchange(e *limitedEntry) {
 	e.beliefs.Beat(f.now, nil)
 	for _, c := range e.beliefs.view.Round(f.now) {
 		peer := f.byName[c.VM]
@@ -134,7 +134,7 @@
 }
 
 // play has callers send so many requests a second for a while.
-func (f *needyFleet) play(lasts time.Duration, perSecond float64) {
+func (f *limitedFleet) play(lasts time.Duration, perSecond float64) {
 	for end := f.now.Add(lasts); f.now.Before(end); f.now = f.now.Add(limitStep) {
 		f.answer()
 		for _, e := range f.entries {
@@ -153,7 +153,7 @@
 	}
 }
 
-func (f *needyFleet) send(e *needyEntry, perSecond float64) {
+func (f *limitedFleet) send(e *limitedEntry, perSecond float64) {
 	for e.owed += perSecond * e.weight * limitStep.Seconds() * 2 * f.random.Float64(); e.owed >= 1; e.owed-- {
 		f.serial++
 		err := e.policy.Submit(f.now, scheduler.Request{
@@ -167,8 +167,8 @@
 	done := e.policy.Next(f.now)
 	f.refused += len(done.Refusals)
 	for _, d := range done.Dispatches {
-		f.arrivals[d.Endpoint.ID] = append(f.arrivals[d.Endpoint.ID], needyArrival{f.now, e})
-		answer := needyAnswer{to: e, id: d.ID, of: d.Endpoint, sent: f.now, comes: f.now.Add(answersIn)}
+		f.arrivals[d.Endpoint.ID] = append(f.arrivals[d.Endpoint.ID], limitedArrival{f.now, e})
+		answer := limitedAnswer{to: e, id: d.ID, of: d.Endpoint, sent: f.now, comes: f.now.Add(answersIn)}
 		if n, named := f.limits[d.Endpoint.ID]; named {
 			// The number changes a little with each answer.
 			answer.limit = backpressure.Limit{Kind: backpressure.Limited, PerSecond: n * (0.97 + 0.06*f.random.Float64())}
@@ -177,8 +177,8 @@
 	}
 }
 
-func (f *needyFleet) answer() {
-	var later []needyAnswer
+func (f *limitedFleet) answer() {
+	var later []limitedAnswer
 	for _, a := range f.answers {
 		if a.comes.After(f.now) {
 			later = append(later, a)
@@ -195,13 +195,13 @@
 }
 
 // stop has an entry tell two others that it leaves, and end.
-func (f *needyFleet) stop(e *needyEntry) {
+func (f *limitedFleet) stop(e *limitedEntry) {
 	e.beliefs.SetState(peerv1.NodeState_NODE_STATE_LEFT)
 	f.exchange(e)
 	e.gone = true
 }
 
-// TestAFleetKeepsLimitsWhileItsMembersChange: while endpoints are in need, entries are stopped
+// TestAFleetKeepsLimitsWhileItsMembersChange: while endpoints throttle, entries are stopped
 // one after the other, and the news of it takes its time. Those who have it and those who don't
 // must agree, but for a few, on who shares a limit.
 func TestAFleetKeepsLimitsWhileItsMembersChange(t *testing.T) {
@@ -215,7 +215,7 @@
 						ID: fmt.Sprint("desk-", i), Incarnation: 1, Type: fleet.Service, State: fleet.Live, DataCenter: fmt.Sprint("dc-", i), Targets: []string{"desk"}, MaxRunning: 6,
 					})
 				}
-				f := newNeedyFleet(rand.New(rand.NewPCG(seed, uint64(size.entries))), size.entries, size.dataCenters, endpoints)
+				f := newLimitedFleet(rand.New(rand.NewPCG(seed, uint64(size.entries))), size.entries, size.dataCenters, endpoints)
 				// Each entry has more callers than it may send.
 				perSecond := 20 * float64(size.entries)
 				const limit = 4.1
@@ -239,7 +239,7 @@
 }
 
 // most counts the requests of told entries to an endpoint in the fullest window after since.
-func (f *needyFleet) most(endpoint string, since time.Time) int {
+func (f *limitedFleet) most(endpoint string, since time.Time) int {
 	var counted []time.Time
 	for _, a := range f.arrivals[endpoint] {
 		if !a.at.Before(since) && !a.from.told.IsZero() && !a.at.Before(a.from.told.Add(toldAfter)) {
@@ -249,7 +249,7 @@
 	return window.Most(counted, limitWindow)
 }
 
-func (f *needyFleet) since(endpoint string, since time.Time) (n int) {
+func (f *limitedFleet) since(endpoint string, since time.Time) (n int) {
 	for _, a := range f.arrivals[endpoint] {
 		if !a.at.Before(since) {
 			n++
@@ -285,7 +285,7 @@
 			ID: fmt.Sprint("desk-", i), Incarnation: 1, Type: fleet.Service, State: fleet.Live, DataCenter: fmt.Sprint("dc-", i), Targets: []string{"desk"}, MaxRunning: 6,
 		})
 	}
-	f := newNeedyFleet(rand.New(rand.NewPCG(uint64(entries), math.Float64bits(limit))), entries, dataCenters, endpoints)
+	f := newLimitedFleet(rand.New(rand.NewPCG(uint64(entries), math.Float64bits(limit))), entries, dataCenters, endpoints)
 	perSecond := float64(max(120, entries))
 	const before = 4 * time.Second
 	begin := f.now
@@ -295,17 +295,17 @@
 	for _, e := range endpoints {
 		usual[e.ID] = f.since(e.ID, begin)
 	}
-	needy := endpoints[:1]
+	throttling := endpoints[:1]
 	if all {
-		needy = endpoints
+		throttling = endpoints
 	}
-	for _, e := range needy {
+	for _, e := range throttling {
 		f.limits[e.ID] = limit
 	}
 	first := f.now
 	const need = 10 * time.Second
 	f.play(need, perSecond)
-	for _, e := range needy {
+	for _, e := range throttling {
 		most := f.most(e.ID, first.Add(limitCountsAfter))
 		t.Logf("%s: %d in %v, named %.1f a second; %d in the last 7 s", e.ID, most, limitWindow, limit, f.since(e.ID, first.Add(limitCountsAfter)))
 		g.Expect(most).To(BeNumerically("<=", limitFactor*limit*limitWindow.Seconds()+limitSlack), e.ID)
@@ -320,7 +320,7 @@
 	f.play(8*time.Second, perSecond)
 	again := f.now
 	f.play(before, perSecond)
-	for _, e := range needy {
+	for _, e := range throttling {
 		g.Expect(f.since(e.ID, again)).To(BeNumerically(">", usual[e.ID]/2), "it is used as before")
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -21,7 +21,7 @@
 	}
 	w.checkLeaves()
 	w.checkCrashes()
-	w.checkNeeds()
+	w.checkThrottling()
 	w.trap.check(w.t)
 	for _, run := range w.ledger.Runs() {
 		if run.From > 1 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,20 +41,20 @@
 	number uint64
 	// crashes says that it may draw one of crashPlans.
 	crashes bool
-	// needs says that it draws one of needPlans.
-	needs bool
+	// throttling says that it draws one of throttlingPlans.
+	throttling bool
 	// restores says that it draws one of restorePlans.
 	restores bool
 }
 
 // String gives the seed as it is written, with a c behind the number if it may crash, an n if
-// endpoints get into need, and an r if the store is restored.
+// endpoints throttle, and an r if the store is restored.
 func (s seed) String() string {
 	text := strconv.FormatUint(s.number, 10)
 	if s.crashes {
 		text += "c"
 	}
-	if s.needs {
+	if s.throttling {
 		text += "n"
 	}
 	if s.restores {
@@ -65,10 +65,10 @@
 
 func parseSeed(text string) (seed, error) {
 	number, restores := strings.CutSuffix(text, "r")
-	number, needs := strings.CutSuffix(number, "n")
+	number, throttling := strings.CutSuffix(number, "n")
 	number, crashes := strings.CutSuffix(number, "c")
 	n, err := strconv.ParseUint(number, 10, 64)
-	return seed{n, crashes, needs, restores}, err
+	return seed{n, crashes, throttling, restores}, err
 }
 
 // seeds lists the seeds to run.
@@ -87,7 +87,7 @@
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
 			kind := rand.IntN(4)
-			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, needs: kind == 2, restores: kind == 3})
+			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3})
 		}
 		return out
 	}
@@ -108,14 +108,14 @@
 const atOnce = 4
 
 func TestSoak(t *testing.T) {
-	soak(t, func(s seed) bool { return !s.crashes && !s.needs && !s.restores })
+	soak(t, func(s seed) bool { return !s.crashes && !s.throttling && !s.restores })
 }
 
 // TestSoakWithCrashes runs the seeds that may draw one of crashPlans.
 func TestSoakWithCrashes(t *testing.T) { soak(t, func(s seed) bool { return s.crashes }) }
 
-// TestSoakWithNeeds runs the seeds that draw one of needPlans.
-func TestSoakWithNeeds(t *testing.T) { soak(t, func(s seed) bool { return s.needs }) }
+// TestSoakWithThrottling runs the seeds that draw one of throttlingPlans.
+func TestSoakWithThrottling(t *testing.T) { soak(t, func(s seed) bool { return s.throttling }) }
 
 // TestSoakWithRestores runs the seeds that draw one of restorePlans.
 func TestSoakWithRestores(t *testing.T) { soak(t, func(s seed) bool { return s.restores }) }
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -87,8 +87,8 @@
 	if s.restores {
 		return restorePlans[s.number%uint64(len(restorePlans))]
 	}
-	if s.needs {
-		return needPlans[s.number%uint64(len(needPlans))]
+	if s.throttling {
+		return throttlingPlans[s.number%uint64(len(throttlingPlans))]
 	}
 	count := uint64(len(plans))
 	if p, ok := crashPlans[s.number/count%8]; ok && s.crashes {
@@ -131,8 +131,8 @@
 	w.plan = p.name
 	w.t.Logf("plan: %s", p.name)
 	lasts := runFor
-	if w.drawn.needs {
-		lasts += needFor
+	if w.drawn.throttling {
+		lasts += throttleFor
 	}
 	if w.drawn.restores {
 		lasts += restoresFor
--- a/internal/soak/needs_test.go
+++ b/internal/soak/throttling_test.go
@@ -15,9 +15,9 @@
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
 
-// Times of endpoints in need.
+// Times of throttling endpoints.
 const (
-	needFor = 6 * time.Second
+	throttleFor = 6 * time.Second
 	// keptAfter is how long after an endpoint first named a limit it is kept, and toldAfter how
 	// long after a gateway has passed on such an answer it counts.
 	keptAfter   = 3 * time.Second
@@ -33,18 +33,18 @@
 	closedFor   = 4 * time.Second
 	closedBound = 2 * time.Second
 	// homeOfGateways is the data centre of all gateways and most endpoints, and farDataCenter,
-	// where endpoints get into need, that of the last ones.
+	// where endpoints throttle, that of the last ones.
 	homeOfGateways = "dc"
 	farDataCenter  = "far"
 )
 
-// planNeeds has endpoints in need, and nothing that excuses a gateway.
-const planNeeds = "endpoints in need"
+// planThrottling has throttling endpoints, and nothing that excuses a gateway.
+const planThrottling = "throttling endpoints"
 
 // closes is a step of plans with an endpoint in the far data centre.
 var closes = step{"data centre closes", planned, func(w *world, _ *rand.Rand) { w.closeFar() }}
 
-var needs = []step{
+var throttlingSteps = []step{
 	{"desk names a limit", planned, func(w *world, r *rand.Rand) { w.nameLimit(pick(r, w.desks), r) }},
 	{"desk wants pauses", planned, func(w *world, r *rand.Rand) { w.wantPauses(pick(r, w.desks), r) }},
 	{"desk leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.desks, r) }},
@@ -52,66 +52,66 @@
 	{"engine leaves by its answers", planned, func(w *world, r *rand.Rand) { w.leaveByAnswers(w.engines, r) }},
 }
 
-var needsOfAll = append(slices.Clone(needs), []step{
+var throttlingOfAll = append(slices.Clone(throttlingSteps), []step{
 	{"endpoint names a limit", fault, func(w *world, r *rand.Rand) { w.nameLimit(pick(r, w.servers()), r) }},
 	{"endpoint wants pauses", fault, func(w *world, r *rand.Rand) { w.wantPauses(pick(r, w.servers()), r) }},
 }...)
 
-// needPlans are drawn in turn by seeds of their own, written with an n behind the number.
-var needPlans = []plan{
-	{planNeeds, append(named("configuration", "reload", "bad records", "engine leaves"), needs...)},
-	{"all, and endpoints in need", append(slices.Clone(steps), needsOfAll...)},
+// throttlingPlans are drawn in turn by seeds of their own, written with an n behind the number.
+var throttlingPlans = []plan{
+	{planThrottling, append(named("configuration", "reload", "bad records", "engine leaves"), throttlingSteps...)},
+	{"all, and throttling endpoints", append(slices.Clone(steps), throttlingOfAll...)},
 }
 
-// limitNeed is one time in which an endpoint names a limit.
-type limitNeed struct {
+// statedLimit is one time in which an endpoint names a limit.
+type statedLimit struct {
 	endpoint  *standin.Endpoint
 	from, to  time.Time
 	perSecond float64
 }
 
-// needy marks an endpoint as in need, or returns false if it is already.
-func (w *world) needy(e *standin.Endpoint) bool {
+// beginThrottling marks an endpoint as throttling, or returns false if it is already.
+func (w *world) beginThrottling(e *standin.Endpoint) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.inNeed[e] {
+	if w.throttling[e] {
 		return false
 	}
-	w.inNeed[e] = true
+	w.throttling[e] = true
 	return true
 }
 
-func (w *world) well(e *standin.Endpoint) {
+func (w *world) endThrottling(e *standin.Endpoint) {
 	e.SetAsks(nil)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.inNeed, e)
+	delete(w.throttling, e)
 }
 
 // nameLimit has an endpoint name a limit in all of its answers for a time.
 func (w *world) nameLimit(e *standin.Endpoint, r *rand.Rand) {
-	if !w.needy(e) {
+	if !w.beginThrottling(e) {
 		return
 	}
 	perSecond := 0.5 + 8*r.Float64()
 	e.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprintf("%.1f", perSecond)}})
-	need := limitNeed{endpoint: e, from: time.Now(), to: time.Now().Add(needFor), perSecond: perSecond}
+	stated := statedLimit{endpoint: e, from: time.Now(), to: time.Now().Add(throttleFor), perSecond: perSecond}
 	w.mu.Lock()
-	w.limitNeeds = append(w.limitNeeds, need)
+	w.limits = append(w.limits, stated)
 	w.mu.Unlock()
-	w.after(needFor, func() { w.well(e) })
+	w.after(throttleFor, func() { w.endThrottling(e) })
 }
 
 // wantPauses has an endpoint refuse all requests for a moment, each with a time to come back.
 func (w *world) wantPauses(e *standin.Endpoint, r *rand.Rand) {
-	if !w.needy(e) {
+	if !w.beginThrottling(e) {
 		return
 	}
 	e.SetAsks(http.Header{platform.HeaderRetryAfter: {fmt.Sprintf("%.1f", 1+2*r.Float64())}})
 	e.SetRefusing(true)
 	w.after(short(r)/4, func() {
 		e.SetRefusing(false)
-		w.well(e)
+		w.endThrottling(e)
 	})
 }
 
@@ -120,7 +120,7 @@
 func (w *world) leaveByAnswers(among []*standin.Endpoint, r *rand.Rand) {
 	i := r.IntN(len(among))
 	leaving := among[i]
-	if !w.needy(leaving) {
+	if !w.beginThrottling(leaving) {
 		return
 	}
 	w.mu.Lock()
@@ -134,7 +134,7 @@
 
 // dataCenterOf is the data centre of an endpoint.
 func (w *world) dataCenterOf(e *standin.Endpoint) string {
-	if (w.drawn.needs || w.drawn.restores) && strings.HasSuffix(e.ID, "-2") && !strings.Contains(e.ID, "new") {
+	if (w.drawn.throttling || w.drawn.restores) && strings.HasSuffix(e.ID, "-2") && !strings.Contains(e.ID, "new") {
 		return farDataCenter
 	}
 	return homeOfGateways
@@ -169,14 +169,14 @@
 	}
 }
 
-// checkNeeds holds that what endpoints said bound each gateway that was told.
-func (w *world) checkNeeds() {
+// checkThrottling holds that what endpoints said bound each gateway that was told.
+func (w *world) checkThrottling() {
 	if w.plan == planRestores {
 		for _, e := range w.endpoints {
 			w.checkClosings(e, e.Arrivals())
 		}
 	}
-	if w.plan != planNeeds {
+	if w.plan != planThrottling {
 		return
 	}
 	kept := 0
@@ -186,10 +186,10 @@
 		w.checkClosings(e, arrivals)
 		kept += w.checkPauses(e, arrivals)
 	}
-	for _, n := range w.limitNeeds {
+	for _, n := range w.limits {
 		w.checkLimit(n)
 	}
-	w.t.Logf("%d limits, %d pauses, %d closings", len(w.limitNeeds), kept, len(w.closings))
+	w.t.Logf("%d limits, %d pauses, %d closings", len(w.limits), kept, len(w.closings))
 }
 
 func (w *world) checkLeaveByAnswers(e *standin.Endpoint, arrivals []standin.Arrival) {
@@ -226,7 +226,7 @@
 	return pauses
 }
 
-func (w *world) checkLimit(n limitNeed) {
+func (w *world) checkLimit(n statedLimit) {
 	told := map[string]time.Time{}
 	var counted []time.Time
 	for _, a := range n.endpoint.Arrivals() {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -70,10 +70,10 @@
 	versions  map[string]int
 	serial    int
 
-	// inNeed holds the endpoints that ask for something at present, and limitNeeds all the
+	// throttling holds the endpoints that ask for something at present, and limits all the
 	// times in which one named a limit.
-	inNeed     map[*standin.Endpoint]bool
-	limitNeeds []limitNeed
+	throttling map[*standin.Endpoint]bool
+	limits     []statedLimit
 	// closings are the times in which the far data centre is closed.
 	closings []closing
 
@@ -103,7 +103,7 @@
 	w := &world{
 		t: t, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
-		crashed: map[string][]time.Time{}, inNeed: map[*standin.Endpoint]bool{}, written: written{values: map[string][]byte{}},
+		crashed: map[string][]time.Time{}, throttling: map[*standin.Endpoint]bool{}, written: written{values: map[string][]byte{}},
 	}
 	server := httptest.NewServer(w.store.Handler())
 	t.Cleanup(server.Close)
--- a/pkg/backpressure/backpressure.go
+++ b/pkg/backpressure/backpressure.go
@@ -1,4 +1,4 @@
-// Package backpressure keeps what endpoints in need say in their answers, and tells an entry
+// Package backpressure keeps what throttling endpoints say in their answers, and tells an entry
 // what it may still send to them.
 //
 // # Limits
--- a/pkg/backpressure/set.go
+++ b/pkg/backpressure/set.go
@@ -7,7 +7,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 )
 
-// Set is what one entry knows of what endpoints in need say.
+// Set is what one entry knows of what throttling endpoints say.
 type Set struct {
 	place  Place
 	states map[fleet.Life]*state
@@ -24,7 +24,7 @@
 // SetPlace tells where this entry stands among all.
 func (s *Set) SetPlace(p Place) { s.place = p }
 
-// Idle reports whether no endpoint is known to be in need.
+// Idle reports whether no endpoint is known to throttle.
 func (s *Set) Idle() bool { return len(s.states) == 0 && len(s.pauses) == 0 }
 
 // limited returns the state of an endpoint that names a limit, or nil.
@@ -63,7 +63,7 @@
 	known.bucket.tokens--
 }
 
-// Room is what endpoints in need take from this entry.
+// Room is what throttling endpoints take from this entry.
 type Room struct {
 	// Open says that some endpoint takes whatever it is sent.
 	Open bool
--- a/pkg/backpressure/statements.go
+++ b/pkg/backpressure/statements.go
@@ -22,7 +22,7 @@
 
 // StatementOf makes the statement of an answer, if it holds one. Any answer may name a limit. That
 // there is none is told only by one that serves its request: errors, refusals and reports of
-// its state may be written by other parts of an endpoint, which don't know that it is in need.
+// its state may be written by other parts of an endpoint, which don't know that it throttles.
 func StatementOf(l fleet.Life, limit Limit, served bool, sent, received time.Time) (s Statement, holds bool) {
 	switch {
 	case limit.Kind == Limited:
@@ -125,7 +125,7 @@
 	// more: until all entries have heard it.
 	toldOver = 30 * time.Second
 	// unlistedFor is for how long the limit of an endpoint is remembered that isn't listed:
-	// records lapse while the store is away, and come back with endpoints that are in need
+	// records lapse while the store is away, and come back with endpoints that throttle
 	// as before.
 	unlistedFor = 2 * time.Minute
 )
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -87,12 +87,12 @@
 	CodeNoEndpoint   Code = "no_endpoint"
 	CodeEndpointLost Code = "endpoint_lost"
 	CodeEndpointBusy Code = "endpoint_refused"
-	// CodeEndpointsInNeed: the endpoints have said that they take less than is asked for.
-	CodeEndpointsInNeed Code = "endpoints_in_need"
-	CodeEndpointBad     Code = "endpoint_protocol_error"
-	CodeStalled         Code = "stalled"
-	CodeStopping        Code = "stopping"
-	CodeNoTable         Code = "no_table"
+	// CodeEndpointsThrottling: the endpoints have said that they take less than is asked for.
+	CodeEndpointsThrottling Code = "endpoints_throttling"
+	CodeEndpointBad         Code = "endpoint_protocol_error"
+	CodeStalled             Code = "stalled"
+	CodeStopping            Code = "stopping"
+	CodeNoTable             Code = "no_table"
 	// CodeQuarantined: the request crashes the endpoints that run it.
 	CodeQuarantined Code = "quarantined"
 )
--- a/pkg/scheduler/withheld.go
+++ b/pkg/scheduler/withheld.go
@@ -8,9 +8,9 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
-// The load that this file answers: endpoints are in need and say how much they take. Requests
+// The load that this file answers: endpoints throttle and say how much they take. Requests
 // go elsewhere as far as others have room; see package backpressure for what may still be
-// sent. Where all are in need there is less room than requests, and one that would wait for
+// sent. Where all throttle there is less room than requests, and one that would wait for
 // its turn in vain is refused when it comes, since its caller may be served through another
 // entry that has a part.
 
@@ -43,7 +43,7 @@
 		return nil
 	}
 	s.pressedAt = now
-	return s.refusal(outcome.CodeEndpointsInNeed, room.Wait(ahead), "the endpoints of %q take no more at present", it.req.Row.Target)
+	return s.refusal(outcome.CodeEndpointsThrottling, room.Wait(ahead), "the endpoints of %q take no more at present", it.req.Row.Target)
 }
 
 // roomFor sums what the endpoints that a request may go to take from this entry. Those that
