What is held back after a restore is logged when it changes

Cause: reading the change: the line came with each list for ten seconds; a name hid a package.

Change: the line comes when what is held back changes. One mutant's edit builds now.

Conclusion: none further.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -73,10 +73,7 @@
 	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
 	bridged := g.restored.Apply(now, held.Revision.Era(), held.Value.Endpoints, held.Value.ClosedDataCenters())
-	if !bridged.Again.IsZero() {
-		g.log.Warn("what the store's copy shows is held back", "revision", held.Revision, "endpoints", bridged.KeptOut,
-			"closed", bridged.KeptClosed, "until", bridged.Again.Format(time.RFC3339Nano))
-	}
+	g.logBridged(bridged, held.Revision)
 	use, lapsed := g.grace.Apply(now, bridged.Endpoints, bridged.First)
 	if !lapsed.IsZero() {
 		g.log.Warn("endpoints vanished together are kept for now", "revision", held.Revision,
@@ -94,8 +91,8 @@
 			g.log.Warn("endpoint records of unnamed services", "table", t.Revision, "findings", f.Error())
 		}
 	}
-	published := held.Value.WithClosed(bridged.Closed)
-	list := published.WithEndpoints(g.placed(use, published))
+	listed := held.Value.WithClosed(bridged.Closed)
+	list := listed.WithEndpoints(g.placed(use, listed))
 	g.logClosed(list, held.Revision)
 	before := g.inForce.Swap(list)
 	g.beliefs.ApplyFleet(list)
@@ -124,6 +121,17 @@
 	}
 }
 
+// logBridged logs what is held back after a restore of the store, when that changes.
+func (g *Gateway) logBridged(b fleet.Bridged, at revision.ID) {
+	before := g.bridged
+	g.bridged = b
+	if slices.Equal(b.KeptOut, before.KeptOut) && slices.Equal(b.KeptClosed, before.KeptClosed) {
+		return
+	}
+	g.log.Warn("what the store's copy shows is held back", "revision", at, "endpoints", b.KeptOut,
+		"closed", b.KeptClosed, "until", b.Again.Format(time.RFC3339Nano))
+}
+
 // logClosed logs which data centres operators have closed and opened again.
 func (g *Gateway) logClosed(list *fleet.List, at revision.ID) {
 	closed := list.ClosedDataCenters()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,9 @@
 	grace    fleet.Grace
 	lives    fleet.Lives
 	restored fleet.Restored
-	unnamed  platform.Unnamed
+	// bridged is what the log said last of that.
+	bridged fleet.Bridged
+	unnamed platform.Unnamed
 	// noticed is since when the newest list of endpoints is known to any entry.
 	noticed time.Time
 	// closed are the data centres that operators have closed, by name.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -213,7 +213,7 @@
 R="./internal/gateway -run AfterARestore"
 mutant "restores: configurations ordered by the store" platform/published.go 's/Revision: configurationOrder(it.Value)/Revision: revision.ID(it.Revision)/' "$R"
 mutant "restores: eras not read" platform/store.go 's/if text == "" {/if true {/' ./platform
-mutant "restores: a watch of another era believed" platform/store.go 's/if era != since.Era() {/if false {/' "./platform -run Era"
+mutant "restores: a watch of another era believed" platform/store.go 's/if era != since.Era() {/if era != since.Era() \&\& false {/' "./platform -run Era"
 mutant "restores: pages of two eras taken for a list" platform/store.go 's/if at.Era() != out.Revision.Era() {/if false {/' "./platform -run Era"
 mutant "restores: a stale list of the era before believed" platform/store.go 's/if newest > out.Revision {/if false {/' "./platform -run Restore"
 mutant "restores: a watch begins at a stale list" internal/gateway/reader.go 's/^\tr.since = 0$/\tr.since += 0/' "./internal/gateway -run Stale"
