The played fleets have no race

Cause: the race detector found who can reach whom read without a lock, in the test alone.

Change: it has one.

Conclusion: none further.

--- a/internal/gateway/restored_fleet_test.go
+++ b/internal/gateway/restored_fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,12 +55,8 @@
 	within, contact time.Duration
 
 	store   *standin.Store
-	down    bool
 	entries []*playedEntry
-	// handlers serve entries' exchanges, by address.
-	handlers map[string]http.Handler
-	// storeCut and peersCut are the entries that are cut off.
-	storeCut, peersCut map[string]bool
+	links   links
 
 	// truth is what operators and endpoints have written last.
 	version   int
@@ -78,6 +75,39 @@
 	timely int
 }
 
+// links is who can reach whom. It is safe for concurrent use.
+type links struct {
+	mu   sync.Mutex
+	down bool
+	// handlers serve entries' exchanges, by address.
+	handlers map[string]http.Handler
+	// storeCut and peersCut are the entries that are cut off.
+	storeCut, peersCut map[string]bool
+}
+
+func (l *links) change(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+// storeFor reports whether an entry reaches the store.
+func (l *links) storeFor(entry string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.down && !l.storeCut[entry]
+}
+
+// peer serves an address for an entry; nil if it can't be reached.
+func (l *links) peer(entry, address string) http.Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peersCut[entry] || l.peersCut[address] {
+		return nil
+	}
+	return l.handlers[address]
+}
+
 type agedCopy struct {
 	at   time.Time
 	copy standin.Snapshot
@@ -143,7 +173,7 @@
 func newPlayedFleet(t *testing.T, seed uint64, size, dataCenters int) *playedFleet {
 	f := &playedFleet{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), within: 2 * time.Second, contact: 3 * time.Second,
-		store: standin.New(), handlers: map[string]http.Handler{}, storeCut: map[string]bool{}, peersCut: map[string]bool{},
+		store: standin.New(), links: links{handlers: map[string]http.Handler{}, storeCut: map[string]bool{}, peersCut: map[string]bool{}},
 		endpoints: map[string]*standin.Endpoint{}, states: map[string]int{},
 	}
 	if size > 60 {
@@ -191,7 +221,7 @@
 		Bounds: platform.Bounds{ConfigApply: f.within},
 	}, log.NewWithOptions(&e.logs, log.Options{ReportTimestamp: true, TimeFormat: "04:05.000"}))
 	store := inProcess(func(*http.Request) http.Handler {
-		if f.down || f.storeCut[e.name] {
+		if !f.links.storeFor(e.name) {
 			return nil
 		}
 		return f.store.Handler()
@@ -199,13 +229,9 @@
 	e.g.reader = newReader(platform.NewPublished(platform.NewStoreOver(store, e.g.vm.Store, func() {})), e.g.reader.held)
 	e.g.reader.onEra = e.g.onEra
 	e.g.config.Reader = e.g.reader
-	e.g.peersHTTP.Transport = inProcess(func(r *http.Request) http.Handler {
-		if f.peersCut[e.name] || f.peersCut[r.URL.Host] {
-			return nil
-		}
-		return f.handlers[r.URL.Host]
-	})
-	f.handlers[address] = peering.NewServer(e.g.beliefs, e.g.store, nil, nil, e.g.traffic).Handler("")
+	e.g.peersHTTP.Transport = inProcess(func(r *http.Request) http.Handler { return f.links.peer(e.name, r.URL.Host) })
+	handler := peering.NewServer(e.g.beliefs, e.g.store, nil, nil, e.g.traffic).Handler("")
+	f.links.change(func() { f.links.handlers[address] = handler })
 	ctx, cancel := context.WithCancel(f.t.Context())
 	e.stop, e.g.work = cancel, ctx
 	go e.g.start(ctx)
@@ -213,12 +239,17 @@
 
 // cutPeers cuts an entry off from all others, or heals that.
 func (f *playedFleet) cutPeers(e *playedEntry, cut bool) {
-	f.peersCut[e.name], f.peersCut[f.address(e)] = cut, cut
+	f.links.change(func() { f.links.peersCut[e.name], f.links.peersCut[f.address(e)] = cut, cut })
+}
+
+// cutStore cuts an entry off from the store, or heals that.
+func (f *playedFleet) cutStore(e *playedEntry, cut bool) {
+	f.links.change(func() { f.links.storeCut[e.name] = cut })
 }
 
 // write has the store acknowledge what is written, or write it when it is back.
 func (f *playedFleet) write(put func()) {
-	if f.down {
+	if f.links.down {
 		f.later(0, put)
 		return
 	}
@@ -324,12 +355,14 @@
 // drill has the store away and back from a copy. What was lost is written again.
 func (f *playedFleet) drill() {
 	away := time.Duration(f.random.Int64N(int64(longestOutage)))
-	f.down, f.disturbed = true, time.Now().Add(away)
+	f.disturbed = time.Now().Add(away)
+	f.links.change(func() { f.links.down = true })
 	f.change(away, f.restore)
 }
 
 func (f *playedFleet) restore() {
-	f.down, f.disturbed = false, time.Now()
+	f.disturbed = time.Now()
+	f.links.change(func() { f.links.down = false })
 	f.restores++
 	oldest := time.Now().Add(-time.Duration(f.random.Int64N(int64(oldestCopy))))
 	i := 0
@@ -361,7 +394,7 @@
 	f.due = nil
 	for _, d := range due {
 		switch {
-		case now.Before(d.at), f.down && d.needsStore:
+		case now.Before(d.at), f.links.down && d.needsStore:
 			f.due = append(f.due, d)
 		default:
 			d.write()
@@ -392,14 +425,14 @@
 		f.addEndpoint()
 	case chance(0.2):
 		f.toggleClosed()
-	case !f.down && chance(0.15):
+	case !f.links.down && chance(0.15):
 		f.drill()
 	case chance(0.2):
 		e := f.entries[f.random.IntN(len(f.entries))]
 		f.disturbed = time.Now().Add(2 * time.Second)
 		if f.random.IntN(2) == 0 {
-			f.storeCut[e.name] = true
-			f.change(2*time.Second, func() { f.storeCut[e.name] = false })
+			f.cutStore(e, true)
+			f.change(2*time.Second, func() { f.cutStore(e, false) })
 			return
 		}
 		f.cutPeers(e, true)
