On our own interface time makes a value certain only where the store was read meanwhile

Operators saw: nothing yet. An entry could go back to an older table: another one that had started just after a restore and read the copy's table, and was cut off since, told it, and as it had been read more than five seconds ago it was taken for newer.

Cause: the time in which publishers write again what was lost counted from when the first entry had read the value, whoever told it. Whether anything was written since is known only to who has read the store since.

Change: a register knows whether a value is certain to be written in its era: another one of the era had been read before, or it has stood for five seconds in the store as this entry reads it. Entries tell each other what is certain, in a new field of the exchange, and take what is told so at once; what isn't certain and differs is held back, however old.

The gateway's values are ordered as before.

Conclusion: a table that certainly is newer is in force sooner than before, too.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -177,7 +177,7 @@
 	}
 	for _, d := range resp.Msg.GetDocuments() {
 		if d.GetName() == published.Fleet {
-			_, _ = c.fleet.Offer(time.Now(), revision.ID(d.GetRevision()), d.GetContent())
+			_, _ = c.fleet.Offer(time.Now(), revision.ID(d.GetRevision()), d.GetContent(), register.Told)
 		}
 	}
 	held := c.fleet.Current()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,7 +40,6 @@
 	headerTimeout      = 5 * time.Second
 	idleTimeout        = 2 * time.Minute
 	housekeepingEvery  = 5 * time.Second
-	settleEvery        = time.Second
 	catchupTimeout     = 3 * time.Second
 	catchupPause       = 500 * time.Millisecond
 	secretBytes        = 32
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -84,7 +84,6 @@
 		e.config,
 		&controllers.Load{Beliefs: e.beliefs, Read: controllers.NativeLoad(e.client), Interval: e.cfg.PollEvery},
 		&controllers.Housekeeping{Interval: housekeepingEvery, Tasks: []func(){e.owner.Expire}},
-		&controllers.Housekeeping{Interval: settleEvery, Tasks: []func(){func() { e.store.Settle(clock.Now()) }}},
 	}
 }
 
--- a/internal/published/changes.go
+++ b/internal/published/changes.go
@@ -65,6 +65,7 @@
 // since gives a value as changes since a revision, if they are asked for, known and short, and
 // else as it is. The caller holds the lock.
 func (s *Store) since(v Value, after revision.ID, changes bool) Value {
+	v.Certain = s.certain(v.Name)
 	known := after != 0 && s.log.from != 0 && after >= s.log.from && after.Era() == v.Revision.Era()
 	if !changes || v.Name != Fleet || !known {
 		return v
@@ -73,7 +74,16 @@
 	if err != nil || float64(len(data)) > maxShare*float64(len(v.Content)) {
 		return v
 	}
-	return Value{Name: v.Name, Revision: v.Revision, Base: after, Changes: data, Sum: xxhash.Sum64(v.Content), Since: v.Since}
+	return Value{Name: v.Name, Revision: v.Revision, Base: after, Changes: data, Sum: xxhash.Sum64(v.Content), Since: v.Since, Certain: v.Certain}
+}
+
+// certain reports whether the newest value by name is known to be written in its era. The caller
+// holds the lock.
+func (s *Store) certain(name string) bool {
+	if name == Table {
+		return s.table.Certain()
+	}
+	return s.fleet.Certain()
 }
 
 // patch makes a whole value of changes. It can't if they begin after what is known here, or if
--- a/internal/published/changes_test.go
+++ b/internal/published/changes_test.go
@@ -55,7 +55,7 @@
 		v.Changes, err = fleet.EncodeChanges(history[i:])
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	r.store.Offer(time.Now(), v, "platform")
+	r.store.OfferRead(time.Now(), v, "platform")
 }
 
 // take has an entry take what another one has, and returns the bytes that were sent.
@@ -215,7 +215,7 @@
 	v.Revision = r.registry.Revision()
 	v.Content, err = r.registry.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
-	r.store.Offer(time.Now(), v, "platform")
+	r.store.OfferRead(time.Now(), v, "platform")
 }
 
 // TestChangesPassedOnOverRestores: whatever entries take from each other while the platform's
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -37,12 +37,15 @@
 	// Since is when the first entry read it, by this process's clock, as far as is
 	// known; zero is now.
 	Since time.Time
+	// Certain, of a value that is told, says that it was written in the era of its revision;
+	// see package register.
+	Certain bool
 }
 
 // Parsers read the contents of the values.
 type Parsers struct {
-	// Settle is for how long the first values after a restore of the platform's store are in
-	// doubt, where only revisions order them; see package register.
+	// Settle is for how long values have to stand after a restore of the platform's store to be
+	// certain, where only revisions order them; see package register.
 	Settle time.Duration
 	Table  func([]byte) (*table.Table, error)
 	Fleet  func([]byte) (*fleet.List, error)
@@ -102,19 +105,34 @@
 	}
 }
 
-// Offer gives the store a value from a source, such as "platform" or a peer.
+// Offer gives the store a value that a peer has told.
 func (s *Store) Offer(now time.Time, v Value, source string) register.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.take(now, v, source)
+	from := register.Told
+	if v.Certain {
+		from = register.ToldCertain
+	}
+	return s.take(now, v, source, from)
+}
+
+// OfferRead gives the store a value that was read from the platform just now.
+func (s *Store) OfferRead(now time.Time, v Value, source string) register.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.take(now, v, source, register.Read)
 }
 
-// Settle takes the values that are in doubt no more.
+// Settle tells that the platform has been read, and that all news has been offered. Values that
+// have stood for long enough are taken.
 func (s *Store) Settle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.pending {
-		s.take(now, p.Value, p.source)
+	for name, settle := range map[string]func(time.Time) (revision.ID, bool){Table: s.table.Settle, Fleet: s.fleet.Settle} {
+		at, certain := settle(now)
+		if p := s.pending[name]; certain && p.Revision == at {
+			s.take(now, p.Value, p.source, register.ToldCertain)
+		}
 	}
 }
 
@@ -124,8 +142,8 @@
 	source string
 }
 
-// take is Offer; the caller holds the lock.
-func (s *Store) take(now time.Time, v Value, source string) register.Verdict {
+// take offers a value to its register; the caller holds the lock.
+func (s *Store) take(now time.Time, v Value, source string, from register.Evidence) register.Verdict {
 	if v.Since.IsZero() {
 		v.Since = now
 	}
@@ -139,7 +157,7 @@
 		// It has come whole, or fits what others have.
 		s.whole = false
 	}
-	verdict, err := s.offer(now, v)
+	verdict, err := s.offer(now, v, from)
 	if (verdict == register.Adopted || verdict == register.Rejected) && v.Revision > s.raw[v.Name].Revision {
 		s.note(v)
 		s.raw[v.Name] = v
@@ -178,12 +196,12 @@
 	return true
 }
 
-func (s *Store) offer(now time.Time, v Value) (register.Verdict, error) {
+func (s *Store) offer(now time.Time, v Value, from register.Evidence) (register.Verdict, error) {
 	switch v.Name {
 	case Table:
-		return s.table.OfferRead(now, v.Since, v.Revision, v.Content)
+		return s.table.Offer(now, v.Revision, v.Content, from)
 	case Fleet:
-		return s.fleet.OfferRead(now, v.Since, v.Revision, v.Content)
+		return s.fleet.Offer(now, v.Revision, v.Content, from)
 	default:
 		return register.Known, nil
 	}
--- a/internal/published/settle_test.go
+++ b/internal/published/settle_test.go
@@ -27,9 +27,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	after, err := revision.New(2, 33)
 	g.Expect(err).NotTo(HaveOccurred())
-	s.Offer(now, published.Value{Name: published.Table, Revision: before, Content: []byte("a")}, "platform")
+	s.OfferRead(now, published.Value{Name: published.Table, Revision: before, Content: []byte("a")}, "platform")
 	for range 3 {
-		s.Offer(now, published.Value{Name: published.Table, Revision: after, Content: []byte("b")}, "platform")
+		s.OfferRead(now, published.Value{Name: published.Table, Revision: after, Content: []byte("b")}, "platform")
 	}
 	s.Settle(now.Add(4 * time.Second))
 	g.Expect(s.Seen()).To(Equal(map[string]revision.ID{published.Table: before}))
--- a/pkg/register/register.go
+++ b/pkg/register/register.go
@@ -11,15 +11,18 @@
 // # Restores
 //
 // A store that is restored from a copy shows values that are older than the one in force, in a
-// later era. Where nothing in the values orders them, a first value of a later era is in doubt:
+// later era. Where nothing in the values orders them, one of a later era with another content is
+// taken only if it is certain that it was written in that era, and not only copied into it:
 //
-//	in force: 1.37    read: 2.33, same     adopted: it was written again, or is the same
-//	                  read: 2.33, other    Pending: the copy's, or newer than 1.37
-//	                  then: 2.35           adopted: written after 2.33 was read
-//	                  or settle later      2.33 adopted: publishers would have written by now
+//	in force: 1.37    2.33 is read, the same    adopted, but not certain: the copy's, or written again
+//	                  2.33 is read, another     Pending: the copy's, or newer than 1.37
+//	                  then 2.35 is read         certain: it was written after 2.33 had been read
+//	                  or 2.33 stands for settle certain: publishers would have written by now
+//	                  2.33 is told by a peer    Pending, unless the peer is certain
 //
-// A number above the one in force decides nothing: the copy may be of an era before that.
-// Registers of values that the publisher numbers need no such time.
+// A number above the one in force decides nothing: the copy may be of an era before that. And
+// time decides only where the store was read meanwhile: a peer that tells of the copy's value may
+// have been cut off since. Registers of values that the publisher numbers need none of this.
 //
 // The caller serialises calls; Current may be called from any goroutine.
 package register
@@ -69,18 +72,34 @@
 	Since time.Time
 }
 
+// Evidence is how a value came.
+type Evidence int
+
+// The evidence.
+const (
+	// Read: this process has just read it from the store, not from a copy that may be stale.
+	Read Evidence = iota
+	// Told: another process has told it, and isn't certain that it was written in its era.
+	Told
+	// ToldCertain: another process is certain of that.
+	ToldCertain
+)
+
 // Register keeps one published value.
 type Register[T any] struct {
 	check func([]byte) (T, error)
-	// settle is for how long a value is in doubt after a restore.
+	// settle is for how long a value of a later era has to stand in the store to be certain.
 	settle time.Duration
-	// doubted is the newest value that is pending, and doubtedUntil for how long it is.
-	doubted      revision.ID
-	doubtedUntil time.Time
-	held         atomic.Pointer[Held[T]]
-	seen         revision.ID
-	rejected     revision.ID
-	findings     error
+	// certain says that the newest value seen was written in its era.
+	certain bool
+	// doubted is the newest value that isn't certain, pending or in force, and doubtedAt since
+	// when this process has read it; zero if it was only told.
+	doubted   revision.ID
+	doubtedAt time.Time
+	held      atomic.Pointer[Held[T]]
+	seen      revision.ID
+	rejected  revision.ID
+	findings  error
 	// unorderedSum is a hash of the newest value without a revision.
 	unorderedSum uint64
 	heard        time.Time
@@ -111,29 +130,30 @@
 // Heard returns when a value was last offered, new or not.
 func (r *Register[T]) Heard() time.Time { return r.heard }
 
-// Offer gives the register a value that was read now. The error holds the findings of a
-// rejected value.
-func (r *Register[T]) Offer(now time.Time, at revision.ID, content []byte) (Verdict, error) {
-	return r.OfferRead(now, now, at, content)
-}
-
-// OfferRead is Offer of a value that some process read earlier.
-func (r *Register[T]) OfferRead(now, read time.Time, at revision.ID, content []byte) (Verdict, error) {
+// Offer gives the register a value. The error holds the findings of a rejected value.
+func (r *Register[T]) Offer(now time.Time, at revision.ID, content []byte, from Evidence) (Verdict, error) {
 	r.heard = now
 	held := r.held.Load()
 	if at == 0 {
 		return r.unordered(content)
 	}
+	if at == r.seen && from == ToldCertain {
+		r.certain = true
+	}
 	if held != nil && at == held.Revision {
 		return r.same(held, content)
 	}
 	if at == r.rejected {
 		return Known, nil
 	}
-	if verdict := r.order(now, read, at, content); verdict != Adopted {
+	verdict, certain := r.order(at, content, from)
+	if !certain && verdict != Stale {
+		r.doubt(now, at, from)
+	}
+	if verdict != Adopted {
 		return verdict, nil
 	}
-	r.seen = at
+	r.seen, r.certain = at, certain
 	value, err := r.check(content)
 	if err != nil {
 		r.rejected = at
@@ -145,35 +165,52 @@
 }
 
 // order tells whether a value is later than what was seen (Adopted), earlier (Stale), or in
-// doubt (Pending).
-func (r *Register[T]) order(now, read time.Time, at revision.ID, content []byte) Verdict {
+// doubt (Pending), and whether it is certain that it was written in its era.
+func (r *Register[T]) order(at revision.ID, content []byte, from Evidence) (v Verdict, certain bool) {
 	if at <= r.seen {
-		return Stale
+		return Stale, false
 	}
 	held := r.held.Load()
-	certain := held == nil || r.settle == 0 || at.Era() == r.seen.Era() || bytes.Equal(content, held.Content)
-	if certain {
-		return Adopted
+	switch {
+	case r.settle == 0, at.Era() == 0, from == ToldCertain:
+		return Adopted, true
+	case held == nil:
+		return Adopted, false
+	case at.Era() == r.seen.Era(), at.Era() == r.doubted.Era() && at > r.doubted:
+		// It was written after the one before had been read.
+		return Adopted, true
+	case at.Era() == r.doubted.Era() && at < r.doubted:
+		return Stale, false
+	case bytes.Equal(content, held.Content):
+		return Adopted, false
 	}
-	return r.orderDoubtful(now, read, at)
+	return Pending, false
 }
 
-// orderDoubtful orders the first values of a later era, which may be the copy's.
-func (r *Register[T]) orderDoubtful(now, read time.Time, at revision.ID) Verdict {
-	if at.Era() == r.doubted.Era() && at < r.doubted {
-		return Stale
+// doubt notes a value that isn't certain.
+func (r *Register[T]) doubt(now time.Time, at revision.ID, from Evidence) {
+	if at != r.doubted {
+		r.doubted, r.doubtedAt = at, time.Time{}
 	}
-	if at.Era() == r.doubted.Era() && at > r.doubted {
-		// It was written after the doubted one had been read.
-		return Adopted
+	if from == Read && r.doubtedAt.IsZero() {
+		r.doubtedAt = now
 	}
-	if at != r.doubted {
-		r.doubted, r.doubtedUntil = at, read.Add(r.settle)
+}
+
+// Certain reports whether the newest value seen is known to be written in its era.
+func (r *Register[T]) Certain() bool { return r.certain }
+
+// Settle tells that the store has just been read and shows no newer value than was offered. It
+// reports whether the value that is pending has stood for long enough to be certain.
+func (r *Register[T]) Settle(now time.Time) (pending revision.ID, certain bool) {
+	if r.doubtedAt.IsZero() || now.Sub(r.doubtedAt) < r.settle {
+		return 0, false
 	}
-	if now.Before(r.doubtedUntil) {
-		return Pending
+	if r.doubted == r.seen {
+		r.certain = true
+		return 0, false
 	}
-	return Adopted
+	return r.doubted, r.doubted > r.seen
 }
 
 // ErrNoRevision says that a value doesn't tell which others it follows.
--- a/pkg/register/register_test.go
+++ b/pkg/register/register_test.go
@@ -41,7 +41,7 @@
 		{0, "bad", register.Known, "a"},
 		{0, "no revision", register.Rejected, "a"},
 	} {
-		v, _ := r.Offer(now, step.revision, []byte(step.content))
+		v, _ := r.Offer(now, step.revision, []byte(step.content), register.Told)
 		g.Expect(v).To(Equal(step.verdict), "revision %d", step.revision)
 		g.Expect(r.Current().Value).To(Equal(step.inForce))
 	}
@@ -82,14 +82,43 @@
 		{9 * time.Second, 4, 99, "a copy of an earlier era", register.Pending, "v10"},
 		{10 * time.Second, 5, 30, "v11, and no other follows", register.Pending, "v10"},
 		{14 * time.Second, 5, 30, "v11, and no other follows", register.Pending, "v10"},
-		{15 * time.Second, 5, 30, "v11, and no other follows", register.Adopted, "v11, and no other follows"},
 	} {
-		v, _ := r.Offer(begin.Add(step.at), id(t, step.era, step.number), []byte(step.content))
+		v, _ := r.Offer(begin.Add(step.at), id(t, step.era, step.number), []byte(step.content), register.Read)
 		g.Expect(v).To(Equal(step.verdict), "%d.%d", step.era, step.number)
 		g.Expect(r.Current().Value).To(Equal(step.inForce), "%d.%d", step.era, step.number)
 	}
-	v, _ := r.OfferRead(begin.Add(16*time.Second), begin.Add(10*time.Second), id(t, 6, 1), []byte("read by another long ago"))
+	_, certain := r.Settle(begin.Add(15*time.Second - 1))
+	g.Expect(certain).To(BeFalse())
+	pending, certain := r.Settle(begin.Add(15 * time.Second))
+	g.Expect(pending).To(Equal(id(t, 5, 30)))
+	g.Expect(certain).To(BeTrue())
+}
+
+// TestWhatIsToldIsTakenIfTheTellerIsCertain: time alone doesn't make it so, since the teller may
+// have been cut off since it read a restored store.
+func TestWhatIsToldIsTakenIfTheTellerIsCertain(t *testing.T) {
+	g := NewWithT(t)
+	r := register.NewSettling(func(b []byte) (string, error) { return string(b), nil }, time.Second)
+	now := time.Unix(0, 0)
+	offer := func(number uint64, content string, from register.Evidence) register.Verdict {
+		v, _ := r.Offer(now, id(t, 2, number), []byte(content), from)
+		return v
+	}
+	v, _ := r.Offer(now, id(t, 1, 37), []byte("v7"), register.Read)
 	g.Expect(v).To(Equal(register.Adopted))
+	g.Expect(r.Certain()).To(BeFalse(), "the first one that it has heard of, in an era above zero")
+	g.Expect(offer(33, "v4", register.Told)).To(Equal(register.Pending))
+	now = now.Add(time.Hour)
+	_, certain := r.Settle(now)
+	g.Expect(certain).To(BeFalse())
+	g.Expect(offer(33, "v4", register.Told)).To(Equal(register.Pending))
+	g.Expect(offer(36, "v8", register.ToldCertain)).To(Equal(register.Adopted))
+	g.Expect(r.Certain()).To(BeTrue())
+	v, _ = r.Offer(now, id(t, 3, 36), []byte("v8"), register.Read)
+	g.Expect(v).To(Equal(register.Adopted), "the same content")
+	g.Expect(r.Certain()).To(BeFalse())
+	r.Settle(now.Add(time.Second))
+	g.Expect(r.Certain()).To(BeTrue())
 }
 
 // TestRegistersFollowRestoredStores: publishers number their values, the store doesn't know
@@ -118,7 +147,11 @@
 			if held := r.Current(); held != nil {
 				before = held.Value
 			}
-			_, _ = r.Offer(now, id(t, era, store.number), fmt.Append(nil, store.value))
+			at, content := id(t, era, store.number), fmt.Append(nil, store.value)
+			_, _ = r.Offer(now, at, content, register.Read)
+			if pending, certain := r.Settle(now); certain && pending == at {
+				_, _ = r.Offer(now, at, content, register.ToldCertain)
+			}
 			if after := r.Current().Value; after < before {
 				t.Fatalf("seed %d: from %d back to %d", seed, before, after)
 			}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -220,9 +220,12 @@
 mutant "restores: an earlier era followed" internal/gateway/reader.go 's/if all.Revision.Era() < r.registry.Revision().Era() {/if false {/' "./internal/gateway -run NotBeenRestored"
 mutant "restores: changes of another era applied" pkg/fleet/registry.go 's/if era != r.revision.Era() {/if false {/' ./pkg/fleet
 mutant "restores: a list of a later era that is the same is no news" pkg/fleet/registry.go 's/if at.Era() == r.revision.Era() \&\& maps/if maps/' ./pkg/fleet
-mutant "restores: values in doubt taken at once" pkg/register/register.go 's/if now.Before(r.doubtedUntil) {/if false {/' ./pkg/register
-mutant "restores: values in doubt never taken" pkg/register/register.go 's/if now.Before(r.doubtedUntil) {/if true {/' ./pkg/register
-mutant "restores: values in doubt not looked at again" internal/published/published.go 's/for _, p := range s.pending {/for _, p := range map[string]pendingValue{} {/' "./internal/published -run Doubt"
+mutant "restores: values in doubt taken at once" pkg/register/register.go 's/ || now.Sub(r.doubtedAt) < r.settle//' "./pkg/register ./internal/published -run Restore"
+mutant "restores: values in doubt never taken" pkg/register/register.go 's/now.Sub(r.doubtedAt) < r.settle/now.After(r.doubtedAt)/' ./pkg/register
+mutant "restores: values in doubt not looked at again" internal/published/published.go 's/if p := s.pending\[name\]; certain/if p := s.pending[name]; !certain/' "./internal/published -run Doubt"
+mutant "restores: what is told counts as read" pkg/register/register.go 's/if from == Read \&\& r.doubtedAt/if r.doubtedAt/' ./pkg/register
+mutant "restores: whatever is told is certain" internal/published/published.go 's/if v.Certain {/if true {/' "./internal/published -run Own"
+mutant "restores: certainty isn't passed on" internal/peering/convert.go 's/Certain: d.GetCertain()}/Certain: false}/' "./internal/peering -run Certain"
 mutant "restores: what had left is used" pkg/fleet/restored.go 's/if r.out\[e.Life()\] {/if false {/' "./pkg/fleet ./internal/gateway -run AnEndpointGone"
 mutant "restores: most of a target kept out" pkg/fleet/restored.go 's/return left\[t\] > mostLeft\*r.inUse\[t\]/return false/' ./pkg/fleet
 mutant "restores: closed data centres open" pkg/fleet/restored.go 's/^\t\tr.kept = r.closed$/\t\tr.kept = nil/' "./pkg/fleet -run Closed"
