What a copy shows is held back until a list was read since

Callers saw: nothing yet. An entry that was cut off for more than ten seconds just after a restore used an endpoint again that it knew to have left.

Cause: the hold ended by time alone, while the entry's list was still the one that it had read before it was cut off.

Change: the hold ends with a list that somebody has read later than its time, and after twice that at most. Ruled out: at most two minutes.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -72,7 +72,7 @@
 	}
 	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
-	bridged := g.restored.Apply(now, held.Revision.Era(), held.Value.Endpoints, held.Value.ClosedDataCenters())
+	bridged := g.restored.Apply(now, g.noticed, held.Revision.Era(), held.Value.Endpoints, held.Value.ClosedDataCenters())
 	g.logBridged(bridged, held.Revision)
 	use, lapsed := g.grace.Apply(now, bridged.Endpoints, bridged.First)
 	if !lapsed.IsZero() {
--- a/pkg/fleet/restored.go
+++ b/pkg/fleet/restored.go
@@ -15,16 +15,20 @@
 //     it. Its record in the copy lapses within Hold, unless the endpoint lives and renews it.
 //     If more than three times as many had left as are in use of their target, records had
 //     lapsed in an outage, and they are used.
-//   - A data centre that was closed stays closed for Hold.
+//   - A data centre that was closed stays closed.
+//
+// That ends with a list that somebody has read later than Hold after the restore was noticed: it
+// shows what has been written since. Without one, while nothing changes or at an entry that is
+// cut off, it ends after twice Hold.
 //
 // The caller serialises calls.
 type Restored struct {
-	// Hold is for how long what was known before goes before what the copy shows. It is
-	// longer than a record lives that nobody renews.
+	// Hold is longer than a record lives that nobody renews.
 	Hold time.Duration
 
-	era   uint64
-	until time.Time
+	era uint64
+	// noticed is when the last restore was noticed.
+	noticed time.Time
 	// used are the lives in use, and inUse counts them by target; both are nil before the first
 	// list.
 	used  map[Life]bool
@@ -38,9 +42,14 @@
 	kept []string
 }
 
-// leftFor is for how long it is remembered that a life has left: longer than any copy of the
-// store is old.
-const leftFor = 2 * time.Minute
+const (
+	// leftFor is for how long it is remembered that a life has left: longer than any copy of the
+	// store is old.
+	leftFor = 2 * time.Minute
+	// mostHolds bounds, in times of Hold, for how long a list that nobody has read since is held
+	// back.
+	mostHolds = 2
+)
 
 // Bridged is what holds of a list.
 type Bridged struct {
@@ -56,17 +65,17 @@
 	Again time.Time
 }
 
-// Apply takes the endpoints and the closed data centres of a list, and the era of the store
-// that it is of. Use has to follow.
-func (r *Restored) Apply(now time.Time, era uint64, listed []Endpoint, closed []string) Bridged {
+// Apply takes the endpoints and the closed data centres of a list, the era of the store that it
+// is of, and when somebody has read it first. Use has to follow.
+func (r *Restored) Apply(now, read time.Time, era uint64, listed []Endpoint, closed []string) Bridged {
 	first := r.used != nil && era > r.era
 	if first {
-		r.until = now.Add(r.Hold)
+		r.noticed = now
 		r.out = r.hadLeft(now, listed)
 		r.kept = r.closed
 	}
 	r.era = max(r.era, era)
-	if !now.Before(r.until) {
+	if read.Sub(r.noticed) >= r.Hold || now.Sub(r.noticed) >= mostHolds*r.Hold {
 		r.out, r.kept = nil, nil
 	}
 	result := r.bridge(listed, closed)
@@ -141,7 +150,7 @@
 	result.Closed = append(result.Closed, r.kept...)
 	slices.Sort(result.Closed)
 	if len(result.KeptOut) > 0 || len(result.KeptClosed) > 0 {
-		result.Again = r.until
+		result.Again = r.noticed.Add(mostHolds * r.Hold)
 	}
 	return result
 }
