Closed data centres are held for less than endpoints after a restore

Callers saw: in the soak, for 20 s one gateway sent nothing to the endpoints of a data centre that operators had opened again.

Cause: a data centre that was closed before a restore stays closed until a list shows what was written since. The copy shows as little that it was opened again meanwhile, and while nothing else changes the hold lasted for as long as that of endpoints, 20 s.

Change: a hold of its own, 5 s and 10 s at most: operators write again sooner than records lapse.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// store is away once more.
 	minCopyHold        = 10 * time.Second
 	copyHoldHeartbeats = 8
+	// closedHold is the same of closed data centres, which operators write again within moments.
+	closedHold = 5 * time.Second
 )
 
 // Gateway is one entry process.
@@ -141,7 +143,7 @@
 		grace:   fleet.Grace{Hold: cfg.lapseHold()},
 		lives:   fleet.Lives{Hold: earlierLifeHold},
 
-		restored: fleet.Restored{Hold: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat)},
+		restored: fleet.Restored{Hold: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat), HoldClosed: closedHold},
 	}
 	policy := scheduler.Version(scheduler.Forwarding).Without(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
--- a/pkg/fleet/restored.go
+++ b/pkg/fleet/restored.go
@@ -15,16 +15,18 @@
 //     it. Its record in the copy lapses within Hold, unless the endpoint lives and renews it.
 //     If more than three times as many had left as are in use of their target, records had
 //     lapsed in an outage, and they are used.
-//   - A data centre that was closed stays closed.
+//   - A data centre that was closed stays closed. Operators write it again sooner than records
+//     lapse, and may have opened it again, which the copy doesn't show either.
 //
-// That ends with a list that somebody has read later than Hold after the restore was noticed: it
-// shows what has been written since. Without one, while nothing changes or at an entry that is
-// cut off, it ends after twice Hold.
+// Either ends with a list that somebody has read later than its hold after the restore was
+// noticed: it shows what has been written since. Without one, while nothing changes or at an
+// entry that is cut off, it ends after twice its hold.
 //
 // The caller serialises calls.
 type Restored struct {
-	// Hold is longer than a record lives that nobody renews.
-	Hold time.Duration
+	// Hold is that of endpoints, longer than a record lives that nobody renews, and HoldClosed that
+	// of closed data centres.
+	Hold, HoldClosed time.Duration
 
 	era uint64
 	// noticed is when the last restore was noticed.
@@ -75,8 +77,11 @@
 		r.kept = r.closed
 	}
 	r.era = max(r.era, era)
-	if read.Sub(r.noticed) >= r.Hold || now.Sub(r.noticed) >= mostHolds*r.Hold {
-		r.out, r.kept = nil, nil
+	if r.over(now, read, r.Hold) {
+		r.out = nil
+	}
+	if r.over(now, read, r.HoldClosed) {
+		r.kept = nil
 	}
 	result := r.bridge(listed, closed)
 	result.First = first
@@ -84,6 +89,11 @@
 	return result
 }
 
+// over reports whether a hold has ended, with a list that somebody has read first at some time.
+func (r *Restored) over(now, read time.Time, hold time.Duration) bool {
+	return read.Sub(r.noticed) >= hold || now.Sub(r.noticed) >= mostHolds*hold
+}
+
 // Use tells which endpoints are used, of the list and those that Grace keeps.
 func (r *Restored) Use(now time.Time, endpoints []Endpoint) {
 	before := r.used
@@ -149,8 +159,11 @@
 	result.KeptClosed = r.kept
 	result.Closed = append(result.Closed, r.kept...)
 	slices.Sort(result.Closed)
-	if len(result.KeptOut) > 0 || len(result.KeptClosed) > 0 {
+	if len(result.KeptOut) > 0 {
 		result.Again = r.noticed.Add(mostHolds * r.Hold)
 	}
+	if len(result.KeptClosed) > 0 {
+		result.Again = r.noticed.Add(mostHolds * min(r.Hold, r.HoldClosed))
+	}
 	return result
 }
