The bridge over restores derives its counts; smaller twins in the change

Cause: reading the whole change again. The bridge kept a count by target that follows from what is in use, and copied every list also while nothing is held back; a value was built anew field by field; the first read set a place for the watch and took it back under a second lock; tests waited for logs in four loops alike, and an older one started three gateways as they do.

Two mutants' edits follow. No behaviour, bound or expectation changes.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -45,11 +45,7 @@
 func TestAnEndpointThatNamesALimitGetsNoMore(t *testing.T) {
 	w := newWorld(t)
 	throttling, other := w.endpoint("desk-throttling", "desk"), w.endpoint("desk-other", "desk")
-	one := w.start(w.settings("vm-1"))
-	entries := []*entry{one, w.start(w.settings("vm-2", one.vm.Peers)), w.start(w.settings("vm-3", one.vm.Peers))}
-	for _, e := range entries {
-		e.waitReady()
-	}
+	entries := w.startThree()
 	const limit = 4
 	throttling.SetAsks(http.Header{platform.HeaderLimit: {fmt.Sprint(limit)}})
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -46,11 +46,11 @@
 	since := r.since
 	r.mu.Unlock()
 	if wait == 0 || since == 0 {
-		return r.list(ctx, r.source.List)
+		return r.list(ctx, r.source.List, true)
 	}
 	news, err := r.source.Watch(ctx, since, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		return r.list(ctx, r.source.List)
+		return r.list(ctx, r.source.List, true)
 	}
 	if err != nil {
 		return nil, err
@@ -66,14 +66,11 @@
 // ReadStale returns all values as they were at most some seconds ago. The next read lists them
 // as they are: what is stale may be from before the last restore of the store.
 func (r *reader) ReadStale(ctx context.Context) ([]published.Value, error) {
-	values, err := r.list(ctx, r.source.ListStale)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.since = 0
-	return values, err
+	return r.list(ctx, r.source.ListStale, false)
 }
 
-func (r *reader) list(ctx context.Context, from func(context.Context) (platform.News, error)) ([]published.Value, error) {
+// list reads all; watchable says that a watch may begin there.
+func (r *reader) list(ctx context.Context, from func(context.Context) (platform.News, error), watchable bool) ([]published.Value, error) {
 	all, err := from(ctx)
 	if err != nil {
 		return nil, err
@@ -85,7 +82,10 @@
 		return nil, platform.ErrEarlierEra
 	}
 	r.observe(all)
-	r.since = all.Revision
+	r.since = 0
+	if watchable {
+		r.since = all.Revision
+	}
 	return r.values(all, nil, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
 }
 
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// awaitLogged waits until every gateway has logged a line with some words.
+func (w *world) awaitLogged(entries []*entry, words ...string) {
+	for _, e := range entries {
+		own := append([]string{"vm=" + e.vm.VM + " "}, words...)
+		w.g.Eventually(func() []string { return w.logs.with(own...) }, eventually).ShouldNot(BeEmpty(), e.vm.VM)
+	}
+}
+
 // restore has the store away for a moment and brings it back from a copy.
 func (w *world) restore(from standin.Snapshot) {
 	w.store.SetMode(standin.Mode{Down: true})
@@ -81,10 +89,7 @@
 	w.awaitAnnounced()
 	w.restore(copied)
 	w.announce(leaving, "desk", true)
-	for _, e := range entries {
-		told := func() []string { return w.logs.with("endpoint leaving", "vm="+e.vm.VM+" ", "desk-leaving") }
-		w.g.Eventually(told, eventually).ShouldNot(BeEmpty(), e.vm.VM)
-	}
+	w.awaitLogged(entries, "endpoint leaving", "desk-leaving")
 	since := time.Now()
 	for _, a := range send(entries, "after-", 60, pace) {
 		w.g.Expect(a.status).To(Equal(http.StatusOK))
@@ -95,12 +100,7 @@
 
 // awaitList waits until every gateway has a list of endpoints of some era in force.
 func (w *world) awaitList(entries []*entry, era int) {
-	for _, e := range entries {
-		listed := func() []string {
-			return w.logs.with("value in force", "name=fleet", "vm="+e.vm.VM+" ", fmt.Sprintf("revision=%d.", era))
-		}
-		w.g.Eventually(listed, eventually).ShouldNot(BeEmpty(), e.vm.VM)
-	}
+	w.awaitLogged(entries, "value in force", "name=fleet", fmt.Sprintf("revision=%d.", era))
 }
 
 // An endpoint that had left before the store's restore got requests again: the copy listed it.
@@ -112,12 +112,7 @@
 	entries := w.startThree()
 	copied := w.store.Snapshot()
 	w.store.Delete(platform.EndpointPrefix + gone.ID)
-	for _, e := range entries {
-		deleted := func() []string {
-			return w.logs.with("value in force", "name=fleet", "vm="+e.vm.VM+" ", fmt.Sprintf("revision=%d ", w.announced+1))
-		}
-		w.g.Eventually(deleted, eventually).ShouldNot(BeEmpty(), e.vm.VM)
-	}
+	w.awaitLogged(entries, "value in force", "name=fleet", fmt.Sprintf("revision=%d ", w.announced+1))
 	w.restore(copied)
 	w.awaitList(entries, 1)
 	since := time.Now()
@@ -175,9 +170,7 @@
 	entries := w.startThree()
 	copied := w.store.Snapshot()
 	w.store.Put(platform.ClosingPrefix+"dc", []byte(`{}`))
-	for _, e := range entries {
-		w.g.Eventually(func() []string { return w.logs.with("closed data centres", "vm="+e.vm.VM+" ", "closed=[dc]") }, eventually).ShouldNot(BeEmpty())
-	}
+	w.awaitLogged(entries, "closed data centres", "closed=[dc]")
 	w.restore(copied)
 	w.awaitList(entries, 1)
 	since := time.Now()
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -197,7 +197,7 @@
 	return "the endpoint was slower than the route allows; `grep kind=" + w.end.fields["kind"] + "` shows whether always"
 }
 
-// inNeed tells which endpoints had said that they take less.
+// throttling tells which endpoints had said that they take less.
 func (w *story) throttling() []string {
 	out := w.reason()
 	if w.belief == nil {
--- a/internal/published/changes.go
+++ b/internal/published/changes.go
@@ -74,7 +74,9 @@
 	if err != nil || float64(len(data)) > maxShare*float64(len(v.Content)) {
 		return v
 	}
-	return Value{Name: v.Name, Revision: v.Revision, Base: after, Changes: data, Sum: xxhash.Sum64(v.Content), Since: v.Since, Certain: v.Certain}
+	v.Sum = xxhash.Sum64(v.Content)
+	v.Base, v.Changes, v.Content = after, data, nil
+	return v
 }
 
 // certain reports whether the newest value by name is known to be written in its era. The caller
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -128,11 +128,16 @@
 func (s *Store) Settle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name, settle := range map[string]func(time.Time) (revision.ID, bool){Table: s.table.Settle, Fleet: s.fleet.Settle} {
-		at, certain := settle(now)
-		if p := s.pending[name]; certain && p.Revision == at {
-			s.take(now, p.Value, p.source, register.ToldCertain)
-		}
+	at, certain := s.table.Settle(now)
+	s.settle(now, Table, at, certain)
+	at, certain = s.fleet.Settle(now)
+	s.settle(now, Fleet, at, certain)
+}
+
+// settle takes the value that is pending by name if its register is certain of it.
+func (s *Store) settle(now time.Time, name string, at revision.ID, certain bool) {
+	if p := s.pending[name]; certain && p.Revision == at {
+		s.take(now, p.Value, p.source, register.ToldCertain)
 	}
 }
 
--- a/pkg/fleet/restored.go
+++ b/pkg/fleet/restored.go
@@ -31,10 +31,8 @@
 	era uint64
 	// noticed is when the last restore was noticed.
 	noticed time.Time
-	// used are the lives in use, and inUse counts them by target; both are nil before the first
-	// list.
-	used  map[Life]bool
-	inUse map[string]int
+	// used are the lives in use, with their targets; nil before the first list.
+	used map[Life][]string
 	// left are the lives that were in use and aren't, and since when.
 	left   map[Life]time.Time
 	closed []string
@@ -97,22 +95,20 @@
 // Use tells which endpoints are used, of the list and those that Grace keeps.
 func (r *Restored) Use(now time.Time, endpoints []Endpoint) {
 	before := r.used
-	r.used, r.inUse = make(map[Life]bool, len(endpoints)), map[string]int{}
+	r.used = make(map[Life][]string, len(endpoints))
 	for _, e := range endpoints {
-		r.used[e.Life()] = true
-		for _, t := range e.Targets {
-			r.inUse[t]++
-		}
+		r.used[e.Life()] = e.Targets
 	}
+	inUse := func(l Life) bool { _, ok := r.used[l]; return ok }
 	if r.left == nil {
 		r.left = map[Life]time.Time{}
 	}
 	for life := range before {
-		if !r.used[life] {
+		if !inUse(life) {
 			r.left[life] = now
 		}
 	}
-	maps.DeleteFunc(r.left, func(l Life, at time.Time) bool { return r.used[l] || now.Sub(at) >= leftFor })
+	maps.DeleteFunc(r.left, func(l Life, at time.Time) bool { return inUse(l) || now.Sub(at) >= leftFor })
 }
 
 // mostLeft is up to how many endpoints of a target may have left, for each that is in use.
@@ -124,7 +120,12 @@
 		at, ok := r.left[e.Life()]
 		return ok && now.Sub(at) < leftFor
 	}
-	left := map[string]int{}
+	left, inUse := map[string]int{}, map[string]int{}
+	for _, targets := range r.used {
+		for _, t := range targets {
+			inUse[t]++
+		}
+	}
 	for _, e := range listed {
 		for _, t := range e.Targets {
 			if had(e) {
@@ -132,7 +133,7 @@
 			}
 		}
 	}
-	lapsed := func(t string) bool { return left[t] > mostLeft*r.inUse[t] }
+	lapsed := func(t string) bool { return left[t] > mostLeft*inUse[t] }
 	out := map[Life]bool{}
 	for _, e := range listed {
 		if had(e) && !slices.ContainsFunc(e.Targets, lapsed) {
@@ -144,16 +145,21 @@
 
 // bridge leaves out of a list what had left, and adds what was closed.
 func (r *Restored) bridge(listed []Endpoint, closed []string) Bridged {
+	if len(r.out) == 0 && len(r.kept) == 0 {
+		return Bridged{Endpoints: listed, Closed: closed}
+	}
 	result := Bridged{Closed: slices.Clone(closed)}
+	// What isn't listed any more is news when it comes back.
+	still := map[Life]bool{}
 	for _, e := range listed {
 		if r.out[e.Life()] {
+			still[e.Life()] = true
 			result.KeptOut = append(result.KeptOut, e.Life())
 			continue
 		}
 		result.Endpoints = append(result.Endpoints, e)
 	}
-	// What isn't listed any more is news when it comes back.
-	maps.DeleteFunc(r.out, func(l Life, _ bool) bool { return !slices.Contains(result.KeptOut, l) })
+	r.out = still
 	// What the list shows is told by the list from then on.
 	r.kept = slices.DeleteFunc(slices.Clone(r.kept), func(name string) bool { return slices.Contains(closed, name) })
 	result.KeptClosed = r.kept
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -216,7 +216,7 @@
 mutant "restores: a watch of another era believed" platform/store.go 's/if era != since.Era() {/if era != since.Era() \&\& false {/' "./platform -run Era"
 mutant "restores: pages of two eras taken for a list" platform/store.go 's/if at.Era() != out.Revision.Era() {/if false {/' "./platform -run Era"
 mutant "restores: a stale list of the era before believed" platform/store.go 's/if newest > out.Revision {/if false {/' "./platform -run Restore"
-mutant "restores: a watch begins at a stale list" internal/gateway/reader.go 's/^\tr.since = 0$/\tr.since += 0/' "./internal/gateway -run Stale"
+mutant "restores: a watch begins at a stale list" internal/gateway/reader.go 's/if watchable {/if true {/' "./internal/gateway -run Stale"
 mutant "restores: an earlier era followed" internal/gateway/reader.go 's/if all.Revision.Era() < r.registry.Revision().Era() {/if false {/' "./internal/gateway -run NotBeenRestored"
 mutant "restores: changes of another era applied" pkg/fleet/registry.go 's/if era != r.revision.Era() {/if false {/' ./pkg/fleet
 mutant "restores: a list of a later era that is the same is no news" pkg/fleet/registry.go 's/if at.Era() == r.revision.Era() \&\& maps/if maps/' ./pkg/fleet
@@ -227,7 +227,7 @@
 mutant "restores: whatever is told is certain" internal/published/published.go 's/if v.Certain {/if true {/' "./internal/published -run Own"
 mutant "restores: certainty isn't passed on" internal/peering/convert.go 's/Certain: d.GetCertain()}/Certain: false}/' "./internal/peering -run Certain"
 mutant "restores: what had left is used" pkg/fleet/restored.go 's/if r.out\[e.Life()\] {/if false {/' "./pkg/fleet ./internal/gateway -run AnEndpointGone"
-mutant "restores: most of a target kept out" pkg/fleet/restored.go 's/return left\[t\] > mostLeft\*r.inUse\[t\]/return false/' ./pkg/fleet
+mutant "restores: most of a target kept out" pkg/fleet/restored.go 's/return left\[t\] > mostLeft\*inUse\[t\]/return false/' ./pkg/fleet
 mutant "restores: closed data centres open" pkg/fleet/restored.go 's/^\t\tr.kept = r.closed$/\t\tr.kept = nil/' "./pkg/fleet -run Closed"
 mutant "restores: what the copy lacks is gone" pkg/fleet/grace.go 's/all || live\[t\] > 1/live[t] > 1/' "./pkg/fleet ./internal/gateway -run Copy"
 mutant "restores: fencing numbers go back" pkg/fencing/fencing.go 's/Fencing: uint64(b.Revision), Desired/Fencing: b.Revision.Number(), Desired/' ./pkg/fencing
