A restore that no era tells is noticed by revisions that go back

Cause: within an era a list of the store below the newest known revision was ignored without a line, and the watch from there gave changes that were taken for known by their bare numbers. Reported as a lost change whose revision equals the newest one known before a restore: the endpoint isn't used, and once the others are gone everything is refused with no_endpoint. Ruled out: an era that rises.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -72,7 +72,7 @@
 	}
 	now := clock.Now()
 	g.grace.Forget(held.Value.Bad())
-	bridged := g.restored.Apply(now, g.noticed, held.Revision.Era(), held.Value.Endpoints, held.Value.ClosedDataCenters())
+	bridged := g.restored.Apply(now, g.noticed, held.Revision.Epoch(), held.Value.Endpoints, held.Value.ClosedDataCenters())
 	g.logBridged(bridged, held.Revision)
 	use, lapsed := g.grace.Apply(now, bridged.Endpoints, bridged.First)
 	if !lapsed.IsZero() {
@@ -270,7 +270,7 @@
 // that, and gives those revisions out again.
 func (g *Gateway) onEra(before, now revision.ID) {
 	g.metrics.Restores.Inc()
-	g.log.Warn("store restored", "era", now.Era(), "before", before, "revision", now, "fleet", g.fleetRevision())
+	g.log.Warn("store restored", "era", now.Era(), "rewinds", now.Rewinds(), "before", before, "revision", now, "fleet", g.fleetRevision())
 }
 
 func (g *Gateway) onViolation(name invariant.Name, detail string) {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -22,14 +22,15 @@
 	source *platform.Published
 	held   func() (published.Value, bool)
 
-	// onEra, if set, is told of a store that was restored, and of which revisions its answers
-	// were before and now.
+	// onEra, if set, is called when the store was restored, with the revisions of its answers
+	// before and now.
 	onEra func(before, now revision.ID)
 
 	mu       sync.Mutex
 	registry *fleet.Registry
 	// since is where the next watch begins; zero if a list has to come first.
-	since    revision.ID
+	since revision.ID
+	// answered is the revision of the store's last answer to this reader.
 	answered revision.ID
 }
 
@@ -55,12 +56,26 @@
 	if err != nil {
 		return nil, err
 	}
+	values, ok, err := r.apply(news)
+	if !ok {
+		// Others know of a restore since: these changes aren't of what is known by now.
+		return r.list(ctx, r.source.List, true)
+	}
+	return values, err
+}
+
+// apply takes the answer to a watch; it can't if the registry is of another epoch.
+func (r *reader) apply(news platform.News) (values []published.Value, ok bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.adopt()
+	if news.Revision.Epoch() != r.registry.Revision().Epoch() {
+		return nil, false, nil
+	}
 	r.observe(news)
 	r.since = news.Revision
-	return r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Revision.Era(), news.Endpoints) })
+	values, err = r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Revision, news.Endpoints) })
+	return values, true, err
 }
 
 // ReadStale returns all values as they were at most some seconds ago. The next read lists them
@@ -71,6 +86,7 @@
 
 // list reads all; watchable says that a watch may begin there.
 func (r *reader) list(ctx context.Context, from func(context.Context) (platform.News, error), watchable bool) ([]published.Value, error) {
+	before, others := r.known()
 	all, err := from(ctx)
 	if err != nil {
 		return nil, err
@@ -78,7 +94,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.adopt()
-	if all.Revision.Era() < r.registry.Revision().Era() {
+	all.Revision = all.Revision.Follow(before, others)
+	if all.Revision.Epoch() < r.registry.Revision().Epoch() {
 		return nil, platform.ErrEarlierEra
 	}
 	r.observe(all)
@@ -89,6 +106,14 @@
 	return r.values(all, nil, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
 }
 
+// known is what the store has answered to this reader last, and the newest that others have told.
+func (r *reader) known() (answered, told revision.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.adopt()
+	return r.answered, r.registry.Revision()
+}
+
 // adopt takes the newest registry that peers have passed on.
 func (r *reader) adopt() {
 	if v, ok := r.held(); ok {
@@ -97,11 +122,11 @@
 	}
 }
 
-// observe compares the era of an answer with that of the one before.
+// observe compares the epoch of an answer with that of the one before.
 func (r *reader) observe(news platform.News) {
 	before := r.answered
 	r.answered = news.Revision
-	if before != 0 && before.Era() != r.answered.Era() && r.onEra != nil {
+	if before != 0 && before.Epoch() != r.answered.Epoch() && r.onEra != nil {
 		r.onEra(before, r.answered)
 	}
 }
--- a/internal/published/changes.go
+++ b/internal/published/changes.go
@@ -30,7 +30,7 @@
 	}
 	before := s.raw[Fleet].Revision
 	changes, err := fleet.DecodeChanges(v.Changes)
-	if v.Base == 0 || v.Base > before || v.Base.Era() != v.Revision.Era() || err != nil {
+	if v.Base == 0 || v.Base > before || v.Base.Epoch() != v.Revision.Epoch() || err != nil {
 		s.log = changeLog{from: v.Revision}
 		return
 	}
@@ -49,7 +49,7 @@
 	}
 }
 
-// later lists the changes after a revision of the era that they are of.
+// later lists the changes after a revision of the epoch that they are of.
 func later(changes []fleet.Record, after revision.ID) []fleet.Record {
 	newest := after.Number()
 	var out []fleet.Record
@@ -66,7 +66,7 @@
 // else as it is. The caller holds the lock.
 func (s *Store) since(v Value, after revision.ID, changes bool) Value {
 	v.Certain = s.certain(v.Name)
-	known := after != 0 && s.log.from != 0 && after >= s.log.from && after.Era() == v.Revision.Era()
+	known := after != 0 && s.log.from != 0 && after >= s.log.from && after.Epoch() == v.Revision.Epoch()
 	if !changes || v.Name != Fleet || !known {
 		return v
 	}
@@ -97,7 +97,7 @@
 		return v, false
 	}
 	changes, err := fleet.DecodeChanges(v.Changes)
-	if err != nil || v.Base > before.Revision || v.Base.Era() != before.Revision.Era() || v.Name != Fleet {
+	if err != nil || v.Base > before.Revision || v.Base.Epoch() != before.Revision.Epoch() || v.Name != Fleet {
 		s.whole = true
 		return v, false
 	}
--- a/internal/published/changes_test.go
+++ b/internal/published/changes_test.go
@@ -44,7 +44,7 @@
 	}
 	base := r.registry.Revision()
 	i, _ := slices.BinarySearchFunc(history, base.Number()+1, func(c fleet.Record, revision uint64) int { return int(c.Revision) - int(revision) })
-	if !r.registry.Apply(base.Era(), history[i:]) {
+	if !r.registry.Apply(base, history[i:]) {
 		return
 	}
 	content, err := r.registry.Encode()
@@ -205,7 +205,7 @@
 		}
 	} else {
 		i, _ := slices.BinarySearchFunc(p.history, base.Number()+1, func(c fleet.Record, number uint64) int { return int(c.Revision) - int(number) })
-		if !r.registry.Apply(p.era, p.history[i:]) {
+		if !r.registry.Apply(at, p.history[i:]) {
 			return
 		}
 		v.Base = base
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -20,7 +20,7 @@
 	// Closes names the data centre whose endpoints are to get no requests for as long as the
 	// record is there; empty in records of endpoints, and the id is empty where it isn't.
 	Closes string `json:"closes,omitempty"`
-	// Revision of the record's last change, in the era of the registry.
+	// Revision of the record's last change, in the epoch of the registry.
 	Revision uint64          `json:"revision"`
 	Content  json.RawMessage `json:"content"`
 	// Deleted marks, in a change, that the record is gone.
@@ -38,7 +38,7 @@
 
 // Registry keeps the published records of endpoints up to a revision. Readers
 // that have applied the same changes hold the same registry, whether they read
-// the platform themselves or took the registry of a peer. A list of a later era replaces all
+// the platform themselves or took the registry of a peer. A list of a later epoch replaces all
 // that is known of earlier ones. The caller serialises calls.
 type Registry struct {
 	revision revision.ID
@@ -51,10 +51,10 @@
 // Revision is that of the newest change that has been applied.
 func (r *Registry) Revision() revision.ID { return r.revision }
 
-// Apply takes changes of an era in the order of their revisions, and reports whether one of
-// them was news. Changes of another era than the registry's say nothing of what it holds.
-func (r *Registry) Apply(era uint64, changes []Record) bool {
-	if era != r.revision.Era() {
+// Apply takes changes up to a revision, in the order of their own, and reports whether one of
+// them was news. Changes of another epoch than the registry's say nothing of what it holds.
+func (r *Registry) Apply(upTo revision.ID, changes []Record) bool {
+	if upTo.Epoch() != r.revision.Epoch() {
 		return false
 	}
 	news := false
@@ -86,7 +86,7 @@
 		next[rec.key()] = rec
 		newest = max(newest, at.At(rec.Revision))
 	}
-	if at.Era() == r.revision.Era() && maps.EqualFunc(next, r.records, sameRecord) {
+	if at.Epoch() == r.revision.Epoch() && maps.EqualFunc(next, r.records, sameRecord) {
 		return false
 	}
 	// A first list is known by its newest record, so that readers that start at
--- a/pkg/register/register.go
+++ b/pkg/register/register.go
@@ -173,14 +173,14 @@
 	}
 	held := r.held.Load()
 	switch {
-	case r.settle == 0, at.Era() == 0, from == ToldCertain:
+	case r.settle == 0, at.Epoch() == 0, from == ToldCertain:
 		return Adopted, true
 	case held == nil:
 		return Adopted, false
-	case at.Era() == r.seen.Era(), at.Era() == r.doubted.Era() && at > r.doubted:
+	case at.Epoch() == r.seen.Epoch(), at.Epoch() == r.doubted.Epoch() && at > r.doubted:
 		// It was written after the one before had been read.
 		return Adopted, true
-	case at.Era() == r.doubted.Era() && at < r.doubted:
+	case at.Epoch() == r.doubted.Epoch() && at < r.doubted:
 		return Stale, false
 	case bytes.Equal(content, held.Content):
 		return Adopted, false
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -231,5 +231,8 @@
 mutant "restores: closed data centres open" pkg/fleet/restored.go 's/^\t\tr.kept = r.closed$/\t\tr.kept = nil/' "./pkg/fleet -run Closed"
 mutant "restores: what the copy lacks is gone" pkg/fleet/grace.go 's/all || live\[t\] > 1/live[t] > 1/' "./pkg/fleet ./internal/gateway -run Copy"
 mutant "restores: fencing numbers go back" pkg/fencing/fencing.go 's/Fencing: uint64(b.Revision), Desired/Fencing: b.Revision.Number(), Desired/' ./pkg/fencing
+mutant "restores: a rewind without a new era not noticed" pkg/revision/revision.go 's/id.Number() < before.Number() \&\& before.Rewinds() < MaxRewinds/false/' "./pkg/revision ./internal/gateway -run Given"
+mutant "restores: rewinds that others noticed not followed" pkg/revision/revision.go 's/others.Epoch() > before.Epoch()/false/' "./pkg/revision -run Given"
+mutant "restores: a watch beyond what the store has goes on" platform/store.go 's/at < since.Number()/at < 1/' "./platform -run TestAWatchBeyond"
 
 exit $green
