Entries stand in for watchers that lost the store

Cause: the two watchers of a data centre were those that rank highest among the live entries, whether or not they hear from the store. With both cut off, from the store or from the third entry, that entry missed configurations for over 2 s until they counted as dead. Change: an entry declares in its record that it lost the store. An entry watches if fewer than two of those that rank above it are known to read (heard lately, and not lost), up to the fourth by rank, so that an outage adds two callers a data centre; the first that is known to read takes the short waits. Without an outage nothing changes. After: green, TestFleetsFollowARestoredStore green (3 to 295 entries), two mutants red.

--- a/internal/controllers/config.go
+++ b/internal/controllers/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -13,9 +14,14 @@
 
 // Watchers is how many entries of a data centre watch the platform. The others
 // hear from them and only look in at times, so that the reads grow with the
-// data centres and not with the fleet.
+// data centres and not with the fleet. While watchers have lost the platform, or
+// aren't heard, up to as many others stand in for them.
 const Watchers = 2
 
+// Silence of a watcher, in rounds of the exchange, from which on others stand in for it: what it
+// tells reaches its data centre in about as many rounds as its entries can be halved.
+const silentRounds = 2
+
 const watchJob = "watch"
 
 // Reader reads the published values.
@@ -50,6 +56,9 @@
 	// LookIn is how often one of the entries of a data centre that aren't watchers
 	// reads the platform.
 	LookIn time.Duration
+	// Round is the interval of the exchange with other entries; without it nobody stands in for
+	// watchers.
+	Round time.Duration
 	// OnError is told of each failed read.
 	OnError func(error)
 	// OnState, if set, is told when the platform is lost and regained; away is for
@@ -76,7 +85,7 @@
 	lookedIn := clock.Now()
 	for ctx.Err() == nil {
 		now := clock.Now()
-		watcher := c.Beliefs.Assigned(now, watchJob, Watchers)
+		watcher, _ := c.role(now)
 		if !watcher && now.Sub(lookedIn) < c.lookIn(now) && c.Store.Ready() {
 			pause.For(ctx, idlePause)
 			continue
@@ -101,11 +110,22 @@
 	}
 }
 
+// role tells whether the entry watches, and whether it is the first of its data centre that does.
+func (c *Config) role(now time.Time) (watcher, first bool) {
+	rounds := silentRounds + bits.Len(uint(c.Beliefs.LocalSize(now)-1))
+	above, reading := c.Beliefs.ReadersAbove(now, watchJob, time.Duration(rounds)*c.Round)
+	if c.Round == 0 {
+		return above < Watchers, above == 0
+	}
+	standsIn := above < 2*Watchers && reading < Watchers
+	return above < Watchers || standsIn, reading == 0
+}
+
 // wait is how long the next watch waits. The jitter keeps the watches of all entries from
 // ending together: one that has stalled without being cut is then covered by another's.
 func (c *Config) wait(now time.Time) time.Duration {
 	usual := jittered(c.Wait)
-	if c.FirstWait == 0 || !c.Beliefs.Assigned(now, watchJob, 1) {
+	if _, first := c.role(now); c.FirstWait == 0 || !first {
 		return usual
 	}
 	return min(usual, time.Duration((1+rand.Float64())/2*float64(c.FirstWait)))
@@ -113,7 +133,7 @@
 
 // spacing is the mean time until the next watch.
 func (c *Config) spacing(now time.Time) time.Duration {
-	if c.Beliefs.Assigned(now, watchJob, 1) {
+	if _, first := c.role(now); first {
 		return c.Spacing
 	}
 	return c.SecondSpacing
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,12 +188,20 @@
 		Beliefs: e.beliefs,
 		Wait:    e.cfg.WatchWait,
 		LookIn:  e.cfg.LookIn,
+		Round:   e.cfg.ExchangeEvery,
 		OnError: func(error) { e.metrics.PlatformErrors.Inc() },
+		OnState: e.onStoreState,
 	}
 }
 
 func (e *Entry) newRequestID() string { return uuid.NewString() }
 
+// onStoreState declares that the platform was lost or regained.
+func (e *Entry) onStoreState(up bool, _ time.Duration, _ error) {
+	e.beliefs.SetStoreLost(!up)
+	e.kick()
+}
+
 // onLeave, onValue and onViolation log changes of state.
 func (e *Entry) onLeave(l drain.Leave, source string) {
 	e.kick()
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -259,6 +259,10 @@
 }
 
 func (g *Gateway) onStoreState(up bool, since time.Duration, err error) {
+	g.beliefs.SetStoreLost(!up)
+	if g.caughtUp.Load() {
+		g.exchange.Kick()
+	}
 	if up {
 		g.log.Info("store regained", "away", since.Round(time.Millisecond))
 		return
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -78,6 +78,7 @@
 
 		Settle:  g.cfg.settle(),
 		LookIn:  g.cfg.LookIn,
+		Round:   g.cfg.ExchangeEvery,
 		OnError: func(error) { g.metrics.PlatformErrors.Inc() },
 		OnState: g.onStoreState,
 	}
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -55,6 +55,7 @@
 	homesAt    time.Time
 	payloadAt  time.Time
 	state      peerv1.NodeState
+	storeLost  bool
 	dispatcher *dispatch.Dispatcher
 	// homeEntries is among how many entries an engine is split.
 	homeEntries int
@@ -198,6 +199,13 @@
 	b.state = s
 }
 
+// SetStoreLost changes whether the entry declares that it hears nothing from the platform's store.
+func (b *Beliefs) SetStoreLost(lost bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeLost = lost
+}
+
 // Beat renews the entry's own record.
 func (b *Beliefs) Beat(now time.Time, inherited [][]byte) {
 	b.guard.Forget(now)
@@ -209,6 +217,7 @@
 	}
 	b.view.Beat(func(r *peerv1.NodeRecord) {
 		r.State = b.state
+		r.StoreLost = b.storeLost
 		r.Inherited = inherited
 		r.Leaves = leavesOut(b.told)
 		b.tellLimits(now, r)
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -159,6 +159,17 @@
 	return b.view.Assigned(now, name, count)
 }
 
+// ReadersAbove counts the live entries of the data centre that rank above this one for a job on
+// the platform's store, and those of them that are known to do it: they have been heard lately,
+// and have not told that they lost the store.
+func (b *Beliefs) ReadersAbove(now time.Time, job string, lately time.Duration) (all, reading int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Above(now, job, func(m membership.Member) bool {
+		return m.Age < lately && !m.Record.GetStoreLost()
+	})
+}
+
 // LocalSize counts the live entries of the data centre, this one included.
 func (b *Beliefs) LocalSize(now time.Time) int {
 	b.mu.Lock()
--- a/pkg/membership/assign.go
+++ b/pkg/membership/assign.go
@@ -17,20 +17,27 @@
 // all; so only jobs for which both are harmless are shared out this way:
 // polling endpoints and watching the platform.
 func (v *View) Assigned(now time.Time, job string, count int) bool {
+	above, _ := v.Above(now, job, func(Member) bool { return true })
+	return above < count
+}
+
+// Above counts the live entries of the data centre that rank above the owner for a job, and those
+// of them that a condition holds for.
+func (v *View) Above(now time.Time, job string, holds func(Member) bool) (all, holding int) {
 	mine := Rank(job, v.cfg.VM)
-	above := 0
 	for _, n := range v.nodes {
-		if n.record.GetDataCenter() != v.cfg.DataCenter {
+		if n.record.GetDataCenter() != v.cfg.DataCenter || v.status(now, n) != Alive {
 			continue
 		}
-		if v.status(now, n) != Alive {
+		if Rank(job, n.record.GetVm()) <= mine {
 			continue
 		}
-		if Rank(job, n.record.GetVm()) > mine {
-			above++
+		all++
+		if holds(v.member(now, n)) {
+			holding++
 		}
 	}
-	return above < count
+	return all, holding
 }
 
 // LocalSize counts the live entries of the own data centre, the owner included.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -234,5 +234,7 @@
 mutant "restores: a rewind without a new era not noticed" pkg/revision/revision.go 's/id.Number() < before.Number() \&\& before.Rewinds() < MaxRewinds/false/' "./pkg/revision ./internal/gateway -run Given"
 mutant "restores: rewinds that others noticed not followed" pkg/revision/revision.go 's/others.Epoch() > before.Epoch()/false/' "./pkg/revision -run Given"
 mutant "restores: a watch beyond what the store has goes on" platform/store.go 's/at < since.Number()/at < 1/' "./platform -run TestAWatchBeyond"
+mutant "store: nobody stands in for watchers that lost it" internal/controllers/config.go 's/above < 2\*Watchers && reading < Watchers/false/' "./internal/gateway -run WatchersAreCutOff"
+mutant "store: a lost store is not declared" internal/gateway/beliefs.go 's/g.beliefs.SetStoreLost(!up)/_ = up/' "./internal/gateway -run WatchersAreCutOff"
 
 exit $green
