Lists of endpoints come into force no faster than in proportion to their length

Cause: each change of the list put a list of all endpoints into force, with work for each endpoint (parse, bridge, grace, lives, beliefs, scheduler), and the rate of changes rises with the endpoints too: the square of the fleet, at each of its entries. Change: package published holds a newer list back until 150 us for each endpoint have passed since the last one (0.9 s at 6,000, 1.25 s at most there: a quarter of the time in which leaves must be known, 10 ms at 64). What waits is known and passed on.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -32,7 +32,32 @@
 		g.metrics.Values.WithLabelValues(published.Fleet, register.Rejected.String()).Inc()
 		g.log.Warn("endpoint records left out", "findings", f.Error())
 	})
-	return published.Parsers{Table: platform.ParseConfiguration, Fleet: endpoints.Parse}
+	return published.Parsers{Table: platform.ParseConfiguration, Fleet: endpoints.Parse, Pace: listPace, MaxPace: g.maxListPace()}
+}
+
+const (
+	// listPace, for each endpoint, is many times what putting a list into force takes.
+	listPace = 150 * time.Microsecond
+	// drainParts is the part of the time until an endpoint that leaves must get no requests which
+	// a list may wait at most.
+	drainParts = 4
+)
+
+func (g *Gateway) maxListPace() time.Duration {
+	if g.vm.Bounds.Drain == 0 {
+		return time.Second
+	}
+	return g.vm.Bounds.Drain / drainParts
+}
+
+// applyLater puts a list of endpoints into force that has to wait.
+func (g *Gateway) applyLater(at time.Time) {
+	time.AfterFunc(max(clock.Until(at), time.Millisecond), func() {
+		g.store.ApplyDue(clock.Now())
+		if again, ok := g.store.Due(); ok {
+			g.applyLater(again)
+		}
+	})
 }
 
 // onValue logs news of a published value.
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -47,8 +47,11 @@
 	// Settle is for how long values have to stand after a restore of the platform's store to be
 	// certain, where only revisions order them; see package register.
 	Settle time.Duration
-	Table  func([]byte) (*table.Table, error)
-	Fleet  func([]byte) (*fleet.List, error)
+	// Pace is the least time, for each endpoint, from putting one list of endpoints into force to
+	// the next, and MaxPace bounds it. Without it each list comes into force at once.
+	Pace, MaxPace time.Duration
+	Table         func([]byte) (*table.Table, error)
+	Fleet         func([]byte) (*fleet.List, error)
 }
 
 // settle is longer than publishers take to write again what a restored store has lost, and
@@ -86,9 +89,12 @@
 	log   changeLog
 	// whole says that what is known of the fleet differs from what others know, so that the
 	// whole value is needed.
-	whole   bool
-	onEvent func(Event)
-	onFleet func(list *fleet.List, since time.Time)
+	whole bool
+	paced pacing
+	// onDeferred, if set, is called when a list begins to wait until ApplyDue.
+	onDeferred func(at time.Time)
+	onEvent    func(Event)
+	onFleet    func(list *fleet.List, since time.Time)
 }
 
 // New makes an empty store. onEvent is told of adoptions, rejections, conflicts, values in
@@ -99,12 +105,17 @@
 		fleet:   register.NewSettling(p.Fleet, p.Settle),
 		pending: map[string]pendingValue{},
 		raw:     map[string]Value{},
+		paced:   pacing{each: p.Pace, most: p.MaxPace},
 		stale:   map[string]revision.ID{},
 		onEvent: onEvent,
 		onFleet: onFleet,
 	}
 }
 
+// OnDeferred sets what is called when a list of endpoints begins to wait; ApplyDue has to be called
+// at the given time then.
+func (s *Store) OnDeferred(call func(at time.Time)) { s.onDeferred = call }
+
 // Offer gives the store a value that a peer has told.
 func (s *Store) Offer(now time.Time, v Value, source string) register.Verdict {
 	s.mu.Lock()
@@ -161,7 +172,18 @@
 	if v.Name == Fleet {
 		// It has come whole, or fits what others have.
 		s.whole = false
+		if s.paced.deferred && v.Revision <= s.raw[Fleet].Revision {
+			return register.Known
+		}
+		if v.Revision > s.raw[Fleet].Revision && s.defers(now, &v, source) {
+			return register.Deferred
+		}
 	}
+	return s.apply(now, v, source, from)
+}
+
+// apply offers a whole value to its register, and tells what came of it. The caller holds the lock.
+func (s *Store) apply(now time.Time, v Value, source string, from register.Evidence) register.Verdict {
 	verdict, err := s.offer(now, v, from)
 	if (verdict == register.Adopted || verdict == register.Rejected) && v.Revision > s.raw[v.Name].Revision {
 		s.note(v)
@@ -169,6 +191,7 @@
 	}
 	news := s.setPending(v, verdict, source)
 	if verdict == register.Adopted && v.Name == Fleet {
+		s.paced.applied(now, len(s.fleet.Current().Value.Endpoints))
 		s.onFleet(s.fleet.Current().Value, v.Since)
 	}
 	if verdict == register.Adopted || verdict == register.Rejected || verdict == register.Conflict || news || s.staleNews(v, verdict) {
--- a/pkg/register/register.go
+++ b/pkg/register/register.go
@@ -57,11 +57,13 @@
 	Conflict
 	// Pending: it may be older than the one in force, see Restores.
 	Pending
+	// Deferred: it is newer, and will be offered later, see package published.
+	Deferred
 )
 
 // String names the verdict for logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"adopted", "known", "stale", "rejected", "conflict", "pending"}[v]
+	return [...]string{"adopted", "known", "stale", "rejected", "conflict", "pending", "deferred"}[v]
 }
 
 // Held is a value in force.
