Watchers put changes of endpoints into the encoded list

Cause: each change that a watcher read was put into its registry, which was then encoded whole (and decoded whole when a peer had been first): work for each endpoint on each change, in JSON. Change: the changes of a watch are spliced into the encoded list that is known, as at entries that are told of them; only lists of the store are decoded. Tests: those of the reader and TestFleetsFollowARestoredStore hold.

--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -64,18 +64,39 @@
 	return values, err
 }
 
-// apply takes the answer to a watch; it can't if the registry is of another epoch.
+// apply takes the answer to a watch; it can't if what is known by now is of another epoch. The
+// changes go into the encoded registry: decoding and encoding one takes many times as long.
 func (r *reader) apply(news platform.News) (values []published.Value, ok bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.adopt()
-	if news.Revision.Epoch() != r.registry.Revision().Epoch() {
+	held, ok := r.held()
+	if !ok || news.Revision.Epoch() != held.Revision.Epoch() {
 		return nil, false, nil
 	}
 	r.observe(news)
 	r.since = news.Revision
-	values, err = r.values(news, news.Endpoints, func() bool { return r.registry.Apply(news.Revision, news.Endpoints) })
-	return values, true, err
+	if changes := fleet.Later(news.Endpoints, held.Revision.Number()); len(changes) > 0 {
+		v, err := changed(held, changes)
+		if err != nil {
+			return nil, true, err
+		}
+		values = append(values, v)
+	}
+	if news.Table != nil {
+		values = append(values, *news.Table)
+	}
+	return values, true, nil
+}
+
+// changed is the value that changes lead to from another.
+func changed(held published.Value, changes []fleet.Record) (v published.Value, err error) {
+	at := held.Revision.At(changes[len(changes)-1].Revision)
+	v = published.Value{Name: published.Fleet, Revision: at, Base: held.Revision}
+	if v.Content, err = fleet.Patch(held.Content, held.Revision.Number(), changes); err != nil {
+		return v, err
+	}
+	v.Changes, err = fleet.EncodeChanges(changes)
+	return v, err
 }
 
 // ReadStale returns all values as they were at most some seconds ago. The next read lists them
@@ -103,7 +124,18 @@
 	if watchable {
 		r.since = all.Revision
 	}
-	return r.values(all, nil, func() bool { return r.registry.Replace(all.Endpoints, all.Revision) })
+	var values []published.Value
+	if r.registry.Replace(all.Endpoints, all.Revision) {
+		content, err := r.registry.Encode()
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, published.Value{Name: published.Fleet, Revision: r.registry.Revision(), Content: content})
+	}
+	if all.Table != nil {
+		values = append(values, *all.Table)
+	}
+	return values, nil
 }
 
 // known is what the store has answered to this reader last, and the newest that others have told.
@@ -130,38 +162,3 @@
 		r.onEra(before, r.answered)
 	}
 }
-
-// values gives the values that news leads to; changes are those of the endpoints where the
-// news is of changes only.
-func (r *reader) values(news platform.News, changes []fleet.Record, apply func() bool) ([]published.Value, error) {
-	var out []published.Value
-	base := r.registry.Revision()
-	if apply() {
-		v, err := r.fleetSince(base, changes)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, v)
-	}
-	if news.Table != nil {
-		out = append(out, *news.Table)
-	}
-	return out, nil
-}
-
-// fleetSince is the registry as a value, with the changes since a revision if there are any.
-func (r *reader) fleetSince(base revision.ID, changes []fleet.Record) (published.Value, error) {
-	content, err := r.registry.Encode()
-	if err != nil {
-		return published.Value{}, err
-	}
-	v := published.Value{Name: published.Fleet, Revision: r.registry.Revision(), Content: content}
-	if len(changes) == 0 {
-		return v, nil
-	}
-	if v.Changes, err = fleet.EncodeChanges(changes); err != nil {
-		return published.Value{}, err
-	}
-	v.Base = base
-	return v, nil
-}
