Answers that nobody reads are cut after five seconds

Cause: an answer to a caller that keeps its connection open and doesn't read had no deadline. Change: what is written to a caller has to be read on within -unread-timeout (5 s); the connection is closed then, and with it the work at the endpoint ends. Test: TestAnAnswerThatNobodyReadsIsCut; on the code as it was no write to a caller had a deadline (read, not run).

--- a/internal/filters/respond/respond.go
+++ b/internal/filters/respond/respond.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -20,6 +21,10 @@
 	contentType string
 	// passed says that the answer is an endpoint's, passed on as it came.
 	passed bool
+	// unread is for how long a caller may leave the answer unread; zero is for ever.
+	unread time.Duration
+	// allowed is when the caller was last given that time.
+	allowed time.Time
 }
 
 var _ job.Sink = (*Writer)(nil)
@@ -29,6 +34,28 @@
 	return &Writer{w: w, flusher: http.NewResponseController(w)}
 }
 
+// CutUnread has the answer cut off when the caller hasn't read on for so long. What an entry and an
+// endpoint hold for a caller that doesn't read would else be held until he leaves. The caller's
+// connection is closed then.
+func (s *Writer) CutUnread(after time.Duration) *Writer {
+	s.unread = after
+	return s
+}
+
+// allowParts is how many times within the time for reading it is renewed: setting it takes a timer.
+const allowParts = 4
+
+// allow gives the caller time to read what is written next.
+func (s *Writer) allow() {
+	now := time.Now()
+	if s.unread == 0 || now.Sub(s.allowed) < s.unread/allowParts {
+		return
+	}
+	s.allowed = now
+	// Recorders of tests have no connection, so no deadline either.
+	_ = s.flusher.SetWriteDeadline(now.Add(s.unread))
+}
+
 var _ job.HeaderSink = (*Writer)(nil)
 
 // Start implements job.HeaderSink.
@@ -60,12 +87,16 @@
 
 // Data implements job.Sink.
 func (s *Writer) Data(part []byte) error {
+	s.allow()
 	_, err := s.w.Write(part)
 	return err
 }
 
 // Flush implements job.Sink.
-func (s *Writer) Flush() { _ = s.flusher.Flush() }
+func (s *Writer) Flush() {
+	s.allow()
+	_ = s.flusher.Flush()
+}
 
 // End writes the outcome of a job whose answer went to this writer.
 func (s *Writer) End(j *job.Job, err *outcome.Error) {
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -34,6 +34,6 @@
 
 func (g *Gateway) relay(w http.ResponseWriter, r *http.Request) {
 	j := job.From(r)
-	sink := respond.NewWriter(w)
+	sink := respond.NewWriter(w).CutUnread(g.cfg.UnreadTimeout)
 	sink.End(j, g.runner.Run(r.Context(), j, sink))
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -16,6 +16,7 @@
 	MaxOpen       int
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
+	UnreadTimeout time.Duration
 	ExchangeEvery time.Duration
 	LoadsEvery    time.Duration
 	PollEvery     time.Duration
@@ -39,6 +40,7 @@
 	s.IntVar(&c.MaxOpen, "max-open", 1024, "requests that are open at once")
 	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
 	s.DurationVar(&c.IdleTimeout, "idle-timeout", time.Minute, "time for which a caller's connection is kept without use")
+	s.DurationVar(&c.UnreadTimeout, "unread-timeout", 5*time.Second, "time after which an answer is cut off that its caller doesn't read")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", 500*time.Millisecond, "interval of the exchange with other entries")
 	s.DurationVar(&c.LoadsEvery, "loads-every", 500*time.Millisecond, "interval of telling an entry of each other data centre how busy the engines here are")
 	s.DurationVar(&c.PollEvery, "poll-every", 1200*time.Millisecond, "interval of reading engines' states")
@@ -60,6 +62,7 @@
 	s.NeedInt("max-body-bytes", c.MaxBodyBytes, 1, 64<<20)
 	s.NeedInt("max-open", c.MaxOpen, 1, 1_000_000)
 	s.NeedDuration("body-timeout", c.BodyTimeout, time.Millisecond, time.Hour)
+	s.NeedDuration("unread-timeout", c.UnreadTimeout, 100*time.Millisecond, time.Hour)
 	s.NeedDuration("idle-timeout", c.IdleTimeout, time.Second, time.Hour)
 	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("loads-every", c.LoadsEvery, 10*time.Millisecond, time.Minute)
--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +74,29 @@
 	w.g.Eventually(func() int { return e.call("r2", http.MethodPost, "/plain/x", nil).status }, eventually).Should(Equal(http.StatusOK))
 	w.g.Expect(w.ledger.Of("r1")).To(BeEmpty())
 }
+
+// TestAnAnswerThatNobodyReadsIsCut: a caller that leaves its answer unread, with its connection
+// open, holds no engine; other requests are served meanwhile, and its connection is closed.
+func TestAnAnswerThatNobodyReadsIsCut(t *testing.T) {
+	w := newWorld(t)
+	engine := w.endpoint("engine-1", "engine")
+	engine.Events, engine.Every = 100_000_000, 100*time.Microsecond
+	w.endpoint("desk-1", "desk")
+	e := w.start(w.settings("vm-1"), "-unread-timeout", "300ms").waitReady()
+	conn, err := net.Dial("tcp", e.vm.Callers)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	w.g.Expect(conn.(*net.TCPConn).SetReadBuffer(4096)).To(Succeed())
+	// Each event holds the id.
+	id := strings.Repeat("r", 8000)
+	req, err := e.request(t.Context(), id, http.MethodPost, "/stream/x", streamHeaders)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(req.Write(conn)).To(Succeed())
+	w.g.Eventually(engine.Running, eventually).Should(Equal(1))
+	w.g.Expect(e.call("r2", http.MethodGet, "/plain/x", nil).status).To(Equal(http.StatusOK))
+	w.g.Eventually(engine.Running, eventually).Should(BeZero())
+	w.g.Eventually(func() []string { return w.logs.with("request failed", "request=rrr") }, eventually).Should(HaveLen(1))
+	_, err = io.Copy(io.Discard, conn)
+	w.g.Expect(err).To(Or(BeNil(), MatchError(syscall.ECONNRESET)), "closed, not timed out")
+	w.g.Expect(w.ledger.Of(id)).To(HaveLen(1))
+}
