Stages of the list of endpoints share its elements

Change: they point into the list that was passed on; the list is copied once, where the table completes it.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -110,14 +110,16 @@
 	}
 	g.restored.Use(now, use)
 	g.applyAgain(lapsed, earlier, bridged.Again)
+	use = slices.Clone(use)
 	if t := g.store.Table(); t != nil {
-		use = withTable(use, t.Value)
+		withTable(use, t.Value)
 		if f := g.unnamed.Findings(use, t.Value.Names); len(f) > 0 {
 			g.log.Warn("endpoint records of unnamed services", "table", t.Revision, "findings", f.Error())
 		}
 	}
 	listed := held.Value.WithClosed(bridged.Closed)
-	list := listed.WithEndpoints(g.placed(use, listed))
+	g.place(use, listed)
+	list := listed.WithEndpoints(use)
 	g.logClosed(list, held.Revision)
 	before := g.inForce.Swap(list)
 	g.beliefs.ApplyFleet(list)
@@ -199,31 +201,30 @@
 	}
 }
 
-// placed completes endpoints by what is known of their data centres.
-func (g *Gateway) placed(endpoints []fleet.Endpoint, list *fleet.List) []fleet.Endpoint {
-	out := slices.Clone(endpoints)
-	for i := range out {
-		out[i].Closed = list.Closed(out[i].DataCenter)
-		out[i].Region = g.vm.Regions[out[i].DataCenter]
+// place completes endpoints by what is known of their data centres.
+func (g *Gateway) place(endpoints []fleet.Endpoint, list *fleet.List) {
+	for i := range endpoints {
+		e := &endpoints[i]
+		e.Closed = list.Closed(e.DataCenter)
+		e.Region = g.vm.Regions[e.DataCenter]
 	}
-	return out
 }
 
 // withTable completes endpoints by what the table says of engines.
-func withTable(endpoints []fleet.Endpoint, t *table.Table) []fleet.Endpoint {
-	out := make([]fleet.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		if s, ok := t.Service(e.Targets[0]); ok && s.Engine != nil {
+func withTable(endpoints []fleet.Endpoint, t *table.Table) {
+	for i := range endpoints {
+		e := &endpoints[i]
+		s, ok := t.Service(e.Targets[0])
+		if !ok {
+			continue
+		}
+		if s.Engine != nil {
 			e.Type = fleet.Engine
 			e.CapacityTokens = s.Engine.CapacityTokens
 			e.MaxRunning = s.Engine.Slots
 		}
-		if s, ok := t.Service(e.Targets[0]); ok {
-			e.Cold = fleet.ColdLimit{For: s.ColdFor, PerSecond: s.ColdPerSecond}
-		}
-		out = append(out, e)
+		e.Cold = fleet.ColdLimit{For: s.ColdFor, PerSecond: s.ColdPerSecond}
 	}
-	return out
 }
 
 func (g *Gateway) onLeave(l drain.Leave, source string) {
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -45,9 +45,10 @@
 	view   *membership.View
 	drains *drain.Set
 	// told are the leaves in the own record, by endpoint.
-	told    map[string]drain.Leave
-	list    *fleet.List
-	byHash  map[uint32]fleet.Endpoint
+	told map[string]drain.Leave
+	list *fleet.List
+	// byHash are places in the list.
+	byHash  map[uint32]int32
 	homes   map[string]bool
 	reports map[string]scheduler.Report
 	// readAt is when this entry has read the engines that it has reports of.
@@ -108,9 +109,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list = list
-	b.byHash = make(map[uint32]fleet.Endpoint, len(list.Endpoints))
-	for _, e := range list.Endpoints {
-		b.byHash[LifeHash(e.Life())] = e
+	b.byHash = make(map[uint32]int32, len(list.Endpoints))
+	for i, e := range list.Endpoints {
+		b.byHash[LifeHash(e.Life())] = int32(i)
 	}
 	b.homesAt = time.Time{}
 	b.drains.Keep(clock.Now(), func(id string) bool { _, ok := list.Endpoint(id); return ok })
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -164,8 +164,8 @@
 	// Held until it is counted: the endpoint may start again meanwhile.
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e, known := b.byHash[lifeHash]
-	if !known {
+	e := b.lifeOf(lifeHash)
+	if e == nil {
 		return
 	}
 	b.dispatcher.View(func(now time.Time, p scheduler.Policy) {
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -52,8 +52,8 @@
 		from = backpressure.FromFar
 	}
 	for _, told := range r.GetLimits() {
-		e, known := b.byHash[told.GetEndpoint()]
-		if !known {
+		e := b.lifeOf(told.GetEndpoint())
+		if e == nil {
 			// Of a life that isn't listed, and so isn't sent anything.
 			continue
 		}
--- a/internal/peering/loads.go
+++ b/internal/peering/loads.go
@@ -87,12 +87,22 @@
 	}
 }
 
+// lifeOf finds the endpoint of which a listed life has a hash, or returns nil. The caller holds the
+// lock and doesn't change it.
+func (b *Beliefs) lifeOf(hash uint32) *fleet.Endpoint {
+	i, known := b.byHash[hash]
+	if !known {
+		return nil
+	}
+	return &b.list.Endpoints[i]
+}
+
 // eachLoad gives the reports of complete loads about endpoints that are listed, with their
 // places.
 func (b *Beliefs) eachLoad(now time.Time, l *peerv1.Loads, take func(i int, r scheduler.Report)) {
 	for i, hash := range l.GetEndpoints() {
-		if e, known := b.byHash[hash]; known {
-			take(i, reportOf(now, e, l, i))
+		if e := b.lifeOf(hash); e != nil {
+			take(i, reportOf(now, *e, l, i))
 		}
 	}
 }
--- a/pkg/fleet/grace.go
+++ b/pkg/fleet/grace.go
@@ -20,15 +20,17 @@
 	// Hold is for how long a lapsed endpoint is kept.
 	Hold time.Duration
 
-	known map[string]Endpoint
+	// known are those used last; they are shared with the lists that were returned.
+	known map[string]*Endpoint
 	held  map[string]time.Time
 }
 
-// Apply takes the published endpoints and returns those to use; restored says that the list is
+// Apply takes the published endpoints and returns those to use, which the caller must not change;
+// restored says that the list is
 // the first after a restore. If some are held, again is when to apply the same list once more.
 func (g *Grace) Apply(now time.Time, published []Endpoint, restored bool) (use []Endpoint, again time.Time) {
 	if g.known == nil {
-		g.known = map[string]Endpoint{}
+		g.known = map[string]*Endpoint{}
 		g.held = map[string]time.Time{}
 	}
 	listed := make(map[string]bool, len(published))
@@ -36,20 +38,20 @@
 		listed[e.ID] = true
 	}
 	g.holdLapsed(now, listed, restored)
-	use = slices.Clone(published)
+	use = slices.Clip(published)
 	for id, until := range g.held {
 		if listed[id] || !now.Before(until) {
 			delete(g.held, id)
 			continue
 		}
-		use = append(use, g.known[id])
+		use = append(use, *g.known[id])
 		if again.IsZero() || until.Before(again) {
 			again = until
 		}
 	}
 	clear(g.known)
-	for _, e := range use {
-		g.known[e.ID] = e
+	for i := range use {
+		g.known[use[i].ID] = &use[i]
 	}
 	return use, again
 }
--- a/pkg/fleet/lives.go
+++ b/pkg/fleet/lives.go
@@ -46,7 +46,8 @@
 	// Hold is for how long an earlier life isn't believed.
 	Hold time.Duration
 
-	latest map[string]Endpoint
+	// latest are those used last; they are shared with the lists that were returned.
+	latest map[string]*Endpoint
 	// back are the earlier lives that the list shows, with when they are believed.
 	back map[string]setBack
 }
@@ -56,28 +57,34 @@
 	until       time.Time
 }
 
-// Apply takes the listed endpoints and returns those to use. If a record is held back, again
+// Apply takes the listed endpoints and returns those to use, which the caller must not change. If a record is held back, again
 // is when to apply the same list once more.
 func (l *Lives) Apply(now time.Time, listed []Endpoint) (use []Endpoint, again time.Time) {
-	use = slices.Clone(listed)
-	latest := make(map[string]Endpoint, len(listed))
+	use = listed
+	latest := make(map[string]*Endpoint, len(listed))
 	back := map[string]setBack{}
-	for i, e := range listed {
+	for i := range listed {
+		e := &listed[i]
 		if until := l.heldBack(now, e); !until.IsZero() {
-			use[i] = l.latest[e.ID]
+			if len(back) == 0 {
+				use = slices.Clone(listed)
+			}
+			use[i] = *l.latest[e.ID]
 			back[e.ID] = setBack{e.Incarnation, until}
 			if again.IsZero() || until.Before(again) {
 				again = until
 			}
 		}
-		latest[e.ID] = use[i]
+	}
+	for i := range use {
+		latest[use[i].ID] = &use[i]
 	}
 	l.latest, l.back = latest, back
 	return use, again
 }
 
 // heldBack returns until when a record isn't believed; zero if it is.
-func (l *Lives) heldBack(now time.Time, e Endpoint) (until time.Time) {
+func (l *Lives) heldBack(now time.Time, e *Endpoint) (until time.Time) {
 	if known, ok := l.latest[e.ID]; !ok || e.Incarnation >= known.Incarnation {
 		return time.Time{}
 	}
--- a/pkg/register/register.go
+++ b/pkg/register/register.go
@@ -133,7 +133,7 @@
 // Heard returns when a value was last offered, new or not.
 func (r *Register[T]) Heard() time.Time { return r.heard }
 
-// Offer gives the register a value. The error holds the findings of a rejected value.
+// Offer gives the register a value, whose content must not be changed after that. The error holds the findings of a rejected value.
 func (r *Register[T]) Offer(now time.Time, at revision.ID, content []byte, from Evidence) (Verdict, error) {
 	r.heard = now
 	held := r.held.Load()
@@ -163,7 +163,7 @@
 		r.findings = err
 		return Rejected, err
 	}
-	r.adopt(held, &Held[T]{Revision: at, Content: bytes.Clone(content), Value: value, Since: now})
+	r.adopt(held, &Held[T]{Revision: at, Content: content, Value: value, Since: now})
 	return Adopted, nil
 }
 
