The heap grows by 6 MB at most between collections, idle connections between entries are bounded

Cause: the heap could double between collections: 14 MB more before 6,000 endpoints on VMs of 144 MB, and half of the machine's memory passed by 585 entries. An entry kept a connection to each peer that it had asked within 30 s, in a large data centre nearly all of which are never used again. Change: package heap sets the collector's percentage from what is live; at most 32 idle connections to peers are kept.

--- a/cmd/bridgehoist-gateway/main.go
+++ b/cmd/bridgehoist-gateway/main.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/bridgehoist/bridgehoist/internal/gateway"
+	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/logging"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -51,6 +52,7 @@
 	logger := logging.New(out, "gateway", vm.VM)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	go heap.Bound(ctx)
 	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, logger))
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -24,10 +24,12 @@
 	headerTimeout = 5 * time.Second
 	// maxHeaderBytes is twice what the users' callers send.
 	maxHeaderBytes = 32 << 10
-	// peerDialTimeout, peerIdle and peerIdleConns keep connections to peers.
+	// peerDialTimeout, peerIdle and peerIdleConns keep connections to peers, peerIdleTotal of them at
+	// most. In a large fleet each round asks other peers, so that more would hardly be used again.
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdle        = 30 * time.Second
 	peerIdleConns   = 1
+	peerIdleTotal   = 32
 	// graceMargin is how long before the platform kills the process it gives up
 	// what is still open.
 	graceMargin = 700 * time.Millisecond
@@ -43,6 +45,7 @@
 		DialContext:         d.DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: peerIdleConns,
+		MaxIdleConns:        peerIdleTotal,
 		IdleConnTimeout:     peerIdle,
 	}
 }
