--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 )
 
@@ -21,6 +22,7 @@
 	LoadsEvery    time.Duration
 	PollEvery     time.Duration
 	PollPressed   time.Duration
+	PollIdle      time.Duration
 	WatchWait     time.Duration
 	WatchSpacing  time.Duration
 	// WatchSecondSpacing is WatchSpacing of all but the first watcher of a data centre.
@@ -45,6 +47,7 @@
 	s.DurationVar(&c.LoadsEvery, "loads-every", 500*time.Millisecond, "interval of telling an entry of each other data centre how busy the engines here are")
 	s.DurationVar(&c.PollEvery, "poll-every", 1200*time.Millisecond, "interval of reading engines' states")
 	s.DurationVar(&c.PollPressed, "poll-pressed", 400*time.Millisecond, "the same while requests wait or are refused because engines are full")
+	s.DurationVar(&c.PollIdle, "poll-idle", peering.IdleReadEvery, "the same for engines that are taken to hold no work")
 	s.DurationVar(&c.WatchSpacing, "watch-spacing", 250*time.Millisecond, "mean time between news of the store and the next watch, so that one call reads several changes")
 	s.DurationVar(&c.WatchSecondSpacing, "watch-second-spacing", time.Second, "the same for watchers that are not the first of their data centre")
 	s.DurationVar(&c.WatchWait, "watch-wait", 3*time.Second, "how long one watch of the store waits")
@@ -68,6 +71,7 @@
 	s.NeedDuration("loads-every", c.LoadsEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("poll-every", c.PollEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("watch-spacing", c.WatchSpacing, 0, 5*time.Second)
+	s.NeedDuration("poll-idle", c.PollIdle, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("poll-pressed", c.PollPressed, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("watch-wait", c.WatchWait, 100*time.Millisecond, 30*time.Second)
 	s.NeedDuration("watch-second-spacing", c.WatchSecondSpacing, 0, 10*time.Second)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -41,6 +41,7 @@
 	})
 	g.beliefs = peering.NewBeliefs(view, g.dispatcher, g.cfg.readers(), g.onLeave)
 	g.beliefs.SetPayloadEvery(g.cfg.ExchangeEvery)
+	g.beliefs.SetIdleReadEvery(g.cfg.PollIdle)
 	g.beliefs.Guard().OnNews(func(c []contain.Change) { contain.LogChanges(g.log, c) }, g.tellSoon)
 	g.beliefs.OnLimit(g.onLimit)
 	contain.Gauges(g.metrics, g.beliefs.Guard())
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -205,7 +205,7 @@
 	var cfg gateway.Config
 	set := settings.New("test")
 	cfg.Register(set)
-	all := append([]string{"-drain-delay", "50ms", "-exchange-every", "50ms", "-poll-every", "50ms", "-watch-wait", "500ms"}, flags...)
+	all := append([]string{"-drain-delay", "50ms", "-exchange-every", "50ms", "-poll-every", "50ms", "-poll-idle", "50ms", "-watch-wait", "500ms"}, flags...)
 	w.g.Expect(set.Read(all)).To(Succeed())
 	cfg.Check(set)
 	w.g.Expect(set.Err()).NotTo(HaveOccurred())
--- a/internal/peering/beliefs.go
+++ b/internal/peering/beliefs.go
@@ -64,9 +64,10 @@
 	homeEntries int
 	// payloadEvery is how often what changes all the time is told to peers: fills
 	// and usage. The rest of the record is told at once.
-	payloadEvery time.Duration
-	onLeave      func(drain.Leave, string)
-	guard        *contain.Guard
+	payloadEvery  time.Duration
+	idleReadEvery time.Duration
+	onLeave       func(drain.Leave, string)
+	guard         *contain.Guard
 	// limitsVersion is that of the limits in the own record.
 	limitsVersion uint64
 	onLimit       func(c backpressure.Change, source string)
@@ -77,19 +78,20 @@
 // each leave that was news, and where it came from.
 func NewBeliefs(view *membership.View, d *dispatch.Dispatcher, homeEntries int, onLeave func(drain.Leave, string)) *Beliefs {
 	b := &Beliefs{
-		view:         view,
-		drains:       drain.New(),
-		told:         map[string]drain.Leave{},
-		homes:        map[string]bool{},
-		reports:      map[string]scheduler.Report{},
-		readAt:       map[string]time.Time{},
-		counted:      map[string]bool{},
-		state:        peerv1.NodeState_NODE_STATE_LIVE,
-		dispatcher:   d,
-		homeEntries:  homeEntries,
-		payloadEvery: PayloadEvery,
-		onLeave:      onLeave,
-		guard:        contain.New(),
+		view:          view,
+		drains:        drain.New(),
+		told:          map[string]drain.Leave{},
+		homes:         map[string]bool{},
+		reports:       map[string]scheduler.Report{},
+		readAt:        map[string]time.Time{},
+		counted:       map[string]bool{},
+		state:         peerv1.NodeState_NODE_STATE_LIVE,
+		dispatcher:    d,
+		homeEntries:   homeEntries,
+		payloadEvery:  PayloadEvery,
+		idleReadEvery: IdleReadEvery,
+		onLeave:       onLeave,
+		guard:         contain.New(),
 	}
 	b.guard.OnApart(b.keepApart)
 	return b
--- a/internal/peering/homes.go
+++ b/internal/peering/homes.go
@@ -82,9 +82,16 @@
 	return out
 }
 
-// idleReadEvery is how often an engine is read that is taken to hold no work. News of prompts is
-// lost now and then.
-const idleReadEvery = 10 * time.Second
+// IdleReadEvery is how often an engine is read by default that is taken to hold no work. News of
+// prompts is lost now and then.
+const IdleReadEvery = 10 * time.Second
+
+// SetIdleReadEvery sets another interval than IdleReadEvery.
+func (b *Beliefs) SetIdleReadEvery(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.idleReadEvery = d
+}
 
 // stillIdle reports whether an engine needn't be read: it held no work when this entry read it, and
 // nobody has told of any since. The report then holds as of now, so that reads grow with the work
@@ -92,7 +99,7 @@
 func (b *Beliefs) stillIdle(now time.Time, l fleet.Life) (idle bool) {
 	read, known := b.readAt[l.Endpoint]
 	r, held := b.reports[l.Endpoint]
-	if !known || !held || r.Life() != l || now.Sub(read) >= idleReadEvery {
+	if !known || !held || r.Life() != l || now.Sub(read) >= b.idleReadEvery {
 		return false
 	}
 	b.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) {
--- a/internal/peering/idle_test.go
+++ b/internal/peering/idle_test.go
@@ -86,7 +86,7 @@
 		read()
 		time.Sleep(time.Second)
 		g.Expect(b.ToPoll(time.Now())).To(BeEmpty())
-		time.Sleep(idleReadEvery)
+		time.Sleep(IdleReadEvery)
 		g.Expect(b.ToPoll(time.Now())).To(HaveLen(1), "read now and then")
 	})
 }
