A list that waits is passed on at once

Cause: entries ask their peers at once when a list comes into force. With lists that wait, the waits of all entries that a change goes through could add up, bounded only by the rounds of every half second. Change: the exchange is asked for when a list begins to wait, too. Test: TestAListThatWaitsIsPassedOnAtOnce, red without it (mutant).

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -50,6 +50,15 @@
 	return g.vm.Bounds.Drain / drainParts
 }
 
+// onDeferred passes a list of endpoints on that has to wait until it comes into force here: else the
+// waits of all entries that it goes through would add up.
+func (g *Gateway) onDeferred(until time.Time) {
+	if g.caughtUp.Load() {
+		g.exchange.Kick()
+	}
+	g.applyLater(until)
+}
+
 // applyLater puts a list of endpoints into force that has to wait.
 func (g *Gateway) applyLater(at time.Time) {
 	time.AfterFunc(max(clock.Until(at), time.Millisecond), func() {
--- a/internal/gateway/list_work_test.go
+++ b/internal/gateway/list_work_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -84,6 +85,35 @@
 	f.g.store.Offer(clock.Now(), published.Value{Name: published.Fleet, Revision: f.registry.Revision(), Content: content, Base: base, Changes: data}, "test")
 }
 
+// A list that waits until it comes into force would reach a fleet only after the waits of all entries
+// that it goes through.
+func TestAListThatWaitsIsPassedOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLargeFleet(t, 3, 2000)
+		f.g.caughtUp.Store(true)
+		kicked := func() bool {
+			select {
+			case <-f.g.exchange.Kicked:
+				return true
+			default:
+				return false
+			}
+		}
+		f.change(t, 1, true)
+		if at := f.g.store.Fleet().Revision.Number(); at != 2000 {
+			t.Fatalf("revision %d is in force already", at)
+		}
+		if !kicked() {
+			t.Error("it isn't passed on")
+		}
+		time.Sleep(f.g.maxListPace())
+		synctest.Wait()
+		if at := f.g.store.Fleet().Revision.Number(); at != 2001 {
+			t.Errorf("revision %d is in force, not 2001", at)
+		}
+	})
+}
+
 func BenchmarkListChange(b *testing.B) {
 	for _, size := range []struct{ entries, endpoints int }{{100, 1000}, {300, 3000}, {585, 6000}} {
 		b.Run(fmt.Sprint(size.endpoints), func(b *testing.B) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -240,5 +240,6 @@
 mutant "lists: whole ones are passed on whole" internal/published/changes.go 's/return fleet.Diff(before.Content, v.Content, v.Revision.Number())/return nil, errNoChanges/' "./internal/published -run Whole"
 mutant "reads: idle engines read as often as others" internal/peering/homes.go 's/case !b.stillIdle(now, e.Life()):/default:/' "./internal/peering -run Reads"
 mutant "reads: told prompts do not end idleness" pkg/scheduler/remote.go 's/e.ownRunning == 0 \&\& e.peersRunning == 0 \&\& s.unreadOf(now, e) == 0/e.ownRunning == 0/' "./internal/peering -run Idle"
+mutant "lists: what waits is not passed on" internal/gateway/beliefs.go 's/^\tg.applyLater(until)$/\tg.applyLater(until)\n\tselect {\n\tcase <-g.exchange.Kicked:\n\tdefault:\n\t}/' "./internal/gateway -run ListThatWaits"
 
 exit $green
