Large lists are sent to few entries at a time, and asked for from one

Cause: where many entries start at once they all ask the seeds, and each answer encodes the whole list anew (600 KB before 3,000 endpoints, several times that while it is compressed); an entry that starts and knows nothing asks each that contacts it for the whole. Change: answers under way hold 4 MB of large documents at most, one always goes; an unknown list is asked for from one peer within 500 ms. Who gets none asks another, or reads the store as before. Test: the bytes under way don't grow with those who ask.

--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -48,6 +48,7 @@
 	owner   *owner.Owner
 	makeJob MakeJob
 	traffic *Traffic
+	large   largeDocuments
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
@@ -61,7 +62,7 @@
 func (s *Server) Handler(token string) http.Handler {
 	mux := http.NewServeMux()
 	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressFrom))
-	mux.Handle(path, requireToken(token, h))
+	mux.Handle(path, requireToken(token, s.large.handler(h)))
 	return mux
 }
 
@@ -80,7 +81,7 @@
 }
 
 // Exchange implements the service.
-func (s *Server) Exchange(_ context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+func (s *Server) Exchange(ctx context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
 	now := clock.Now()
 	msg := req.Msg
 	s.traffic.Received(msg)
@@ -89,13 +90,13 @@
 	s.beliefs.guard.Add(factsIn(now, msg.GetRequestFacts())...)
 	resp := &peerv1.ExchangeResponse{}
 	if !msg.GetPushOnly() {
-		s.answer(msg, resp)
+		s.answer(ctx, msg, resp)
 	}
 	s.traffic.Sent(resp)
 	return connect.NewResponse(resp), nil
 }
 
-func (s *Server) answer(msg *peerv1.ExchangeRequest, resp *peerv1.ExchangeResponse) {
+func (s *Server) answer(ctx context.Context, msg *peerv1.ExchangeRequest, resp *peerv1.ExchangeResponse) {
 	now := clock.Now()
 	scope := membership.Scope(msg.GetDataCenter())
 	if msg.GetAll() {
@@ -112,10 +113,10 @@
 	for _, d := range msg.GetDocumentDigests() {
 		theirs[d.GetName()] = revision.ID(d.GetRevision())
 	}
-	resp.Documents = documentsOut(now, s.store.Newer(theirs, msg.GetTakesChanges()))
+	resp.Documents = s.large.bounded(ctx, documentsOut(now, s.store.Newer(theirs, msg.GetTakesChanges())))
 	ours := s.store.Seen()
 	for name, newest := range theirs {
-		if newest > ours[name] {
+		if newest > ours[name] && s.large.asks(now, name, ours[name]) {
 			resp.WantedDocuments = append(resp.WantedDocuments, name)
 			resp.WantedSince = append(resp.WantedSince, uint64(ours[name]))
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -241,5 +241,6 @@
 mutant "reads: idle engines read as often as others" internal/peering/homes.go 's/case !b.stillIdle(now, e.Life()):/default:/' "./internal/peering -run Reads"
 mutant "reads: told prompts do not end idleness" pkg/scheduler/remote.go 's/e.ownRunning == 0 \&\& e.peersRunning == 0 \&\& s.unreadOf(now, e) == 0/e.ownRunning == 0/' "./internal/peering -run Idle"
 mutant "lists: what waits is not passed on" internal/gateway/beliefs.go 's/^\tg.applyLater(until)$/\tg.applyLater(until)\n\tselect {\n\tcase <-g.exchange.Kicked:\n\tdefault:\n\t}/' "./internal/gateway -run ListThatWaits"
+mutant "lists: whole ones sent to all who ask" internal/peering/whole.go 's/if l.underWay > 0 \&\& l.underWay+size > maxLargeBytes {/if false {/' "./internal/peering -run Large"
 
 exit $green
