Failing test: a configuration isn't in force in time after open connections fall silent

What callers saw: a request is refused as an older configuration would, although a newer one has been acknowledged for longer than allowed. Reported for 85 entries.

The transport of the fleet keeps connections as http.Transport does.

--- a/internal/gateway/restored_fleet_test.go
+++ b/internal/gateway/restored_fleet_test.go
@@ -158,6 +158,8 @@
 	era                    uint64
 	// knewClosed says that it knew the data centre to be closed.
 	knewClosed bool
+	// storeConnections and peerConnections are the connections that it opened.
+	storeConnections, peerConnections *keptConnections
 	// disturbed is until when it was cut off, or when it started.
 	disturbed time.Time
 }
@@ -242,10 +244,13 @@
 		}
 		return f.store.Handler()
 	})
-	e.g.reader = newReader(platform.NewPublished(platform.NewStoreOver(store, e.g.vm.Store, func() {})), e.g.reader.held)
+	e.storeConnections = newKeptConnections(store, http.DefaultMaxIdleConnsPerHost, 0)
+	e.g.reader = newReader(platform.NewPublished(platform.NewStoreOver(e.storeConnections, e.g.vm.Store, func() {})), e.g.reader.held)
 	e.g.reader.onEra = e.g.onEra
 	e.g.config.Reader = e.g.reader
-	e.g.peersHTTP.Transport = inProcess(func(r *http.Request) http.Handler { return f.links.peer(e.name, r.URL.Host) })
+	peer := func(r *http.Request) http.Handler { return f.links.peer(e.name, r.URL.Host) }
+	e.peerConnections = newKeptConnections(peer, peerIdleConns, peerIdleTotal)
+	e.g.peersHTTP.Transport = e.peerConnections
 	handler := peering.NewServer(e.g.beliefs, e.g.store, nil, nil, e.g.traffic).Handler("")
 	f.links.change(func() { f.links.handlers[address] = handler })
 	ctx, cancel := context.WithCancel(f.t.Context())
