Exchanges with peers that time out are counted and logged, by new or reused connection

Cause: after a configuration arrived late, nothing in logs or metrics told whether a peer could not be reached or an open connection to it had died without a reset. Both were only a lower ratio of peers_answered_total.

Change: peer_timeouts_total{connection} counts both; a timeout on a reused connection is logged as "peer connection timed out". bridgehoistctl why names it for requests whose route or key isn't in the table.

Measured: TestWhy, which lacked the line before; lint and the tests of internal/logtrace, peering, metrics and controllers.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -20,6 +20,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/enginespeed"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -297,6 +298,17 @@
 	g.adaptToSize()
 }
 
+// onPeerTimeout records an exchange that timed out. On a new connection, the peer can't be reached;
+// on a reused one, the connection may have died without a reset.
+func (g *Gateway) onPeerTimeout(p membership.Contact, reused bool) {
+	connection := "new"
+	if reused {
+		connection = "reused"
+		g.log.Warn("peer connection timed out", "peer", p.VM, "address", p.Address)
+	}
+	g.metrics.PeerTimeouts.WithLabelValues(connection).Inc()
+}
+
 func (g *Gateway) onStoreState(up bool, since time.Duration, err error) {
 	g.beliefs.SetStoreLost(!up)
 	if g.caughtUp.Load() {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -57,6 +57,7 @@
 		HTTP:         g.peersHTTP,
 		Scheme:       "http",
 		Traffic:      g.traffic,
+		OnTimeout:    g.onPeerTimeout,
 	})
 	g.exchange = &controllers.Exchange{
 		ClusterState:  g.beliefs,
--- a/internal/gateway/silent_connections_test.go
+++ b/internal/gateway/silent_connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"slices"
 	"strconv"
@@ -38,7 +39,10 @@
 
 // RoundTrip implements http.RoundTripper. A connection is kept only after a response.
 func (k *keptConnections) RoundTrip(r *http.Request) (*http.Response, error) {
-	c := k.take(r.URL.Host)
+	c, reused := k.take(r.URL.Host)
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Reused: reused})
+	}
 	if k.isSilent(c) {
 		return k.timeOut(c, r)
 	}
@@ -56,19 +60,19 @@
 	return nil, r.Context().Err()
 }
 
-func (k *keptConnections) take(host string) *keptConnection {
+func (k *keptConnections) take(host string) (c *keptConnection, reused bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c := &keptConnection{host: host}
+	c = &keptConnection{host: host}
 	for i, idle := range slices.Backward(k.idle) {
 		if idle.host == host {
-			c = idle
+			c, reused = idle, true
 			k.idle = slices.Delete(k.idle, i, i+1)
 			break
 		}
 	}
 	k.active[c] = true
-	return c
+	return c, reused
 }
 
 func (k *keptConnections) release(c *keptConnection, keep bool) {
--- a/internal/logtrace/believed.go
+++ b/internal/logtrace/believed.go
@@ -9,13 +9,14 @@
 	"time"
 )
 
-// recently is for how long an endpoint that leaves is told of; it has ended by then.
+// recently is for how long an endpoint that leaves is told of, which has ended by then, and a
+// connection that died, which has been replaced by then.
 const recently = 10 * time.Second
 
 // Fact is one thing that an entry believed, and the line that says so.
 type Fact struct {
-	// About names the thing: process, store, table, fleet, reach, readiness, leaving, limit or
-	// pause.
+	// About names the thing: process, store, table, fleet, reach, readiness, leaving, limit,
+	// pause, or one of those below.
 	About string
 	// Says tells it in words.
 	Says string
@@ -42,12 +43,13 @@
 }
 
 // factOrder is the order in which facts are told.
-var factOrder = []string{"process", "store", aboutRestore, "table", aboutRefused, "fleet", "reach", "readiness", "leaving", aboutLimit, aboutPause}
+var factOrder = []string{"process", "store", aboutRestore, "table", aboutRefused, aboutPeerConnections, "fleet", "reach", "readiness", "leaving", aboutLimit, aboutPause}
 
 // What may keep a table from coming into force.
 const (
-	aboutRestore = "store restored"
-	aboutRefused = "table refused"
+	aboutRestore         = "store restored"
+	aboutRefused         = "table refused"
+	aboutPeerConnections = "peer connections"
 )
 
 // What endpoints say of how much they take.
@@ -97,7 +99,7 @@
 func (f Fact) holds(at time.Time) bool {
 	since := at.Sub(f.Line.At)
 	switch f.About {
-	case "leaving":
+	case "leaving", aboutPeerConnections:
 		return since <= recently
 	case aboutLimit:
 		return f.Line.fields["per_second"] != "none"
@@ -135,6 +137,8 @@
 			return "", f, false
 		}
 		f.About, f.Says = aboutRefused, fmt.Sprintf("revision %s, from %s, was not taken (%s)", l.fields["revision"], l.fields["source"], l.fields["verdict"])
+	case "peer connection timed out":
+		f.About, f.Says = aboutPeerConnections, "an open connection to "+l.fields["peer"]+" carried no exchange; peers pass on tables"
 	case "value in force":
 		f.About, f.Says = l.fields["name"], valueSays(l.fields)
 	case "reach of data centres":
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -151,7 +151,7 @@
 	if f, ok := w.fact("table"); ok {
 		out = append(out, fmt.Sprintf("the entry had its table (%s) for %v", f.Says, w.age(f)))
 	}
-	for _, about := range []string{aboutRefused, aboutRestore} {
+	for _, about := range []string{aboutRefused, aboutRestore, aboutPeerConnections} {
 		if f, ok := w.fact(about); ok {
 			out = append(out, fmt.Sprintf("%s: %s, %v before", about, f.Says, w.age(f)))
 		}
--- a/internal/logtrace/why_test.go
+++ b/internal/logtrace/why_test.go
@@ -40,6 +40,7 @@
 time=2026-03-01T10:00:10.5Z level=warn msg="attempt failed" vm=vm-1 request=unheard endpoint=e-8 failure=generation_lost error="use of closed network connection" step=give_up elapsed_ms=400 table=45 fleet=81
 time=2026-03-01T10:00:10.5Z level=warn msg="request failed" vm=vm-1 request=unheard kind=k target=s outcome=may_have_run code=deadline_unreachable queued_ms=0 elapsed_ms=400 timeout_ms=400 table=45 fleet=81
 time=2026-03-01T10:00:42Z level=warn msg="request failed" vm=vm-1 request=burst kind=k target=m outcome=not_run code=deadline_unreachable reason="the wait would be 1.4s, allowed are 1s" queued_ms=0 elapsed_ms=0 timeout_ms=1000 table=45 fleet=81
+time=2026-03-01T10:00:42.5Z level=warn msg="peer connection timed out" vm=vm-1 peer=vm-2 address=10.0.0.2:1
 time=2026-03-01T10:00:43Z level=warn msg="request failed" vm=vm-1 request=unknown kind= target= outcome=not_run code=unknown_kind reason="no route for a/b" queued_ms=0 elapsed_ms=0 timeout_ms=0 table=45 fleet=81
 time=2026-03-01T10:00:44Z level=info msg="request late" vm=vm-1 request=late kind=k endpoint=e-1 first_ms=405 objective_ms=1800 queued_ms=0 gap_ms=385 max_gap_ms=180 tokens_in=0 elapsed_ms=10554 table=45
 time=2026-03-01T10:00:45Z level=info msg="handed over" vm=vm-1 request=fine from=e-1 to=e-2 events=4 pause_ms=30 stopped=true
@@ -102,6 +103,7 @@
 		"unknown": {"it did not run", []string{
 			"table revision 45, by which the entry decided, doesn't have it: no route for a/b",
 			"the entry had its table (revision 45, from platform) for 43s",
+			"peer connections: an open connection to vm-2 carried no exchange; peers pass on tables, 500ms before",
 		}},
 		"late":  {"it was answered whole, but late, after 10554 ms", []string{"the longest time between events was 385 ms, 180 ms are allowed"}},
 		"fine":  {"no line tells of an end", nil},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -76,6 +76,8 @@
 	// PeersAsked and PeersAnswered count exchanges begun and ended well.
 	PeersAsked    prometheus.Counter
 	PeersAnswered prometheus.Counter
+	// PeerTimeouts counts exchanges that timed out, on new and on reused connections.
+	PeerTimeouts *prometheus.CounterVec
 
 	mu     sync.Mutex
 	labels map[string]bool
@@ -125,9 +127,10 @@
 	m.actualGap = histogram("predicted_longest_gap_actual_seconds", "The actual times of predicted_longest_gap_seconds.", gapBuckets)
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
+	m.PeerTimeouts = counters("peer_timeouts_total", "Exchanges with peers that timed out, on new and on reused connections.", "connection")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.Connections, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Connections, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
@@ -44,6 +47,9 @@
 	Traffic  *Traffic
 	// Timeout bounds one exchange; zero means exchangeTimeout.
 	Timeout time.Duration
+	// OnTimeout, if set, is called when an exchange times out. reused reports that its connection
+	// had been used before: either the peer hangs, or the connection is dead.
+	OnTimeout func(p membership.Contact, reused bool)
 }
 
 // Client calls the peer service of other entries.
@@ -157,14 +163,25 @@
 
 func (c *Client) call(ctx context.Context, p membership.Contact, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	c.cfg.Traffic.Sent(req)
-	resp, err := c.clientFor(p.Address).Exchange(ctx, authorize(c, req))
+	var reused atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }})
+	resp, err := c.clientFor(p.Address).Exchange(traced, authorize(c, req))
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.timedOut(p, reused.Load())
+		}
 		return nil, err
 	}
 	c.cfg.Traffic.Received(resp.Msg)
 	return resp.Msg, nil
 }
 
+func (c *Client) timedOut(p membership.Contact, reused bool) {
+	if c.cfg.OnTimeout != nil {
+		c.cfg.OnTimeout(p, reused)
+	}
+}
+
 // newPushRequest returns a request with the records, documents and facts that a peer requests,
 // or nil if it requests none.
 func (c *Client) newPushRequest(resp *peerv1.ExchangeResponse) *peerv1.ExchangeRequest {
