One timeout on a dead connection to a peer replaces all idle connections

What callers saw: a request is refused as by an older configuration, although a newer one was acknowledged for longer than ConfigApplyMs (reported for 85 entries).

Cause: open connections may fall silent without a reset. Entries keep a connection to each of up to 32 peers. A dead one was found only by the exchange that used it next, after a timeout of 1 s, and one exchange replaced one connection. An entry with 32 dead ones needs some ten rounds until its exchanges work again; a new configuration isn't passed on meanwhile.

Fix: an exchange that times out on a reused connection closes all idle connections, as after a suspension of the VM. A timeout on a new connection closes none: there the peer can't be reached. Idle connections are cheap to replace, while each dead one costs a round.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -176,7 +176,13 @@
 	return resp.Msg, nil
 }
 
+// timedOut handles an exchange that timed out. A connection that is dead without a reset suggests
+// that others are too, so that all idle ones are replaced, rather than each after a timeout of its
+// own.
 func (c *Client) timedOut(p membership.Contact, reused bool) {
+	if reused {
+		c.cfg.HTTP.CloseIdleConnections()
+	}
 	if c.cfg.OnTimeout != nil {
 		c.cfg.OnTimeout(p, reused)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,6 +56,7 @@
 stop="./internal/e2e -run TestPlannedStop"
 mutant "planned stop: open requests cut" internal/entry/lifecycle.go 's/err := s.callers.Shutdown(drain)/err := s.callers.Close()/' "$stop"
 mutant "planned stop: tickets not handed over" internal/entry/lifecycle.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
+mutant "silent connections: replaced one by one" internal/peering/client.go 's/if reused {/if false {/' "./internal/peering -run TestOneTimeout"
 mutant "limits: small uses not told" pkg/limits/limits.go 's/max(n+c.peerUsage(k), n\*c.entries)/n+c.peerUsage(k)/' ./pkg/limits
 mutant "urgent: no overcommit" pkg/scheduler/versions.go 's/c.UrgentOvercommit = true/c.UrgentOvercommit = false/' ./pkg/scheduler
 mutant "parts: news needed" pkg/scheduler/versions.go 's/c.PartitionMemory = true/c.PartitionMemory = false/' ./pkg/scheduler
