Failing test: entries that lose their links to all endpoints refuse their callers

The test runs five gateways in one process, wraps the dialer of one's or three's connections to endpoints, and counts first tries on kept connections from 3 s after the partition on.

--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -43,6 +43,9 @@
 	// announced is the revision of the newest record that was announced.
 	announced uint64
 
+	// prepare, if set, is called with each gateway before it runs.
+	prepare func(*entry, *gateway.Gateway)
+
 	mu        sync.Mutex
 	endpoints map[string]*standin.Endpoint
 	config    standin.Configuration
@@ -213,6 +216,9 @@
 	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1)}
 	w.entries = append(w.entries, e)
 	gw := gateway.New(cfg, vm, logging.New(w.logs, "gateway", vm.VM))
+	if w.prepare != nil {
+		w.prepare(e, gw)
+	}
 	go func() {
 		err := gw.Run(ctx, nil)
 		if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,13 +37,20 @@
 	keep time.Duration
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+// Dialer opens a TCP connection.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
 		Control:         setUnackedTimeout,
 	}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (dial Dialer) open(ctx context.Context, address string) (*conn, error) {
+	nc, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -28,7 +28,7 @@
 		p.put(e.Instance(), c)
 		return Listening
 	}
-	c, presence := open(ctx, e.Address)
+	c, presence := p.Dial.probe(ctx, e.Address)
 	if c != nil {
 		p.dialed()
 		p.put(e.Instance(), c)
@@ -38,7 +38,7 @@
 
 // LookAt is Look without a pool: it opens a connection and closes it.
 func LookAt(ctx context.Context, e fleet.Endpoint) Presence {
-	c, presence := open(ctx, e.Address)
+	c, presence := Dialer(dialTCP).probe(ctx, e.Address)
 	if c != nil {
 		// Nothing was sent on it that could be lost.
 		_ = c.Close()
@@ -46,9 +46,9 @@
 	return presence
 }
 
-// open opens a connection; it is nil unless something listens.
-func open(ctx context.Context, address string) (*conn, Presence) {
-	c, err := dial(ctx, address)
+// probe opens a connection; it is nil unless something listens.
+func (dial Dialer) probe(ctx context.Context, address string) (*conn, Presence) {
+	c, err := dial.open(ctx, address)
 	switch {
 	case err == nil:
 		return c, Listening
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,6 +33,9 @@
 
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
+	// Dial opens the connections. Tests may replace it before the first use.
+	Dial Dialer
+
 	protocol Protocol
 	hooks    Hooks
 
@@ -47,7 +50,7 @@
 
 // NewPool makes an empty pool.
 func NewPool(p Protocol, h Hooks) *Pool {
-	return &Pool{protocol: p, hooks: h, idle: map[fleet.Instance][]*conn{}}
+	return &Pool{Dial: dialTCP, protocol: p, hooks: h, idle: map[fleet.Instance][]*conn{}}
 }
 
 func (p *Pool) dialed() {
@@ -145,7 +148,7 @@
 		kept := c != nil
 		if !kept {
 			var err error
-			if c, err = dial(ctx, e.Address); err != nil {
+			if c, err = p.Dial.open(ctx, e.Address); err != nil {
 				return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 			}
 			p.dialed()
