Entries that reach no endpoint of a target have a peer serve its requests

Cause: an entry served requests by its own links only. Readiness directs new connections elsewhere, but callers with open connections keep sending, and the balancer uses all entries of a data centre while under half of them are ready.

Fix: such a request is delegated to a peer whose record accepts delegated requests and doesn't list the target as unreachable. Only requests that have not run are delegated; they go one hop and, while each peer says that nothing ran, to three peers at most. A lost connection to a peer leaves the outcome open. Peers bound what they take (-max-delegated), finish it before a planned stop, and serve it under their own limits. Entries of earlier versions are never asked.

--- a/gen/bridgehoist/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/bridgehoist/peer/v1/peerv1connect/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerServiceRunProcedure = "/bridgehoist.peer.v1.PeerService/Run"
 	// PeerServiceHandoverProcedure is the fully-qualified name of the PeerService's Handover RPC.
 	PeerServiceHandoverProcedure = "/bridgehoist.peer.v1.PeerService/Handover"
+	// PeerServiceDelegateProcedure is the fully-qualified name of the PeerService's Delegate RPC.
+	PeerServiceDelegateProcedure = "/bridgehoist.peer.v1.PeerService/Delegate"
 )
 
 // PeerServiceClient is a client for the bridgehoist.peer.v1.PeerService service.
@@ -52,6 +54,8 @@
 	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error)
 	// Handover moves the authority over tickets from a stopping entry.
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
+	// Delegate asks an entry to serve a request whose endpoints the calling entry can't reach.
+	Delegate(context.Context, *connect.Request[v1.DelegateRequest]) (*connect.ServerStreamForClient[v1.DelegateResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the bridgehoist.peer.v1.PeerService service. By
@@ -83,6 +87,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
+		delegate: connect.NewClient[v1.DelegateRequest, v1.DelegateResponse](
+			httpClient,
+			baseURL+PeerServiceDelegateProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Delegate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -91,6 +101,7 @@
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	run      *connect.Client[v1.RunRequest, v1.RunResponse]
 	handover *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
+	delegate *connect.Client[v1.DelegateRequest, v1.DelegateResponse]
 }
 
 // Exchange calls bridgehoist.peer.v1.PeerService.Exchange.
@@ -108,6 +119,11 @@
 	return c.handover.CallUnary(ctx, req)
 }
 
+// Delegate calls bridgehoist.peer.v1.PeerService.Delegate.
+func (c *peerServiceClient) Delegate(ctx context.Context, req *connect.Request[v1.DelegateRequest]) (*connect.ServerStreamForClient[v1.DelegateResponse], error) {
+	return c.delegate.CallServerStream(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the bridgehoist.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange reconciles what two entries know: push what the other lacks,
@@ -118,6 +134,8 @@
 	Run(context.Context, *connect.Request[v1.RunRequest], *connect.ServerStream[v1.RunResponse]) error
 	// Handover moves the authority over tickets from a stopping entry.
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
+	// Delegate asks an entry to serve a request whose endpoints the calling entry can't reach.
+	Delegate(context.Context, *connect.Request[v1.DelegateRequest], *connect.ServerStream[v1.DelegateResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -145,6 +163,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceDelegateHandler := connect.NewServerStreamHandler(
+		PeerServiceDelegateProcedure,
+		svc.Delegate,
+		connect.WithSchema(peerServiceMethods.ByName("Delegate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bridgehoist.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -153,6 +177,8 @@
 			peerServiceRunHandler.ServeHTTP(w, r)
 		case PeerServiceHandoverProcedure:
 			peerServiceHandoverHandler.ServeHTTP(w, r)
+		case PeerServiceDelegateProcedure:
+			peerServiceDelegateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -173,3 +199,7 @@
 func (UnimplementedPeerServiceHandler) Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bridgehoist.peer.v1.PeerService.Handover is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Delegate(context.Context, *connect.Request[v1.DelegateRequest], *connect.ServerStream[v1.DelegateResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("bridgehoist.peer.v1.PeerService.Delegate is not implemented"))
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -361,7 +361,7 @@
 	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target, "identity", j.ComputedIdentity(),
 		"outcome", j.Outcome, "code", j.Code, "reason", j.Reason, "queued_ms", j.Timings.QueueTime.Milliseconds(),
 		"elapsed_ms", clock.Since(j.ArrivedAt).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
-		"table", j.Revision, "fleet", g.fleetRevision())
+		"delegate", j.Delegate, "delegated_by", j.DelegatedBy, "table", j.Revision, "fleet", g.fleetRevision())
 }
 
 // logLate logs a complete answer that came later than its objectives.
@@ -378,7 +378,7 @@
 func lateFields(j *job.Job) []any {
 	row := &j.Row
 	t := &j.Timings
-	fields := []any{"request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "endpoint", j.Endpoint,
+	fields := []any{"request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "endpoint", j.Endpoint, "delegate", j.Delegate,
 		"first_ms", t.TimeToFirstToken.Milliseconds(), "objective_ms", row.Objective.Milliseconds(),
 		"queued_ms", t.QueueTime.Milliseconds(), "gap_ms", t.MaxInterTokenLatency.Milliseconds(), "max_gap_ms", row.MaxGap.Milliseconds(),
 		"tokens_in", j.PromptTokens, "elapsed_ms", clock.Since(j.ArrivedAt).Milliseconds(), "table", j.Revision}
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -27,6 +27,9 @@
 func (g *Gateway) fill(w http.ResponseWriter, r *http.Request, j *job.Job) {
 	g.protocol.ReadCaller(j, r.Header)
 	j.ExactRetryAfter = true
+	if d := delegationOf(r.Context()); d != nil {
+		j.DelegatedBy, d.job = d.from, j
+	}
 	if g.sendsAway() {
 		w.Header().Set("Connection", "close")
 	}
@@ -35,5 +38,5 @@
 func (g *Gateway) relay(w http.ResponseWriter, r *http.Request) {
 	j := job.FromRequest(r)
 	sink := respond.NewWriter(w).CutUnread(g.cfg.UnreadTimeout)
-	sink.End(j, g.runner.Run(r.Context(), j, sink))
+	sink.End(j, g.run(r, j, sink))
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -31,6 +31,8 @@
 	DrainDelay         time.Duration
 	LapseHold          time.Duration
 	LogLines           int
+	// MaxDelegated bounds the requests of peers that are open at once.
+	MaxDelegated int
 	// Without are the mechanisms that are switched off.
 	Without mechanisms
 }
@@ -55,6 +57,7 @@
 	s.DurationVar(&c.DrainDelay, "drain-delay", 3*time.Second, "time between unready and closing the listener, for the balancer")
 	s.DurationVar(&c.LapseHold, "lapse-hold", 1800*time.Millisecond, "time for which endpoints are used that vanished together")
 	s.Var(&c.Without, "without", "mechanisms to switch off, for measurements; names separated by commas")
+	s.IntVar(&c.MaxDelegated, "max-delegated", 128, "requests open at once that peers delegate since they reach no endpoint")
 	s.IntVar(&c.LogLines, "log-lines", 40, "lines of log a second")
 }
 
@@ -79,5 +82,6 @@
 	s.NeedDuration("drain-delay", c.DrainDelay, 0, time.Minute)
 	s.NeedDuration("lapse-hold", c.LapseHold, 0, time.Minute)
 	c.Without.check(s)
+	s.NeedInt("max-delegated", c.MaxDelegated, 0, 100_000)
 	s.NeedInt("log-lines", c.LogLines, 1, 100_000)
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,8 +1,24 @@
 package gateway
 
-import "github.com/bridgehoist/bridgehoist/internal/upstream"
+import (
+	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+)
 
 // DialEndpoints wraps the dialer of the connections to endpoints.
 func (g *Gateway) DialEndpoints(wrap func(upstream.Dialer) upstream.Dialer) {
 	g.pool.Dial = wrap(g.pool.Dial)
 }
+
+// Members returns the VMs of the live peers.
+func (g *Gateway) Members() (vms []string) {
+	g.beliefs.WithView(func(v *membership.View) {
+		for _, m := range v.Members(clock.Now()) {
+			if m.Status == membership.Alive {
+				vms = append(vms, m.VM)
+			}
+		}
+	})
+	return vms
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,11 +96,15 @@
 	beliefs    *peering.ClusterState
 	peers      *peering.Client
 	peersHTTP  *http.Client
-	traffic    *peering.Traffic
-	pool       *upstream.Pool
-	forwarder  *relay.Forwarder
-	engines    engines.Client
-	evacuator  *evacuate.Evacuator
+	delegator  *peering.Delegator
+	// delegated holds a token for each open request that a peer has delegated to this entry.
+	delegated chan struct{}
+	refusals  delegationRefusals
+	traffic   *peering.Traffic
+	pool      *upstream.Pool
+	forwarder *relay.Forwarder
+	engines   engines.Client
+	evacuator *evacuate.Evacuator
 	// crashes finds out which requests endpoints ended under.
 	crashes *crashwatch.Watcher
 	runner  *runner.Runner
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -16,6 +16,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
@@ -59,6 +60,13 @@
 
 func (g *Gateway) listen() (*servers, error) {
 	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
+	callers := g.callers()
+	if !g.cfg.Without.has(mechDelegation) {
+		exchange.ServeDelegated(func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
+			return g.serveDelegated(callers, from, w, r)
+		})
+		g.beliefs.AcceptDelegated()
+	}
 	s := &servers{}
 	var err error
 	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness()); err != nil {
@@ -81,7 +89,7 @@
 			return nil, err
 		}
 	}
-	if s.callers, err = g.serve(g.vm.Callers, g.callers()); err != nil {
+	if s.callers, err = g.serve(g.vm.Callers, callers); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -144,6 +152,7 @@
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
 		_ = s.callers.Close()
 	}
+	g.awaitDelegated(open)
 	farewell, cancelFarewell := context.WithTimeout(ctx, farewellTimeout)
 	defer cancelFarewell()
 	g.exchange.AnnounceLeft(farewell)
--- a/internal/gateway/mechanisms.go
+++ b/internal/gateway/mechanisms.go
@@ -41,13 +41,15 @@
 	// mechStranded sends callers elsewhere from an entry that is cut off from what they
 	// ask for.
 	mechStranded scheduler.Mechanism = "stranded"
+	// mechDelegation has peers serve requests for targets that this entry can't reach.
+	mechDelegation scheduler.Mechanism = "delegation"
 	// mechQuarantine keeps requests that crash what runs them from endpoints.
 	mechQuarantine scheduler.Mechanism = "quarantine"
 )
 
 var ownMechanisms = []scheduler.Mechanism{
 	mechMoves, mechCopyRefresh, mechCopySlack, mechGroupPlans, mechMoveReservations, mechMoveRetargeting, mechNotices, mechLoadNews, mechClosingReads,
-	mechReaders, mechSettling, mechRetryBudget, mechLapseHold, mechStranded, mechQuarantine,
+	mechReaders, mechSettling, mechRetryBudget, mechLapseHold, mechStranded, mechDelegation, mechQuarantine,
 }
 
 // mechanisms is a set of mechanisms, as a setting.
--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -90,6 +90,20 @@
 	return c, nil
 }
 
+// controlLinks lets the test control the links of all entries that start from now on.
+func (w *world) controlLinks() map[*entry]*endpointLinks {
+	all := map[*entry]*endpointLinks{}
+	w.prepare = func(e *entry, g *gateway.Gateway) {
+		links := &endpointLinks{conns: map[*linkConn]bool{}}
+		g.DialEndpoints(func(d upstream.Dialer) upstream.Dialer {
+			links.dial = d
+			return links.open
+		})
+		all[e] = links
+	}
+	return all
+}
+
 // linkConn is a connection to an endpoint.
 type linkConn struct {
 	*net.TCPConn
@@ -152,15 +166,8 @@
 }
 
 func newPartitionedWorld(t *testing.T) *partitionedWorld {
-	p := &partitionedWorld{world: newWorld(t), links: map[*entry]*endpointLinks{}}
-	p.prepare = func(e *entry, g *gateway.Gateway) {
-		links := &endpointLinks{conns: map[*linkConn]bool{}}
-		g.DialEndpoints(func(d upstream.Dialer) upstream.Dialer {
-			links.dial = d
-			return links.open
-		})
-		p.links[e] = links
-	}
+	w := newWorld(t)
+	p := &partitionedWorld{world: w, links: w.controlLinks()}
 	for i := range 3 {
 		for _, service := range []string{"engine", "desk"} {
 			e := p.endpoint(fmt.Sprintf("%s-%d", service, i), service)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -59,6 +59,7 @@
 		Traffic:      g.traffic,
 		OnTimeout:    g.onPeerTimeout,
 	})
+	g.makeDelegation()
 	g.exchange = &controllers.Exchange{
 		ClusterState:  g.beliefs,
 		Client:        g.peers,
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -31,7 +31,8 @@
 	g.log.Info("caught up", "after", clock.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
 	tell := &controllers.PeriodicTasks{Interval: g.cfg.LoadsEvery, Tasks: []func(){g.announceLoads}}
-	for _, c := range []controllers.Controller{g.exchange, g.config, g.load, tell} {
+	reachability := &controllers.PeriodicTasks{Interval: reachabilityInterval, Tasks: []func(){g.announceReachability}}
+	for _, c := range []controllers.Controller{g.exchange, g.config, g.load, tell, reachability} {
 		loops.Go(func() { c.Run(ctx) })
 	}
 	loops.Wait()
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -193,6 +193,7 @@
 	vm      platform.Settings
 	stop    context.CancelFunc
 	stopped chan error
+	gw      *gateway.Gateway
 }
 
 func (w *world) settings(name string, seeds ...string) platform.Settings {
@@ -216,6 +217,7 @@
 	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1)}
 	w.entries = append(w.entries, e)
 	gw := gateway.New(cfg, vm, logging.New(w.logs, "gateway", vm.VM))
+	e.gw = gw
 	if w.prepare != nil {
 		w.prepare(e, gw)
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -123,6 +123,15 @@
 	_ = json.NewEncoder(w).Encode(Detail(err))
 }
 
+// ReadRetryAfter reads the delay that WriteError wrote; zero if there is none.
+func ReadRetryAfter(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderRetryAfterMS), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func retryAfter(d time.Duration, exact bool) string {
 	if exact {
 		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -71,6 +71,8 @@
 	Delivered StreamState
 	// Ticket is the ticket that the caller sent so that its request runs at most once.
 	Ticket string
+	// DelegatedBy is the VM of the peer that delegated the request to this entry; empty if none did.
+	DelegatedBy string
 	// OwnerAnswered is set if the answer or error comes from the ticket's owner.
 	OwnerAnswered bool
 
@@ -83,6 +85,8 @@
 
 	// Endpoint is the id of the endpoint of the last attempt, for logs.
 	Endpoint string
+	// Delegate is the VM of the peer that served the request, for logs; empty if this entry did.
+	Delegate string
 	// Outcome and Code are set when the answer has been written, for accounting.
 	// Reason describes the cause as text.
 	Outcome outcome.Outcome
--- a/internal/logtrace/why.go
+++ b/internal/logtrace/why.go
@@ -114,6 +114,7 @@
 	"unknown_kind":            (*story).notInTable,
 	"no_table":                func(*story) []string { return []string{"the entry had no table yet: it had just started"} },
 	"no_endpoint":             (*story).noEndpoint,
+	"delegate_lost":           (*story).delegateLost,
 	"endpoint_lost":           (*story).endpointLost,
 	"endpoints_throttling":    (*story).throttling,
 	"endpoint_refused":        func(*story) []string { return []string{"the endpoint was full and refused it"} },
@@ -167,6 +168,12 @@
 	return append([]string{fmt.Sprintf("all endpoints of %s had failed and no probe had got through", target)}, w.reachTold()...)
 }
 
+// delegateLost tells which peer served the request; that entry's lines name the request too.
+func (w *story) delegateLost() []string {
+	f := w.end.fields
+	return append([]string{fmt.Sprintf("this entry reached no endpoint of %s, and %s, which served the request, was lost", f["target"], f["delegate"])}, w.reason()...)
+}
+
 func (w *story) endpointLost() []string { return append(w.attemptsTold(), w.reachTold()...) }
 
 func (w *story) deadline() []string {
--- a/internal/logtrace/why_test.go
+++ b/internal/logtrace/why_test.go
@@ -42,6 +42,7 @@
 time=2026-03-01T10:00:42Z level=warn msg="request failed" vm=vm-1 request=burst kind=k target=m outcome=not_run code=deadline_unreachable reason="the wait would be 1.4s, allowed are 1s" queued_ms=0 elapsed_ms=0 timeout_ms=1000 table=45 fleet=81
 time=2026-03-01T10:00:42.5Z level=warn msg="peer connection timed out" vm=vm-1 peer=vm-2 address=10.0.0.2:1
 time=2026-03-01T10:00:43Z level=warn msg="request failed" vm=vm-1 request=unknown kind= target= outcome=not_run code=unknown_kind reason="no route for a/b" queued_ms=0 elapsed_ms=0 timeout_ms=0 table=45 fleet=81
+time=2026-03-01T10:00:43Z level=warn msg="request failed" vm=vm-1 request=delegated kind=k target=m outcome=may_have_run code=delegate_lost reason="delegate: EOF" queued_ms=0 elapsed_ms=20 timeout_ms=1000 delegate=vm-3 table=45 fleet=81
 time=2026-03-01T10:00:44Z level=info msg="request late" vm=vm-1 request=late kind=k endpoint=e-1 first_ms=405 objective_ms=1800 queued_ms=0 gap_ms=385 max_gap_ms=180 tokens_in=0 elapsed_ms=10554 table=45
 time=2026-03-01T10:00:45Z level=info msg="handed over" vm=vm-1 request=fine from=e-1 to=e-2 events=4 pause_ms=30 stopped=true
 time=2026-03-01T10:00:42Z level=info msg="endpoint limit" vm=vm-1 endpoint=e-9 per_second=4.1 before=none held=0s sent=0 source=peer fleet=81
@@ -105,6 +106,10 @@
 			"the entry had its table (revision 45, from platform) for 43s",
 			"peer connections: an open connection to vm-2 carried no exchange; peers pass on tables, 500ms before",
 		}},
+		"delegated": {"it may have run; the caller has no answer (outcome may_have_run, code delegate_lost)", []string{
+			"this entry reached no endpoint of m, and vm-3, which served the request, was lost",
+			"the log says: delegate: EOF",
+		}},
 		"late":  {"it was answered whole, but late, after 10554 ms", []string{"the longest time between events was 385 ms, 180 ms are allowed"}},
 		"fine":  {"no line tells of an end", nil},
 		"other": {"it did not run", []string{"the log says: who knows"}},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -76,6 +76,8 @@
 	// PeersAsked and PeersAnswered count exchanges begun and ended well.
 	PeersAsked    prometheus.Counter
 	PeersAnswered prometheus.Counter
+	// Delegated counts requests that were delegated to peers, and by them, by outcome.
+	Delegated *prometheus.CounterVec
 	// PeerTimeouts counts exchanges that timed out, on new and on reused connections.
 	PeerTimeouts *prometheus.CounterVec
 
@@ -128,9 +130,10 @@
 	m.PeersAsked = counter("peers_asked_total", "Exchanges begun with peers.")
 	m.PeersAnswered = counter("peers_answered_total", "Exchanges with peers that ended well.")
 	m.PeerTimeouts = counters("peer_timeouts_total", "Exchanges with peers that timed out, on new and on reused connections.", "connection")
+	m.Delegated = counters("delegated_requests_total", "Requests delegated to peers (out) or by them (in), by outcome.", "direction", "outcome")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Connections, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/peering/cluster_state.go
+++ b/internal/peering/cluster_state.go
@@ -65,7 +65,10 @@
 	payloadUpdatedAt time.Time
 	nodeState        peerv1.NodeState
 	storeLost        bool
-	dispatcher       *dispatch.Dispatcher
+	// unreachableTargets and takesDelegated are published in the own record; see delegation.go.
+	unreachableTargets []uint32
+	takesDelegated     bool
+	dispatcher         *dispatch.Dispatcher
 	// maxHomeEntries is the maximum number of home entries of an engine.
 	maxHomeEntries int
 	// payloadInterval is the minimum time between updates of the loads and usage in the own
@@ -235,6 +238,7 @@
 	cs.view.Heartbeat(func(r *peerv1.NodeRecord) {
 		r.State = cs.nodeState
 		r.StoreLost = cs.storeLost
+		r.UnreachableTargets, r.TakesDelegated = cs.unreachableTargets, cs.takesDelegated
 		r.Inherited = inherited
 		r.Leaves = encodeLeaves(cs.announcedLeaves)
 		cs.publishLimits(now, r)
--- /dev/null
+++ b/internal/peering/delegation.go
@@ -0,0 +1,239 @@
+package peering
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
+	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+// An entry that reaches no endpoint of a target delegates the requests for it to a peer that does.
+// Each entry announces the targets that it can't reach, and whether it accepts delegated requests;
+// entries of earlier versions don't. The peer serves a delegated request as if its caller were
+// connected to it, but never delegates it again.
+
+// targetHash identifies a target in a node record.
+func targetHash(target string) uint32 { return uint32(xxhash.Sum64String(target)) }
+
+// SetUnreachableTargets sets the targets that the own record marks as unreachable from this entry.
+// It reports whether they changed.
+func (cs *ClusterState) SetUnreachableTargets(targets []string) (changed bool) {
+	hashes := make([]uint32, len(targets))
+	for i, target := range targets {
+		hashes[i] = targetHash(target)
+	}
+	slices.Sort(hashes)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	changed = !slices.Equal(hashes, cs.unreachableTargets)
+	cs.unreachableTargets = hashes
+	return changed
+}
+
+// AcceptDelegated makes the own record say that this entry accepts delegated requests.
+func (cs *ClusterState) AcceptDelegated() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.takesDelegated = true
+}
+
+// Delegates returns up to count peers that accept requests for a target, without those that skip
+// reports, in the order in which to try them.
+func (cs *ClusterState) Delegates(target string, count int, skip func(vm string) bool) (peers []membership.Contact) {
+	hash := targetHash(target)
+	cs.WithView(func(v *membership.View) {
+		peers = v.Delegates(clock.Now(), count, func(m membership.Member) bool {
+			return m.Record.GetTakesDelegated() && !slices.Contains(m.Record.GetUnreachableTargets(), hash) && !skip(m.VM)
+		})
+	})
+	return peers
+}
+
+// DelegateHandler serves a request that another entry has delegated. It returns the outcome of a
+// request that failed, and nil if the response is complete.
+type DelegateHandler func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error
+
+// ServeDelegated makes the server accept delegated requests. It must be called before Handler.
+func (s *Server) ServeDelegated(h DelegateHandler) { s.delegated = h }
+
+// Delegate implements peerv1connect.PeerServiceHandler.
+func (s *Server) Delegate(ctx context.Context, req *connect.Request[peerv1.DelegateRequest], stream *connect.ServerStream[peerv1.DelegateResponse]) error {
+	if s.delegated == nil {
+		return connect.NewError(connect.CodeUnimplemented, errors.New("this entry accepts no delegated requests"))
+	}
+	msg := req.Msg
+	r, err := http.NewRequestWithContext(ctx, msg.GetMethod(), msg.GetUri(), bytes.NewReader(msg.GetBody()))
+	if err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	r.RequestURI, r.Host, r.Header = msg.GetUri(), msg.GetHost(), decodeHeaders(msg.GetHeaders())
+	w := &delegateWriter{stream: stream, header: http.Header{}}
+	failure := s.delegated(msg.GetFromVm(), w, r)
+	if failure == nil {
+		w.Flush()
+	}
+	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
+}
+
+// delegateWriter is an http.ResponseWriter whose response goes to the delegating entry. It buffers the
+// response until the first flush, so that a failure before it has no other effect.
+type delegateWriter struct {
+	stream   *connect.ServerStream[peerv1.DelegateResponse]
+	header   http.Header
+	status   int
+	headSent bool
+	body     []byte
+	err      error
+}
+
+// Header implements http.ResponseWriter.
+func (w *delegateWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *delegateWriter) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *delegateWriter) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	w.body = append(w.body, b...)
+	return len(b), w.err
+}
+
+// Flush implements http.Flusher.
+func (w *delegateWriter) Flush() {
+	w.WriteHeader(http.StatusOK)
+	if !w.headSent {
+		w.headSent = true
+		// They concern the connection to this entry only.
+		w.header.Del("Connection")
+		w.header.Del("Keep-Alive")
+		w.send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Head{
+			Head: &peerv1.DelegateHead{Status: int32(w.status), Headers: encodeHeaders(w.header)},
+		}})
+	}
+	if len(w.body) > 0 {
+		w.send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Data{Data: w.body}})
+		w.body = nil
+	}
+}
+
+func (w *delegateWriter) send(part *peerv1.DelegateResponse) {
+	if err := w.stream.Send(part); err != nil && w.err == nil {
+		w.err = err
+	}
+}
+
+func encodeHeaders(h http.Header) []*peerv1.Header {
+	out := make([]*peerv1.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &peerv1.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func decodeHeaders(in []*peerv1.Header) http.Header {
+	h := make(http.Header, len(in))
+	for _, one := range in {
+		h[http.CanonicalHeaderKey(one.GetName())] = one.GetValues()
+	}
+	return h
+}
+
+// Delegator delegates requests to peers. It has connections of its own, since those of the exchange
+// have other timeouts.
+type Delegator struct {
+	HTTP   *http.Client
+	Scheme string
+	FromVM string
+}
+
+// Delegate has a peer serve a request, and passes on its response: a stream as it arrives, any other
+// response when it is complete. header is that of the request. The error is the outcome of a request
+// that failed. It is NotRun only if the peer can't have begun to serve the request, or says so.
+func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	client := peerv1connect.NewPeerServiceClient(d.HTTP, d.Scheme+"://"+to.Address, connect.WithReadMaxBytes(maxMessageBytes))
+	stream, err := client.Delegate(traced, connect.NewRequest(&peerv1.DelegateRequest{
+		FromVm: d.FromVM, Method: j.Method, Uri: j.Path, Host: j.Host, Headers: encodeHeaders(header), Body: j.Body,
+	}))
+	if err != nil {
+		return delegationError(err, connected.Load(), false)
+	}
+	defer stream.Close()
+	head := (*peerv1.DelegateHead)(nil)
+	var plain []byte
+	started := false
+	for stream.Receive() {
+		switch msg := stream.Msg(); {
+		case msg.GetFinal() != nil:
+			failure := claims.DecodeFinal(msg.GetFinal())
+			if failure == nil && !started {
+				return passPlain(sink, head, plain)
+			}
+			return failure
+		case msg.GetHead() != nil:
+			head = msg.GetHead()
+		case head == nil:
+			return delegationError(errors.New("data before the head"), true, started)
+		case !isEventStream(head):
+			plain = append(plain, msg.GetData()...)
+		default:
+			if !started {
+				started = true
+				sink.Start(int(head.GetStatus()), decodeHeaders(head.GetHeaders()), -1)
+			}
+			if sink.Data(msg.GetData()) != nil {
+				return outcome.New(outcome.Incomplete, outcome.CodeCallerGone, "the caller has gone")
+			}
+			sink.Flush()
+		}
+	}
+	return delegationError(stream.Err(), connected.Load(), started)
+}
+
+// passPlain passes on a response that came whole.
+func passPlain(sink job.HeaderSink, head *peerv1.DelegateHead, body []byte) *outcome.Error {
+	if head == nil {
+		return outcome.MayHaveRunf(outcome.CodeDelegateLost, "the peer sent no response")
+	}
+	sink.Start(int(head.GetStatus()), decodeHeaders(head.GetHeaders()), int64(len(body)))
+	// A caller that has gone doesn't change the outcome of a request that ran.
+	_ = sink.Data(body)
+	return nil
+}
+
+// delegationError returns the outcome of a call that ended without one.
+func delegationError(err error, connected, started bool) *outcome.Error {
+	switch {
+	case started:
+		return outcome.New(outcome.Incomplete, outcome.CodeDelegateLost, "delegate: %v", err)
+	case !connected, connect.CodeOf(err) == connect.CodeUnimplemented:
+		return outcome.NotRunf(outcome.CodeDelegateLost, "delegate: %v", err)
+	}
+	return outcome.MayHaveRunf(outcome.CodeDelegateLost, "delegate: %v", err)
+}
+
+func isEventStream(head *peerv1.DelegateHead) bool {
+	return head.GetStatus() == http.StatusOK && strings.HasPrefix(decodeHeaders(head.GetHeaders()).Get("Content-Type"), httpapi.ContentEvents)
+}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -49,6 +49,8 @@
 	makeJob      MakeJob
 	traffic      *Traffic
 	largeDocs    largeDocuments
+	// delegated serves delegated requests; nil if none are accepted.
+	delegated DelegateHandler
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,7 +40,8 @@
 // Dialer opens a TCP connection.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP opens a connection that ends soon when its peer no longer acknowledges.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -66,6 +66,23 @@
 	return local, remote
 }
 
+// Delegates returns up to count live peers that satisfy accepts, chosen at random. Those of the own
+// data centre come first.
+func (v *View) Delegates(now time.Time, count int, accepts func(Member) bool) []Contact {
+	var local, remote []Contact
+	for _, m := range v.Members(now) {
+		switch {
+		case m.Status != Alive || !inLiveState(m) || !accepts(m):
+		case m.DataCenter == v.cfg.DataCenter:
+			local = append(local, m.Contact)
+		default:
+			remote = append(remote, m.Contact)
+		}
+	}
+	selected := v.sample(local, count)
+	return append(selected, v.sample(remote, count-len(selected))...)
+}
+
 // sample returns up to count distinct contacts, chosen at random.
 func (v *View) sample(remaining []Contact, count int) []Contact {
 	remaining = slices.Clone(remaining)
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -90,9 +90,12 @@
 	// the demand.
 	CodeEndpointsThrottling   Code = "endpoints_throttling"
 	CodeEndpointProtocolError Code = "endpoint_protocol_error"
-	CodeStalled               Code = "stalled"
-	CodeStopping              Code = "stopping"
-	CodeNoTable               Code = "no_table"
+	// CodeDelegateLost means that the connection to the peer broke to which the request
+	// was delegated.
+	CodeDelegateLost Code = "delegate_lost"
+	CodeStalled      Code = "stalled"
+	CodeStopping     Code = "stopping"
+	CodeNoTable      Code = "no_table"
 	// CodeQuarantined means that the request crashes the endpoints that run it.
 	CodeQuarantined Code = "quarantined"
 )
@@ -155,7 +158,7 @@
 
 // badGatewayCodes are the codes of endpoint failures, with status 502 if the
 // request may have run. If it has not, the status is 503, which guarantees that.
-var badGatewayCodes = map[Code]bool{CodeEndpointProtocolError: true, CodeEndpointLost: true}
+var badGatewayCodes = map[Code]bool{CodeEndpointProtocolError: true, CodeEndpointLost: true, CodeDelegateLost: true}
 
 // StatusMeansNotRun reports whether an HTTP status guarantees to callers that
 // their request has not run and never will.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,6 +57,13 @@
 mutant "planned stop: open requests cut" internal/entry/lifecycle.go 's/err := s.callers.Shutdown(drain)/err := s.callers.Close()/' "$stop"
 mutant "planned stop: tickets not handed over" internal/entry/lifecycle.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
 mutant "silent connections: replaced one by one" internal/peering/client.go 's/if reused {/if false {/' "./internal/peering -run TestOneTimeout"
+dg="./internal/gateway -run Delegated|AnotherPeer"
+mutant "delegation: delegated again" internal/gateway/delegation.go 's/if j.DelegatedBy != "" ||/if/' "$dg"
+mutant "delegation: uncertain outcomes tried elsewhere" internal/peering/delegation.go 's/case !connected, connect.CodeOf/case true, connect.CodeOf/' ./internal/peering
+mutant "delegation: one peer only" internal/gateway/delegation.go 's/maxDelegates = 3/maxDelegates = 1/' "$dg"
+mutant "delegation: planned stop doesn't wait" internal/gateway/listen.go 's/^\tg.awaitDelegated(open)$/\t_ = open/' "$dg"
+mutant "delegation: no bound" internal/gateway/delegation.go 's/make(chan struct{}, g.cfg.MaxDelegated)/make(chan struct{}, 1000+g.cfg.MaxDelegated)/' "$dg"
+mutant "delegation: off" internal/gateway/delegation.go 's/g.cfg.Without.has(mechDelegation) {/true {/' "./internal/gateway -run TestEntriesPartitioned"
 mutant "limits: small uses not told" pkg/limits/limits.go 's/max(n+c.peerUsage(k), n\*c.entries)/n+c.peerUsage(k)/' ./pkg/limits
 mutant "urgent: no overcommit" pkg/scheduler/versions.go 's/c.UrgentOvercommit = true/c.UrgentOvercommit = false/' ./pkg/scheduler
 mutant "parts: news needed" pkg/scheduler/versions.go 's/c.PartitionMemory = true/c.PartitionMemory = false/' ./pkg/scheduler
