--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -323,3 +323,37 @@
 		}
 	}
 }
+
+// An open breaker was probed by requests only, and an unready entry gets none.
+func TestAnEntryIsReadyAgainWithoutRequestsOnceItsLinksAreBack(t *testing.T) {
+	for _, delegation := range []bool{true, false} {
+		t.Run(fmt.Sprintf("delegation %v", delegation), func(t *testing.T) {
+			w := newWorld(t)
+			links := w.controlLinks()
+			for i := range 2 {
+				w.announceIn(w.endpoint(fmt.Sprintf("desk-%d", i), "desk"), "desk", fmt.Sprintf("dc-%d", i), false)
+			}
+			var flags []string
+			if !delegation {
+				flags = []string{"-without", "delegation"}
+			}
+			vm := w.settings("vm-1")
+			vm.DataCenter = "dc-0"
+			cut := w.start(vm, flags...).waitReady()
+			peer := w.start(w.settings("vm-2", vm.Peers), flags...).waitReady()
+			w.g.Eventually(cut.gw.Members, eventually).Should(ContainElement(peer.vm.VM))
+			links[cut].set(resetPartition)
+			n := 0
+			w.g.Eventually(func() bool {
+				n++
+				cut.call(fmt.Sprintf("r%d", n), http.MethodPost, "/plain/x", nil)
+				return cut.ready()
+			}, eventually).Should(BeFalse())
+			links[cut].set(connected)
+			w.g.Eventually(cut.ready, eventually).Should(BeTrue())
+			a := cut.call("after", http.MethodPost, "/plain/x", nil)
+			w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
+			w.g.Expect(w.logs.with("request", "after", "delegat")).To(BeEmpty())
+		})
+	}
+}
