Endpoints of unreachable targets are probed by connections, not only by requests

Cause: only requests probed an endpoint whose breaker was open. An unready entry gets few requests or none, and one that delegates its requests sends none to its endpoints.

Fix: while a target is unreachable and connections to some of its endpoints could not be opened, the entry opens connections to two of its endpoints every 500 ms. One that comes up closes breakers that opened because none did; a failed one counts as a connection failure, so that a delegating entry still notices which data centres it can't reach. Endpoints that are connected to and fail are probed by requests as before, and their requests are run here before they are delegated: a delegating entry would otherwise never use them again.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// reachabilityInterval is how often the own record is updated with the targets that this entry
-	// can't reach.
-	reachabilityInterval = 250 * time.Millisecond
 	// maxDelegates is how many peers are asked to serve one request. A peer may have lost its links
 	// too, and not have announced it yet.
 	maxDelegates = 3
@@ -46,14 +43,14 @@
 	if j.DelegatedBy != "" || g.cfg.Without.has(mechDelegation) {
 		return g.runner.Run(r.Context(), j, sink)
 	}
-	unreachable := g.targetUnreachable(j.Row.Target)
-	if unreachable {
+	disconnected := g.targetDisconnected(j.Row.Target)
+	if disconnected {
 		if served, err := g.delegate(r, j, sink); served {
 			return err
 		}
 	}
 	err := g.runner.Run(r.Context(), j, sink)
-	if err == nil || err.Outcome != outcome.NotRun || unreachable || !endpointsUnreachable[err.Code] {
+	if err == nil || err.Outcome != outcome.NotRun || disconnected || !endpointsUnreachable[err.Code] {
 		return err
 	}
 	if served, final := g.delegate(r, j, sink); served {
@@ -66,9 +63,9 @@
 // connected to.
 var endpointsUnreachable = map[outcome.Code]bool{outcome.CodeNoEndpoint: true, outcome.CodeEndpointLost: true}
 
-func (g *Gateway) targetUnreachable(target string) (unreachable bool) {
-	g.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { unreachable = s.TargetUnreachable(target) })
-	return unreachable
+func (g *Gateway) targetDisconnected(target string) (disconnected bool) {
+	g.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { disconnected = s.TargetDisconnected(target) })
+	return disconnected
 }
 
 // ownRefusals are the codes with which a peer refuses a request that another entry may serve: it
@@ -206,15 +203,3 @@
 		}
 	}
 }
-
-// announceReachability publishes in the own record which targets this entry can't reach.
-func (g *Gateway) announceReachability() {
-	if !g.store.Ready() {
-		return
-	}
-	unreachable, _ := g.reach()
-	if g.beliefs.SetUnreachableTargets(unreachable) {
-		g.log.Info("reach of targets", "unreachable", unreachable, "fleet", g.fleetRevision())
-		g.exchange.RequestRound()
-	}
-}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -31,7 +31,7 @@
 	g.log.Info("caught up", "after", clock.Since(g.started).Round(time.Millisecond))
 	var loops sync.WaitGroup
 	tell := &controllers.PeriodicTasks{Interval: g.cfg.LoadsEvery, Tasks: []func(){g.announceLoads}}
-	reachability := &controllers.PeriodicTasks{Interval: reachabilityInterval, Tasks: []func(){g.announceReachability}}
+	reachability := &controllers.PeriodicTasks{Interval: reachabilityInterval, Tasks: []func(){g.checkReachability}}
 	for _, c := range []controllers.Controller{g.exchange, g.config, g.load, tell, reachability} {
 		loops.Go(func() { c.Run(ctx) })
 	}
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -36,6 +36,18 @@
 	return presence
 }
 
+// Connect opens a new connection to an endpoint, keeps it for requests, and reports whether it
+// came up.
+func (p *Pool) Connect(ctx context.Context, e fleet.Endpoint) bool {
+	c, _ := p.Dial.probe(ctx, e.Address)
+	if c == nil {
+		return false
+	}
+	p.dialed()
+	p.put(e.Instance(), c)
+	return true
+}
+
 // LookAt is Look without a pool: it opens a connection and closes it.
 func LookAt(ctx context.Context, e fleet.Endpoint) Presence {
 	c, presence := Dialer(DialTCP).probe(ctx, e.Address)
--- a/pkg/retry/breaker.go
+++ b/pkg/retry/breaker.go
@@ -52,6 +52,8 @@
 	coolDown            time.Duration
 	probeInFlight       bool
 	probeSentAt         time.Time
+	// unreachable is set if the last failure was that no connection could be opened.
+	unreachable bool
 }
 
 // State returns the state at the time now.
@@ -130,6 +132,18 @@
 func (b *Breaker) Trip(now time.Time) {
 	b.consecutiveFailures = b.failureThreshold() - 1
 	b.RecordFailure(now)
+	b.unreachable = true
+}
+
+// Unreachable reports whether the breaker has opened because the endpoint couldn't be connected to.
+func (b *Breaker) Unreachable() bool { return b.open && b.unreachable }
+
+// RecordConnected records that a connection to the endpoint was opened. It closes a breaker that has
+// opened because none could be; after other failures a connection proves nothing.
+func (b *Breaker) RecordConnected() {
+	if b.Unreachable() {
+		b.RecordSuccess()
+	}
 }
 
 // RecordSuccess records a success and closes the breaker.
@@ -140,6 +154,7 @@
 func (b *Breaker) RecordFailure(now time.Time) {
 	b.consecutiveFailures++
 	b.probeInFlight = false
+	b.unreachable = false
 	if b.open {
 		b.reopen(now)
 		return
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -93,6 +93,26 @@
 	g.Expect(b.State(now)).To(Equal(retry.Closed))
 }
 
+func TestConnectionClosesBreakerOnlyAfterConnectionFailure(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	var failing retry.Breaker
+	for range 3 {
+		failing.RecordFailure(now)
+	}
+	failing.RecordConnected()
+	g.Expect(failing.Opened()).To(BeTrue())
+	g.Expect(failing.Unreachable()).To(BeFalse())
+	var disconnected retry.Breaker
+	disconnected.Trip(now)
+	g.Expect(disconnected.Unreachable()).To(BeTrue())
+	disconnected.RecordConnected()
+	g.Expect(disconnected.Opened()).To(BeFalse())
+	disconnected.Trip(now)
+	disconnected.RecordFailure(now)
+	g.Expect(disconnected.Unreachable()).To(BeFalse(), "a probe was connected and failed")
+}
+
 // A request must not run again after its caller has disconnected. The random attempts
 // of TestDecide rarely meet all other conditions of a rerun, so that they can miss this.
 func TestNoRerunAfterCallerDisconnected(t *testing.T) {
--- a/pkg/scheduler/probe_test.go
+++ b/pkg/scheduler/probe_test.go
@@ -68,3 +68,45 @@
 		g.Expect(s.Submit(now, plainRequest(4, now))).NotTo(BeNil(), "a probe without an answer for 1 s counts as failed")
 	}
 }
+
+func TestOnlyDisconnectedTargetsAreProbedWithoutRequests(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	s := newForwardingScheduler("dc0", 1)
+	endpoints := []fleet.Endpoint{service("a", "dc0"), service("b", "dc0")}
+	s.SetEndpoints(now, endpoints)
+	id := 0
+	// finish lets one request end with a result at whichever endpoint it is sent to.
+	finish := func(result scheduler.Result) {
+		id++
+		now = now.Add(probeInterval)
+		g.Expect(s.Submit(now, plainRequest(id, now))).To(BeNil())
+		g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+		s.Finish(now, scheduler.ID(id), result)
+	}
+	const maxRequests = 20
+	for range maxRequests {
+		if !s.TargetUnreachable(endpoints[0].Targets[0]) {
+			finish(scheduler.Result{Failed: true})
+		}
+	}
+	g.Expect(s.TargetUnreachable(endpoints[0].Targets[0])).To(BeTrue())
+	target := endpoints[0].Targets[0]
+	g.Expect(s.TargetDisconnected(target)).To(BeFalse(), "its endpoints can be connected to")
+	g.Expect(s.ProbeCandidates(target)).To(BeEmpty())
+	for range maxRequests {
+		if !s.TargetDisconnected(target) {
+			finish(scheduler.Result{Failed: true, Unreachable: true})
+		}
+	}
+	g.Expect(s.TargetDisconnected(target)).To(BeTrue())
+	g.Expect(s.ProbeCandidates(target)).To(HaveLen(2))
+	s.RecordProbe(now, endpoints[0].Instance(), false)
+	g.Expect(s.TargetDisconnected(target)).To(BeTrue())
+	s.RecordProbe(now, fleet.Instance{Endpoint: "a", Incarnation: 7}, true)
+	g.Expect(s.TargetDisconnected(target)).To(BeTrue(), "another incarnation")
+	s.RecordProbe(now, endpoints[0].Instance(), true)
+	g.Expect(s.TargetDisconnected(target)).To(BeFalse())
+	g.Expect(s.TargetUnreachable(target)).To(BeFalse())
+	g.Expect(s.ProbeCandidates(target)).To(BeEmpty())
+}
--- a/pkg/scheduler/reachability.go
+++ b/pkg/scheduler/reachability.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
@@ -158,6 +159,55 @@
 	})
 }
 
+// TargetDisconnected reports whether a target has endpoints and no connection could be opened to any
+// of them. Unlike TargetUnreachable, it excludes endpoints that can be connected to and fail.
+func (s *Scheduler) TargetDisconnected(target string) bool {
+	listed := s.any(target, func(*endpoint) bool { return true })
+	return listed && !s.any(target, func(e *endpoint) bool { return !s.disconnected(e) })
+}
+
+// disconnected reports whether no connection could be opened to an endpoint or to its data centre.
+func (s *Scheduler) disconnected(e *endpoint) bool {
+	b := s.dataCenterBreaker(e)
+	return e.breaker.Unreachable() || b != nil && b.Opened()
+}
+
+// ProbeCandidates returns the endpoints to probe of an unreachable target, if connections to some of
+// them could not be opened. Endpoints that only fail are probed by requests.
+func (s *Scheduler) ProbeCandidates(target string) (endpoints []fleet.Endpoint) {
+	if !s.TargetUnreachable(target) || !s.any(target, s.disconnected) {
+		return nil
+	}
+	for e := range s.notLeaving(target) {
+		endpoints = append(endpoints, e.spec)
+	}
+	return endpoints
+}
+
+// RecordProbe records whether a connection to an endpoint could be opened, without a request.
+func (s *Scheduler) RecordProbe(now time.Time, instance fleet.Instance, connected bool) {
+	e := s.endpointOf(instance)
+	if e == nil || s.cfg.DisableBreakers {
+		return
+	}
+	b := s.dataCenterBreaker(e)
+	if !connected {
+		e.breaker.Trip(now)
+		if b != nil {
+			b.RecordFailure(now)
+		}
+		return
+	}
+	if e.breaker.Unreachable() {
+		e.markRecovered(now)
+		s.noteCold(e)
+		e.breaker.RecordConnected()
+	}
+	if b != nil {
+		b.RecordSuccess()
+	}
+}
+
 // servable reports whether a request for a target can be sent to some endpoint now or is
 // expected to be soon.
 func (s *Scheduler) servable(now time.Time, target string) bool {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,6 +64,9 @@
 mutant "delegation: planned stop doesn't wait" internal/gateway/listen.go 's/^\tg.awaitDelegated(open)$/\t_ = open/' "$dg"
 mutant "delegation: no bound" internal/gateway/delegation.go 's/make(chan struct{}, g.cfg.MaxDelegated)/make(chan struct{}, 1000+g.cfg.MaxDelegated)/' "$dg"
 mutant "delegation: off" internal/gateway/delegation.go 's/g.cfg.Without.has(mechDelegation) {/true {/' "./internal/gateway -run TestEntriesPartitioned"
+mutant "reachability: probed by requests only" internal/gateway/reachability.go 's/probesPerTarget = 2/probesPerTarget = 0/' "./internal/gateway -run TestAnEntryIsReadyAgain"
+mutant "reachability: failing endpoints probed" pkg/scheduler/reachability.go 's/ || !s.any(target, s.disconnected) {/ {/' "./pkg/scheduler -run TestOnlyDisconnected"
+mutant "reachability: a connection proves any endpoint" pkg/retry/breaker.go 's/^\tif b.Unreachable() {/\tif b.open {/' "./pkg/retry -run TestConnectionCloses"
 mutant "limits: small uses not told" pkg/limits/limits.go 's/max(n+c.peerUsage(k), n\*c.entries)/n+c.peerUsage(k)/' ./pkg/limits
 mutant "urgent: no overcommit" pkg/scheduler/versions.go 's/c.UrgentOvercommit = true/c.UrgentOvercommit = false/' ./pkg/scheduler
 mutant "parts: news needed" pkg/scheduler/versions.go 's/c.PartitionMemory = true/c.PartitionMemory = false/' ./pkg/scheduler
