--- a/internal/gateway/delegation_test.go
+++ b/internal/gateway/delegation_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
 
@@ -61,7 +62,7 @@
 	a := d.cut.call("r1", http.MethodPost, "/plain/a%2Fb?q=1&q=2", nil)
 	d.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
 	d.g.Expect(a.body).To(Equal("POST /plain/a%2Fb?q=1&q=2 body"))
-	d.g.Expect(a.header.Get("Server-Signature")).To(Equal("desk-1"))
+	d.g.Expect(a.header.Get(platform.HeaderSignature)).To(Equal("desk-1"))
 	a = d.cut.stream("r2")
 	d.g.Expect(a.body, a.err).To(Equal(events("r2", 5)))
 	a = d.cut.streamAfter("r3", "/resumable/x", "2")
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -20,7 +20,7 @@
 	d := &Delegator{HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http", FromVM: "a"}
 	w := httptest.NewRecorder()
 	j := &job.Job{RequestID: "r1", Method: http.MethodPost, Path: "/x?q=1", Host: "h", Body: []byte("body")}
-	header := http.Header{"Key": {"k1"}, "Many": {"1", "2"}}
+	header := http.Header{"Caller-Key": {"k1"}, "Many": {"1", "2"}}
 	return w, d.Delegate(context.Background(), membership.Contact{VM: "b", Address: address}, j, header, respond.NewWriter(w))
 }
 
@@ -41,8 +41,8 @@
 	server := serveDelegated(t, func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
 		g.Expect(from).To(Equal("a"))
 		g.Expect(r.Method + " " + r.RequestURI + " " + r.Host).To(Equal("POST /x?q=1 h"))
-		g.Expect(r.Header).To(Equal(http.Header{"Key": {"k1"}, "Many": {"1", "2"}}))
-		w.Header().Set("Server-Signature", "s")
+		g.Expect(r.Header).To(Equal(http.Header{"Caller-Key": {"k1"}, "Many": {"1", "2"}}))
+		w.Header().Set("Signed-By", "s")
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusTeapot)
 		_, err := w.Write([]byte("reply"))
@@ -53,7 +53,7 @@
 	g.Expect(err).To(BeNil())
 	g.Expect(w.Code).To(Equal(http.StatusTeapot))
 	g.Expect(w.Body.String()).To(Equal("reply"))
-	g.Expect(w.Header()).To(Equal(http.Header{"Server-Signature": {"s"}, "Content-Length": {"5"}}))
+	g.Expect(w.Header()).To(Equal(http.Header{"Signed-By": {"s"}, "Content-Length": {"5"}}))
 }
 
 func TestOutcomesOfDelegatedRequests(t *testing.T) {
