--- a/internal/gateway/restored_fleet_test.go
+++ b/internal/gateway/restored_fleet_test.go
@@ -58,6 +58,8 @@
 	// without disturbance from which on that binds.
 	within, contact time.Duration
 	dataCenters     int
+	// silencing has open connections fall silent too.
+	silencing bool
 	// oneByOne has that bind each entry that isn't cut off itself.
 	oneByOne bool
 
@@ -461,6 +463,8 @@
 		e := f.entries[f.random.IntN(len(f.entries))]
 		disturb(&e.disturbed, 0)
 		f.start(e, false)
+	case f.silencing && chance(0.2):
+		f.silence(silenceKinds[f.random.IntN(len(silenceKinds))])
 	}
 }
 
--- a/internal/gateway/silent_connections_test.go
+++ b/internal/gateway/silent_connections_test.go
@@ -119,6 +119,9 @@
 	k.idle = nil
 }
 
+// silenceKinds are the arguments of playedFleet.silence.
+var silenceKinds = []string{"store", "peers", "all", "one entry"}
+
 // silence silences open connections of all entries, or of one: those to the store, those to peers,
 // or both.
 func (f *playedFleet) silence(which string) {
@@ -141,7 +144,7 @@
 func TestConfigurationsInForceAfterOpenConnectionsFallSilent(t *testing.T) {
 	more, _ := strconv.Atoi(os.Getenv("FLEET_SEEDS"))
 	for _, size := range []struct{ entries, dataCenters, seeds int }{{3, 1, 4}, {9, 3, 4}, {85, 3, 1}} {
-		for _, which := range []string{"store", "peers", "all", "one entry"} {
+		for _, which := range silenceKinds {
 			for seed := range uint64(max(size.seeds, more)) {
 				t.Run(fmt.Sprintf("%d entries, %s, seed %d", size.entries, which, seed), func(t *testing.T) {
 					t.Parallel()
@@ -172,3 +175,19 @@
 		}
 	}
 }
+
+func TestFleetsFollowARestoredStoreOverSilentConnections(t *testing.T) {
+	more, _ := strconv.Atoi(os.Getenv("FLEET_SEEDS"))
+	for _, size := range []struct{ entries, dataCenters, seeds int }{{3, 1, 4}, {9, 3, 4}, {85, 3, 1}} {
+		for seed := range uint64(max(size.seeds, more)) {
+			t.Run(fmt.Sprintf("%d entries, seed %d", size.entries, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newPlayedFleet(t, seed, size.entries, size.dataCenters)
+					f.silencing = true
+					f.play(30 * time.Second)
+				})
+			})
+		}
+	}
+}
