--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -243,7 +243,9 @@
 	return fmt.Sprint(resp.StatusCode)
 }
 
-func isStream(path string) bool { return strings.HasPrefix(path, "/stream/") }
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/")
+}
 
 // whole reports whether a body is the whole answer to a request.
 func whole(id, path, body string) bool {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -194,6 +194,8 @@
 	stop    context.CancelFunc
 	stopped chan error
 	gw      *gateway.Gateway
+	// leaving is closed when the entry's callers are to end.
+	leaving chan struct{}
 }
 
 func (w *world) settings(name string, seeds ...string) platform.Settings {
@@ -214,7 +216,7 @@
 	cfg.Check(set)
 	w.g.Expect(set.Err()).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1)}
+	e := &entry{w: w, vm: vm, stop: cancel, stopped: make(chan error, 1), leaving: make(chan struct{})}
 	w.entries = append(w.entries, e)
 	gw := gateway.New(cfg, vm, logging.New(w.logs, "gateway", vm.VM))
 	e.gw = gw
