Connections to peers and the store end 3 s after the other side stops acknowledging

What callers saw: nothing yet; found while looking for other places with the cause of late configurations.

Cause: connections between entries, to the store and for delegated requests used net.Dialer's defaults: an idle dead connection is probed after 15 s and given up after more than two minutes. Only connections to endpoints had probes each second and TCP_USER_TIMEOUT.

Fix: package tcpconn opens all of them with the same options. With TCP_USER_TIMEOUT set, Linux ignores the number of probes, so that both bounds are 3 s.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,7 +12,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
-	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -31,10 +30,9 @@
 )
 
 func (g *Gateway) makeDelegation() {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return upstream.DialTCP(ctx, address) }
 	g.delegated = make(chan struct{}, g.cfg.MaxDelegated)
 	g.delegator = &peering.Delegator{Scheme: "http", FromVM: g.vm.VM, HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: delegateIdleConns, IdleConnTimeout: delegateIdle,
+		DialContext: tcpconn.Dialer(peerDialTimeout), DisableCompression: true, MaxIdleConnsPerHost: delegateIdleConns, IdleConnTimeout: delegateIdle,
 	}}}
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -16,6 +16,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 
@@ -43,9 +44,8 @@
 )
 
 func peerTransport() *http.Transport {
-	d := &net.Dialer{Timeout: peerDialTimeout}
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         tcpconn.Dialer(peerDialTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: peerIdleConns,
 		MaxIdleConns:        peerIdleTotal,
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -4,7 +4,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
 const (
@@ -87,9 +87,8 @@
 
 // Client makes the HTTP client of the peer traffic.
 func Client(t *tls.Config) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         tcpconn.Dialer(dialTimeout),
 		TLSClientConfig:     t,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,23 +8,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-// Times of connections.
-const (
-	// dialTimeout is for a new connection: some round trips between data centres. A
-	// lost opening packet is only repeated after a second, by which time another
-	// endpoint has answered.
-	dialTimeout = 120 * time.Millisecond
-	// unackedTimeout ends a connection whose peer no longer acknowledges: one that
-	// lost power or is cut off says nothing.
-	unackedTimeout = 3 * time.Second
-	// probeIdle and probeEvery find dead peers while nothing is sent.
-	probeIdle  = time.Second
-	probeEvery = time.Second
-	probeCount = 3
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
+// dialTimeout is for a new connection: some round trips between data centres. A lost opening
+// packet is only repeated after a second, by which time another endpoint has answered.
+const dialTimeout = 120 * time.Millisecond
+
 const readBufferBytes = 8 << 10
 
 // conn is one connection to an endpoint.
@@ -40,14 +31,9 @@
 // Dialer opens a TCP connection.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP opens a connection that ends soon when its peer no longer acknowledges.
-func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
-		Control:         setUnackedTimeout,
-	}
-	return d.DialContext(ctx, "tcp", address)
+// dialEndpoint opens a connection to an endpoint.
+func dialEndpoint(ctx context.Context, address string) (net.Conn, error) {
+	return tcpconn.Dialer(dialTimeout)(ctx, "tcp", address)
 }
 
 func (dial Dialer) open(ctx context.Context, address string) (*conn, error) {
@@ -58,17 +44,6 @@
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
 }
 
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // usable reports whether a kept connection may carry another request: the
 // endpoint hasn't closed it, and no stray bytes lie in it.
 func (c *conn) usable(now time.Time, maxIdle time.Duration) bool {
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -50,7 +50,7 @@
 
 // LookAt is Look without a pool: it opens a connection and closes it.
 func LookAt(ctx context.Context, e fleet.Endpoint) Presence {
-	c, presence := Dialer(DialTCP).probe(ctx, e.Address)
+	c, presence := Dialer(dialEndpoint).probe(ctx, e.Address)
 	if c != nil {
 		// Nothing was sent on it that could be lost.
 		_ = c.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,7 +50,7 @@
 
 // NewPool makes an empty pool.
 func NewPool(p Protocol, h Hooks) *Pool {
-	return &Pool{Dial: DialTCP, protocol: p, hooks: h, idle: map[fleet.Instance][]*conn{}}
+	return &Pool{Dial: dialEndpoint, protocol: p, hooks: h, idle: map[fleet.Instance][]*conn{}}
 }
 
 func (p *Pool) dialed() {
