--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -29,6 +29,7 @@
 	retryAfterDelegated = time.Second
 )
 
+// makeDelegation makes what delegates requests to peers, with connections of its own to them.
 func (g *Gateway) makeDelegation() {
 	g.delegated = make(chan struct{}, g.cfg.MaxDelegated)
 	g.delegator = &peering.Delegator{Scheme: "http", FromVM: g.vm.VM, HTTP: &http.Client{Transport: &http.Transport{
