Each delegated request gets a connection of its own

Cause: connections to peers could be kept after delegated requests. One that fell silent without a reset takes the next request with it, and an unsafe one can't be repeated: the fault of the exchange between entries, made anew. In practice none was kept, since responses weren't read to their last byte, but nothing said so.

Fix: keep-alive is off for them, in NewDelegator; what reads the response is a type of its own.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -22,19 +22,14 @@
 	// maxDelegates is how many peers are asked to serve one request. A peer may have lost its links
 	// too, and not have announced it yet.
 	maxDelegates = 3
-	// delegateIdle and delegateIdleConns bound the connections kept for delegated requests.
-	delegateIdle      = 10 * time.Second
-	delegateIdleConns = 8
 	// retryAfterDelegated is for a request that a peer refused because it has too many.
 	retryAfterDelegated = time.Second
 )
 
-// makeDelegation makes what delegates requests to peers, with connections of its own to them.
+// makeDelegation creates the client for delegated requests and the bound of those of peers.
 func (g *Gateway) makeDelegation() {
 	g.delegated = make(chan struct{}, g.cfg.MaxDelegated)
-	g.delegator = &peering.Delegator{Scheme: "http", FromVM: g.vm.VM, HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: tcpconn.Dialer(peerDialTimeout), DisableCompression: true, MaxIdleConnsPerHost: delegateIdleConns, IdleConnTimeout: delegateIdle,
-	}}}
+	g.delegator = peering.NewDelegator(g.vm.VM, tcpconn.Dialer(peerDialTimeout))
 }
 
 // run runs a request at an endpoint, or at a peer if this entry can't reach any endpoint of its target.
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -18,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -159,12 +160,16 @@
 	return h
 }
 
-// Delegator delegates requests to peers. It has connections of its own, since those of the exchange
-// have other timeouts.
+// Delegator delegates requests to peers.
 type Delegator struct {
-	HTTP   *http.Client
-	Scheme string
-	FromVM string
+	http   *http.Client
+	fromVM string
+}
+
+// NewDelegator returns a delegator for the entry on a VM. Each request gets a connection of its own:
+// a kept one may have died without a reset, and a request that was lost on it can't be repeated.
+func NewDelegator(fromVM string, dial tcpconn.DialContext) *Delegator {
+	return &Delegator{fromVM: fromVM, http: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
 }
 
 // Delegate has a peer serve a request, and passes on its response: a stream as it arrives, any other
@@ -173,43 +178,66 @@
 func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	client := peerv1connect.NewPeerServiceClient(d.HTTP, d.Scheme+"://"+to.Address, connect.WithReadMaxBytes(maxMessageBytes))
+	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
+		connect.WithReadMaxBytes(maxMessageBytes))
 	stream, err := client.Delegate(traced, connect.NewRequest(&peerv1.DelegateRequest{
-		FromVm: d.FromVM, Method: j.Method, Uri: j.Path, Host: j.Host, Headers: encodeHeaders(header), Body: j.Body,
+		FromVm: d.fromVM, Method: j.Method, Uri: j.Path, Host: j.Host, Headers: encodeHeaders(header), Body: j.Body,
 	}))
 	if err != nil {
 		return delegationError(err, connected.Load(), false)
 	}
 	defer stream.Close()
-	head := (*peerv1.DelegateHead)(nil)
-	var plain []byte
-	started := false
+	relay := delegatedResponse{sink: sink}
 	for stream.Receive() {
-		switch msg := stream.Msg(); {
-		case msg.GetFinal() != nil:
-			failure := claims.DecodeFinal(msg.GetFinal())
-			if failure == nil && !started {
-				return passPlain(sink, head, plain)
-			}
+		if done, failure := relay.take(stream.Msg()); done {
 			return failure
-		case msg.GetHead() != nil:
-			head = msg.GetHead()
-		case head == nil:
-			return delegationError(errors.New("data before the head"), true, started)
-		case !isEventStream(head):
-			plain = append(plain, msg.GetData()...)
-		default:
-			if !started {
-				started = true
-				sink.Start(int(head.GetStatus()), decodeHeaders(head.GetHeaders()), -1)
-			}
-			if sink.Data(msg.GetData()) != nil {
-				return outcome.New(outcome.Incomplete, outcome.CodeCallerGone, "the caller has gone")
-			}
-			sink.Flush()
 		}
 	}
-	return delegationError(stream.Err(), connected.Load(), started)
+	return delegationError(stream.Err(), connected.Load(), relay.started)
+}
+
+// delegatedResponse passes a response of a peer on to a sink.
+type delegatedResponse struct {
+	sink job.HeaderSink
+	head *peerv1.DelegateHead
+	// plain is the body of a response that isn't a stream, passed on when it is complete.
+	plain []byte
+	// started is set once a part of a stream has been passed on.
+	started bool
+}
+
+// take handles the next part of the response. done reports whether it was the last, and failure is
+// the outcome of a request that failed.
+func (r *delegatedResponse) take(msg *peerv1.DelegateResponse) (done bool, failure *outcome.Error) {
+	switch {
+	case msg.GetFinal() != nil:
+		failure = claims.DecodeFinal(msg.GetFinal())
+		if failure == nil && !r.started {
+			failure = passPlain(r.sink, r.head, r.plain)
+		}
+		return true, failure
+	case msg.GetHead() != nil:
+		r.head = msg.GetHead()
+		return false, nil
+	case r.head == nil:
+		return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the peer sent data before the head")
+	case isEventStream(r.head):
+		return r.takeEvents(msg.GetData())
+	}
+	r.plain = append(r.plain, msg.GetData()...)
+	return false, nil
+}
+
+func (r *delegatedResponse) takeEvents(data []byte) (done bool, failure *outcome.Error) {
+	if !r.started {
+		r.started = true
+		r.sink.Start(int(r.head.GetStatus()), decodeHeaders(r.head.GetHeaders()), -1)
+	}
+	if r.sink.Data(data) != nil {
+		return true, outcome.New(outcome.Incomplete, outcome.CodeCallerGone, "the caller has gone")
+	}
+	r.sink.Flush()
+	return false, nil
 }
 
 // passPlain passes on a response that came whole.
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -5,19 +5,21 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
 // delegateTo delegates a request to an address and returns what its caller would get.
 func delegateTo(address string) (*httptest.ResponseRecorder, *outcome.Error) {
-	d := &Delegator{HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http", FromVM: "a"}
+	d := NewDelegator("a", tcpconn.Dialer(time.Second))
 	w := httptest.NewRecorder()
 	j := &job.Job{RequestID: "r1", Method: http.MethodPost, Path: "/x?q=1", Host: "h", Body: []byte("body")}
 	header := http.Header{"Caller-Key": {"k1"}, "Many": {"1", "2"}}
--- a/internal/peering/silent_connections_test.go
+++ b/internal/peering/silent_connections_test.go
@@ -11,7 +11,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
 // silencingListener accepts connections that can be silenced: they lose all data, without a reset.
@@ -57,7 +61,11 @@
 
 // serveSilenceable serves the entry at a second address and returns its contact.
 func (p *testPeer) serveSilenceable(t *testing.T, vm string) (membership.Contact, *silencingListener) {
-	server := httptest.NewUnstartedServer(NewServer(p.state, p.store, nil, nil, &Traffic{}).Handler(""))
+	return serveSilenceable(t, vm, NewServer(p.state, p.store, nil, nil, &Traffic{}))
+}
+
+func serveSilenceable(t *testing.T, vm string, s *Server) (membership.Contact, *silencingListener) {
+	server := httptest.NewUnstartedServer(s.Handler(""))
 	l := &silencingListener{Listener: server.Listener}
 	server.Listener = l
 	server.Start()
@@ -90,3 +98,18 @@
 	g.Expect(reused).To(Equal([]bool{true}))
 	g.Expect(patient.Reconcile(ctx, peers)).To(Equal(3))
 }
+
+func TestNoDelegatedRequestIsSentOnAConnectionThatFellSilent(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t, "b")
+	s := NewServer(p.state, p.store, nil, nil, &Traffic{})
+	s.ServeDelegated(func(string, http.ResponseWriter, *http.Request) *outcome.Error { return nil })
+	contact, listener := serveSilenceable(t, "b", s)
+	d := NewDelegator("a", tcpconn.Dialer(time.Second))
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), generousTimeout)
+		defer cancel()
+		g.Expect(d.Delegate(ctx, contact, &job.Job{Method: http.MethodPost, Path: "/x"}, nil, respond.NewWriter(httptest.NewRecorder()))).To(BeNil())
+		listener.silence()
+	}
+}
