A request from a peer is never delegated again, also if the peer tells no name

Cause: what marked a request as delegated was the name of the VM that delegated it. A VM without a name, which the settings allow, would have its requests delegated on and on.

Fix: the call itself marks it.

Measured: TestADelegatedRequestOfAnUnnamedEntryIsNotDelegatedAgain failed before (the request ran) and passes.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -34,7 +34,7 @@
 
 // run runs a request at an endpoint, or at a peer if this entry can't reach any endpoint of its target.
 func (g *Gateway) run(r *http.Request, j *job.Job, sink *respond.Writer) *outcome.Error {
-	if j.DelegatedBy != "" || g.cfg.Without.has(mechDelegation) {
+	if delegationOf(r.Context()) != nil || g.cfg.Without.has(mechDelegation) {
 		return g.runner.Run(r.Context(), j, sink)
 	}
 	disconnected := g.targetDisconnected(j.Row.Target)
--- a/internal/gateway/delegation_test.go
+++ b/internal/gateway/delegation_test.go
@@ -3,12 +3,19 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -172,3 +179,16 @@
 	a := d.cut.call("after", http.MethodPost, "/plain/x", nil)
 	d.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
 }
+
+func TestADelegatedRequestOfAnUnnamedEntryIsNotDelegatedAgain(t *testing.T) {
+	d := newDelegationWorld(t, 1)
+	d.awaitServed()
+	j := &job.Job{RequestID: "r1", Method: http.MethodPost, Path: "/plain/x", Host: "h.example", Body: []byte("body")}
+	req, err := d.cut.request(t.Context(), j.RequestID, j.Method, j.Path, nil)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	unnamed := peering.NewDelegator("", tcpconn.Dialer(time.Second))
+	failure := unnamed.Delegate(t.Context(), membership.Contact{Address: d.cut.vm.Peers}, j, req.Header, respond.NewWriter(httptest.NewRecorder()))
+	d.g.Expect(failure).NotTo(BeNil())
+	d.g.Expect(failure.Outcome).To(Equal(outcome.NotRun))
+	d.g.Expect(d.ledger.Of("r1")).To(BeEmpty())
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,7 +58,7 @@
 mutant "planned stop: tickets not handed over" internal/entry/lifecycle.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
 mutant "silent connections: replaced one by one" internal/peering/client.go 's/if reused {/if false {/' "./internal/peering -run TestOneTimeout"
 dg="./internal/gateway -run Delegated|AnotherPeer"
-mutant "delegation: delegated again" internal/gateway/delegation.go 's/if j.DelegatedBy != "" ||/if/' "$dg"
+mutant "delegation: delegated again" internal/gateway/delegation.go 's/if delegationOf(r.Context()) != nil ||/if/' "$dg"
 mutant "delegation: uncertain outcomes tried elsewhere" internal/peering/delegation.go 's/case !connected, connect.CodeOf/case true, connect.CodeOf/' ./internal/peering
 mutant "delegation: one peer only" internal/gateway/delegation.go 's/maxDelegates = 3/maxDelegates = 1/' "$dg"
 mutant "delegation: planned stop doesn't wait" internal/gateway/listen.go 's/^\tg.awaitDelegated(open)$/\t_ = open/' "$dg"
