A delegated request that is given up isn't taken for a lost peer

What callers saw: 502 instead of 504 when the time of a delegated request ended. A caller that left while its request was being connected also had the peer left out for a second.

Cause: every call that ended without an outcome counted as the peer's fault.

Fix: if the time is up or the caller has left, the code says so, and the peer isn't left out.

Measured: TestADelegatedRequestWhoseTimeEndsIsNotTakenForALostPeer (502, 504 wanted) and TestAPeerIsAskedAgainAfterACallerHasLeft (no such code within 20 s) failed before and pass.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -82,6 +82,11 @@
 			break
 		}
 		err := g.delegator.Delegate(ctx, peer, j, platform.DelegatedHeader(r.Header, left), &delegatedSink{Writer: sink, job: j})
+		if err != nil && err.Code == outcome.CodeDelegateLost && ctx.Err() != nil {
+			// The call was given up here; that says nothing about the peer.
+			j.Delegate = peer.VM
+			err.Code = givenUpCode(ctx)
+		}
 		g.countDelegated("out", err)
 		if err == nil || err.Outcome != outcome.NotRun || !ownRefusals[err.Code] {
 			j.Delegate = peer.VM
@@ -93,6 +98,14 @@
 	return false, nil
 }
 
+// givenUpCode returns the code of a request whose context has ended.
+func givenUpCode(ctx context.Context) outcome.Code {
+	if clock.Expired(ctx) {
+		return outcome.CodeDeadlineUnreachable
+	}
+	return outcome.CodeCallerGone
+}
+
 // refusalMemory is how long a peer is left out that refused a request for a target. By then its
 // record tells whether it reaches the target.
 const refusalMemory = time.Second
--- a/internal/gateway/delegation_test.go
+++ b/internal/gateway/delegation_test.go
@@ -192,3 +192,27 @@
 	d.g.Expect(failure.Outcome).To(Equal(outcome.NotRun))
 	d.g.Expect(d.ledger.Of("r1")).To(BeEmpty())
 }
+
+func TestADelegatedRequestWhoseTimeEndsIsNotTakenForALostPeer(t *testing.T) {
+	d := newDelegationWorld(t, 1)
+	d.awaitServed()
+	d.desk.Work = time.Second
+	a := d.cut.call("r1", http.MethodPost, "/plain/x", map[string]string{platform.HeaderWait: "300"})
+	d.g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	d.g.Eventually(func() []string {
+		return d.logs.with("request failed", "vm=vm-cut", "request=r1 ", "code=deadline_unreachable")
+	}, eventually).Should(HaveLen(1))
+}
+
+func TestAPeerIsAskedAgainAfterACallerHasLeft(t *testing.T) {
+	d := newDelegationWorld(t, 1)
+	d.awaitServed()
+	d.desk.Work = 500 * time.Millisecond
+	leave, gone := d.cut.leave("r1", "/plain/x", nil)
+	d.g.Eventually(func() int { return len(d.ledger.Of("r1")) }, eventually).Should(Equal(1))
+	leave()
+	<-gone
+	d.g.Eventually(func() []string { return d.logs.with("request failed", "vm=vm-cut", "request=r1 ", "code=caller_gone") }, eventually).Should(HaveLen(1))
+	d.g.Expect(d.cut.call("r2", http.MethodPost, "/plain/x", nil).status).To(Equal(http.StatusOK))
+	d.g.Expect(d.logs.with("delegation refused")).To(BeEmpty())
+}
