Delegated responses and requests are bounded

Cause: the body of a response that isn't a stream was buffered without a bound, whatever the peer sent; requests above the largest message were sent and failed with an open outcome.

Measured: the new case of TestOutcomesOfDelegatedRequests failed before and passes. Added with it: a peer of an earlier version that answers 404 to the call hasn't run the request.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -179,7 +179,7 @@
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
-		connect.WithReadMaxBytes(maxMessageBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
 	stream, err := client.Delegate(traced, connect.NewRequest(&peerv1.DelegateRequest{
 		FromVm: d.fromVM, Method: j.Method, Uri: j.Path, Host: j.Host, Headers: encodeHeaders(header), Body: j.Body,
 	}))
@@ -225,6 +225,9 @@
 		return r.takeEvents(msg.GetData())
 	}
 	r.plain = append(r.plain, msg.GetData()...)
+	if len(r.plain) > maxMessageBytes {
+		return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the response is larger than %d bytes", maxMessageBytes)
+	}
 	return false, nil
 }
 
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -70,6 +70,13 @@
 		code    outcome.Code
 	}{
 		"an entry of an earlier version": {nil, outcome.NotRun, outcome.CodeDelegateLost},
+		"a stream of plain data without end": {func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
+			for range 10 {
+				_, _ = w.Write(make([]byte, 1<<20))
+				w.(http.Flusher).Flush()
+			}
+			return nil
+		}, outcome.MayHaveRun, outcome.CodeDelegateLost},
 		"a refusal": {func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
 			http.Error(w, "the text of the peer", http.StatusServiceUnavailable)
 			return outcome.NotRunf(outcome.CodeQueueFull, "full")
@@ -107,3 +114,11 @@
 	_, err := delegateTo(freeport.Address(t))
 	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
 }
+
+func TestARequestIsNotRunAtAPeerWithoutTheCall(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	_, err := delegateTo(server.Listener.Addr().String())
+	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+}
