Delegated requests, responses and refusals may hold bytes that aren't UTF-8

What callers would see: a request with such a byte in a header or target refused at an entry without links to endpoints, and one whose refusal quotes it answered as if it might have run.

Cause: strings in messages between entries have to be UTF-8; HTTP doesn't. Targets are parsed as the server of the delegating entry parses them.

Measured: TestDelegatedRequestsMayHoldAnyBytes and the new case of TestOutcomesOfDelegatedRequests failed before and pass.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -79,11 +80,10 @@
 		return connect.NewError(connect.CodeUnimplemented, errors.New("this entry accepts no delegated requests"))
 	}
 	msg := req.Msg
-	r, err := http.NewRequestWithContext(ctx, msg.GetMethod(), msg.GetUri(), bytes.NewReader(msg.GetBody()))
+	r, err := newDelegatedRequest(ctx, msg)
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	r.RequestURI, r.Host, r.Header = msg.GetUri(), msg.GetHost(), decodeHeaders(msg.GetHeaders())
 	w := &delegateWriter{stream: stream, header: http.Header{}}
 	failure := s.delegated(msg.GetFromVm(), w, r)
 	if failure == nil {
@@ -92,6 +92,17 @@
 	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
 }
 
+// newDelegatedRequest returns the request as the server of the delegating entry has read it.
+func newDelegatedRequest(ctx context.Context, msg *peerv1.DelegateRequest) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, msg.GetMethod(), "/", bytes.NewReader(msg.GetBody()))
+	if err != nil {
+		return nil, err
+	}
+	r.RequestURI, r.Host, r.Header = string(msg.GetUri()), string(msg.GetHost()), decodeHeaders(msg.GetHeaders())
+	r.URL, err = url.ParseRequestURI(r.RequestURI)
+	return r, err
+}
+
 // delegateWriter is an http.ResponseWriter whose response goes to the delegating entry. It buffers the
 // response until the first flush, so that a failure before it has no other effect.
 type delegateWriter struct {
@@ -147,7 +158,11 @@
 func encodeHeaders(h http.Header) []*peerv1.Header {
 	out := make([]*peerv1.Header, 0, len(h))
 	for name, values := range h {
-		out = append(out, &peerv1.Header{Name: name, Values: values})
+		header := &peerv1.Header{Name: name}
+		for _, value := range values {
+			header.Values = append(header.Values, []byte(value))
+		}
+		out = append(out, header)
 	}
 	return out
 }
@@ -155,7 +170,10 @@
 func decodeHeaders(in []*peerv1.Header) http.Header {
 	h := make(http.Header, len(in))
 	for _, one := range in {
-		h[http.CanonicalHeaderKey(one.GetName())] = one.GetValues()
+		name := http.CanonicalHeaderKey(one.GetName())
+		for _, value := range one.GetValues() {
+			h[name] = append(h[name], string(value))
+		}
 	}
 	return h
 }
@@ -181,7 +199,7 @@
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
 	stream, err := client.Delegate(traced, connect.NewRequest(&peerv1.DelegateRequest{
-		FromVm: d.fromVM, Method: j.Method, Uri: j.Path, Host: j.Host, Headers: encodeHeaders(header), Body: j.Body,
+		FromVm: d.fromVM, Method: j.Method, Uri: []byte(j.Path), Host: []byte(j.Host), Headers: encodeHeaders(header), Body: j.Body,
 	}))
 	if err != nil {
 		return delegationError(err, connected.Load(), false)
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -77,6 +77,9 @@
 			}
 			return nil
 		}, outcome.MayHaveRun, outcome.CodeDelegateLost},
+		"a refusal whose text is no UTF-8": {func(string, http.ResponseWriter, *http.Request) *outcome.Error {
+			return outcome.NotRunf(outcome.CodeQueueFull, "\xff")
+		}, outcome.NotRun, outcome.CodeQueueFull},
 		"a refusal": {func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
 			http.Error(w, "the text of the peer", http.StatusServiceUnavailable)
 			return outcome.NotRunf(outcome.CodeQueueFull, "full")
@@ -122,3 +125,20 @@
 	_, err := delegateTo(server.Listener.Addr().String())
 	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
 }
+
+func TestDelegatedRequestsMayHoldAnyBytes(t *testing.T) {
+	g := NewWithT(t)
+	const uri, value = "//x/\xe4?q=\xff", "\xe4\xff"
+	server := serveDelegated(t, func(_ string, w http.ResponseWriter, r *http.Request) *outcome.Error {
+		g.Expect(r.RequestURI).To(Equal(uri))
+		g.Expect(r.Header.Get("Latin")).To(Equal(value))
+		w.Header().Set("Latin", value)
+		return nil
+	})
+	d := NewDelegator("a", tcpconn.Dialer(time.Second))
+	w := httptest.NewRecorder()
+	j := &job.Job{Method: http.MethodPost, Path: uri, Host: "h"}
+	err := d.Delegate(t.Context(), membership.Contact{Address: server.Listener.Addr().String()}, j, http.Header{"Latin": {value}}, respond.NewWriter(w))
+	g.Expect(err).To(BeNil())
+	g.Expect(w.Header().Get("Latin")).To(Equal(value))
+}
--- a/pkg/claims/handover.go
+++ b/pkg/claims/handover.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
 	"time"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
@@ -137,7 +138,7 @@
 	return &peerv1.RunFinal{
 		Outcome:      int32(err.Outcome),
 		Code:         string(err.Code),
-		Message:      err.Message,
+		Message:      strings.ToValidUTF8(err.Message, "\uFFFD"),
 		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
 		Delivered:    uint32(err.Delivered),
 	}
