A silent connection to a ticket's owner replaces all idle connections

Fix: giving it up closes the idle connections.

Measured: TestASilentConnectionToATicketsOwnerReplacesAllIdleOnes failed before (the exchange after it timed out) and passes.

--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -154,7 +154,11 @@
 func (c *Client) attach(ctx context.Context, address string, j *job.Job, relay *responseRelay) (bool, *outcome.Error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(heartbeatTimeout, cancel)
+	watchdog := time.AfterFunc(heartbeatTimeout, func() {
+		// The connection may have died without a reset, and others with it.
+		c.cfg.HTTP.CloseIdleConnections()
+		cancel()
+	})
 	defer watchdog.Stop()
 	stream, err := c.clientFor(address).Run(ctx, authorize(c, newRunRequest(j.Ticket, j)))
 	if err != nil {
--- a/internal/peering/silent_connections_test.go
+++ b/internal/peering/silent_connections_test.go
@@ -113,3 +113,17 @@
 		listener.silence()
 	}
 }
+
+func TestASilentConnectionToATicketsOwnerReplacesAllIdleOnes(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t, "a")
+	client := NewClient(Config{ClusterState: p.state, Store: p.store, HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http", Traffic: &Traffic{}, Timeout: generousTimeout})
+	owner, ownerListener := newPeer(t, "b").serveSilenceable(t, "b")
+	other, otherListener := newPeer(t, "c").serveSilenceable(t, "c")
+	g.Expect(client.Reconcile(t.Context(), []membership.Contact{owner, other})).To(Equal(2))
+	ownerListener.silence()
+	otherListener.silence()
+	done, _ := client.attach(t.Context(), owner.Address, &job.Job{}, &responseRelay{})
+	g.Expect(done).To(BeFalse())
+	g.Expect(client.Reconcile(t.Context(), []membership.Contact{owner, other})).To(Equal(2))
+}
