Endpoints that asked for a pause aren't connected to by probes

Cause: probes of unreachable targets opened connections to them, though to an endpoint that wants nothing not even a connection is opened. Found by reading.

Fix: they are no candidates. Comments that said that only answers close breakers follow the code.

Measured: the new line of TestOnlyDisconnectedTargetsAreProbedWithoutRequests; the tests of pkg/scheduler's probes pass.

--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -40,7 +40,7 @@
 
 // probeCandidates returns endpoints of an unreachable target, chosen at random.
 func (g *Gateway) probeCandidates(target string) (endpoints []fleet.Endpoint) {
-	g.dispatcher.ViewScheduler(func(_ time.Time, s *scheduler.Scheduler) { endpoints = s.ProbeCandidates(target) })
+	g.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { endpoints = s.ProbeCandidates(now, target) })
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	return endpoints[:min(len(endpoints), probesPerTarget)]
 }
--- a/pkg/scheduler/probe_test.go
+++ b/pkg/scheduler/probe_test.go
@@ -93,14 +93,16 @@
 	g.Expect(s.TargetUnreachable(endpoints[0].Targets[0])).To(BeTrue())
 	target := endpoints[0].Targets[0]
 	g.Expect(s.TargetDisconnected(target)).To(BeFalse(), "its endpoints can be connected to")
-	g.Expect(s.ProbeCandidates(target)).To(BeEmpty())
+	g.Expect(s.ProbeCandidates(now, target)).To(BeEmpty())
 	for range maxRequests {
 		if !s.TargetDisconnected(target) {
 			finish(scheduler.Result{Failed: true, Unreachable: true})
 		}
 	}
 	g.Expect(s.TargetDisconnected(target)).To(BeTrue())
-	g.Expect(s.ProbeCandidates(target)).To(HaveLen(2))
+	g.Expect(s.ProbeCandidates(now, target)).To(HaveLen(2))
+	s.Backpressure().Pause(now, endpoints[1].Instance(), time.Second)
+	g.Expect(s.ProbeCandidates(now, target)).To(Equal(endpoints[:1]), "the other asked for a pause")
 	s.RecordProbe(now, endpoints[0].Instance(), false)
 	g.Expect(s.TargetDisconnected(target)).To(BeTrue())
 	s.RecordProbe(now, fleet.Instance{Endpoint: "a", Incarnation: 7}, true)
@@ -108,5 +110,5 @@
 	s.RecordProbe(now, endpoints[0].Instance(), true)
 	g.Expect(s.TargetDisconnected(target)).To(BeFalse())
 	g.Expect(s.TargetUnreachable(target)).To(BeFalse())
-	g.Expect(s.ProbeCandidates(target)).To(BeEmpty())
+	g.Expect(s.ProbeCandidates(now, target)).To(BeEmpty())
 }
--- a/pkg/scheduler/reachability.go
+++ b/pkg/scheduler/reachability.go
@@ -121,7 +121,7 @@
 // Reachability is an entry's view of the other data centres.
 type Reachability struct {
 	// Unreachable are the names of data centres whose breaker has opened and has not been
-	// closed by an answer since; sorted.
+	// closed since, by an answer or by RecordProbe; sorted.
 	Unreachable []string
 	// CutOff is set if there are other data centres and all of them are unreachable.
 	CutOff bool
@@ -148,9 +148,9 @@
 }
 
 // TargetUnreachable reports whether a target has endpoints and the breaker of each, or of its
-// data centre, has opened and has not been closed by an answer since. Probes alone don't change
-// the result. A target without endpoints is not unreachable, since no other entry can serve it
-// either.
+// data centre, has opened and has not been closed since, by an answer or by RecordProbe. A request
+// sent as a probe doesn't change the result until it is answered. A target without endpoints is not
+// unreachable, since no other entry can serve it either.
 func (s *Scheduler) TargetUnreachable(target string) bool {
 	listed := s.any(target, func(*endpoint) bool { return true })
 	return listed && !s.any(target, func(e *endpoint) bool {
@@ -173,13 +173,16 @@
 }
 
 // ProbeCandidates returns the endpoints to probe of an unreachable target, if connections to some of
-// them could not be opened. Endpoints that only fail are probed by requests.
-func (s *Scheduler) ProbeCandidates(target string) (endpoints []fleet.Endpoint) {
+// them could not be opened. Endpoints that only fail are probed by requests, and those that asked for
+// a pause not at all.
+func (s *Scheduler) ProbeCandidates(now time.Time, target string) (endpoints []fleet.Endpoint) {
 	if !s.TargetUnreachable(target) || !s.any(target, s.disconnected) {
 		return nil
 	}
 	for e := range s.notLeaving(target) {
-		endpoints = append(endpoints, e.spec)
+		if s.backpressure.PauseRemaining(now, e.spec.Instance()) <= 0 {
+			endpoints = append(endpoints, e.spec)
+		}
 	}
 	return endpoints
 }
