Timeouts of peers are counted on our own interface too; wording and one caller for two tests

The metric's page stands for both interfaces, and bridgehoist-entry left it at zero. TestEntriesPartitionedFromEndpointsServe and TestRequestsOverPartitionsInSeries share what makes a request; their checks are unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,6 +156,7 @@
 		Token:        e.cfg.PeerToken,
 		Networks:     e.cfg.networks,
 		Traffic:      e.traffic,
+		OnTimeout:    func(_ membership.Contact, reused bool) { e.metrics.ObservePeerTimeout(reused) },
 	})
 	ledger := claims.New(e.started, claims.Config{
 		VM:             e.cfg.VM,
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -301,12 +301,10 @@
 // onPeerTimeout records an exchange that timed out. On a new connection, the peer can't be reached;
 // on a reused one, the connection may have died without a reset.
 func (g *Gateway) onPeerTimeout(p membership.Contact, reused bool) {
-	connection := "new"
 	if reused {
-		connection = "reused"
 		g.log.Warn("peer connection timed out", "peer", p.VM, "address", p.Address)
 	}
-	g.metrics.PeerTimeouts.WithLabelValues(connection).Inc()
+	g.metrics.ObservePeerTimeout(reused)
 }
 
 func (g *Gateway) onStoreState(up bool, since time.Duration, err error) {
--- a/internal/gateway/partition_series_test.go
+++ b/internal/gateway/partition_series_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -16,7 +14,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/bridgehoist/bridgehoist/platform"
 	"github.com/bridgehoist/bridgehoist/platform/standin"
 )
 
@@ -37,14 +34,6 @@
 	results []callResult
 }
 
-type callResult struct {
-	id, path  string
-	status    int
-	body      string
-	signature string
-	err       error
-}
-
 func (s *series) later(after time.Duration, f func()) {
 	s.undo.Go(func() {
 		time.Sleep(after)
@@ -68,40 +57,13 @@
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
-		r := e.callOnce(client, fmt.Sprintf("%s-%s-%d", e.vm.VM, name, n), path)
+		r := e.callOnce(client, fmt.Sprintf("%s-%s-%d", e.vm.VM, name, n), path, 3*time.Second)
 		s.mu.Lock()
 		s.results = append(s.results, r)
 		s.mu.Unlock()
 	}
 }
 
-func (e *entry) callOnce(client *http.Client, id, path string) callResult {
-	const wait = 3 * time.Second
-	r := callResult{id: id, path: path}
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	header := map[string]string{platform.HeaderWait: fmt.Sprint(wait.Milliseconds())}
-	if isStream(path) {
-		header[platform.HeaderTokens], header["Model"] = "100,50", "m"
-	}
-	req, err := e.request(ctx, id, http.MethodPost, path, header)
-	if err != nil {
-		r.err = err
-		return r
-	}
-	// A body that can't be rewound keeps the client from sending again by itself.
-	req.Body, req.GetBody = io.NopCloser(io.MultiReader(strings.NewReader("body"))), nil
-	resp, err := client.Do(req)
-	if err != nil {
-		r.err = err
-		return r
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	r.status, r.body, r.err, r.signature = resp.StatusCode, string(body), err, resp.Header.Get(platform.HeaderSignature)
-	return r
-}
-
 // step does one thing of the plan.
 func (s *series) step(done chan struct{}) {
 	r := s.random
@@ -253,10 +215,7 @@
 			first++
 		}
 	}
-	want := "POST " + r.path + " body"
-	if isStream(r.path) {
-		want = events(r.id, 5)
-	}
+	want := wholeBody(r.id, r.path)
 	repeatable := strings.HasPrefix(r.path, "/safe/") || strings.HasPrefix(r.path, "/resumable/")
 	switch {
 	case !repeatable && first > 1:
--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -199,7 +199,7 @@
 		case <-time.After(30 * time.Millisecond):
 		}
 		before := p.links[e].now()
-		outcome := e.try(client, fmt.Sprintf("%s-%s-%d", e.vm.VM, name, n), path)
+		outcome := e.callOnce(client, fmt.Sprintf("%s-%s-%d", e.vm.VM, name, n), path, 2*time.Second).outcome()
 		if after := p.links[e].now(); after != before {
 			continue
 		}
@@ -215,9 +215,18 @@
 	}
 }
 
-// try makes one request and returns its status, or what went wrong.
-func (e *entry) try(client *http.Client, id, path string) string {
-	const wait = 2 * time.Second
+// callResult is what a caller got.
+type callResult struct {
+	id, path  string
+	status    int
+	body      string
+	signature string
+	err       error
+}
+
+// callOnce makes one request that its caller gives up after wait.
+func (e *entry) callOnce(client *http.Client, id, path string, wait time.Duration) callResult {
+	r := callResult{id: id, path: path}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	header := map[string]string{platform.HeaderWait: fmt.Sprint(wait.Milliseconds())}
@@ -226,33 +235,45 @@
 	}
 	req, err := e.request(ctx, id, http.MethodPost, path, header)
 	if err != nil {
-		return err.Error()
+		r.err = err
+		return r
 	}
+	// A body that can't be rewound keeps the client from sending again by itself.
+	req.Body, req.GetBody = io.NopCloser(io.MultiReader(strings.NewReader("body"))), nil
 	resp, err := client.Do(req)
 	if err != nil {
-		return "no response"
+		r.err = err
+		return r
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	r.status, r.body, r.err, r.signature = resp.StatusCode, string(body), err, resp.Header.Get(platform.HeaderSignature)
+	return r
+}
+
+// outcome is the status of the response, or what went wrong.
+func (r callResult) outcome() string {
 	switch {
-	case err != nil:
+	case r.status == 0:
+		return "no response"
+	case r.err != nil:
 		return "cut"
-	case resp.StatusCode == http.StatusOK && !whole(id, path, string(body)):
+	case r.status == http.StatusOK && r.body != wholeBody(r.id, r.path):
 		return "wrong body"
 	}
-	return fmt.Sprint(resp.StatusCode)
+	return fmt.Sprint(r.status)
 }
 
 func isStream(path string) bool {
 	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/")
 }
 
-// whole reports whether a body is the whole answer to a request.
-func whole(id, path, body string) bool {
+// wholeBody is the body of the whole answer to a request.
+func wholeBody(id, path string) string {
 	if isStream(path) {
-		return body == events(id, 5)
+		return events(id, 5)
 	}
-	return body == "POST "+path+" body"
+	return "POST " + path + " body"
 }
 
 // measureTries counts first tries for a time.
--- a/internal/logtrace/believed.go
+++ b/internal/logtrace/believed.go
@@ -138,7 +138,7 @@
 		}
 		f.About, f.Says = aboutRefused, fmt.Sprintf("revision %s, from %s, was not taken (%s)", l.fields["revision"], l.fields["source"], l.fields["verdict"])
 	case "peer connection timed out":
-		f.About, f.Says = aboutPeerConnections, "an open connection to "+l.fields["peer"]+" carried no exchange; peers pass on tables"
+		f.About, f.Says = aboutPeerConnections, "an exchange with "+l.fields["peer"]+", which passes on tables, timed out on an open connection"
 	case "value in force":
 		f.About, f.Says = l.fields["name"], valueSays(l.fields)
 	case "reach of data centres":
--- a/internal/logtrace/why_test.go
+++ b/internal/logtrace/why_test.go
@@ -104,7 +104,7 @@
 		"unknown": {"it did not run", []string{
 			"table revision 45, by which the entry decided, doesn't have it: no route for a/b",
 			"the entry had its table (revision 45, from platform) for 43s",
-			"peer connections: an open connection to vm-2 carried no exchange; peers pass on tables, 500ms before",
+			"peer connections: an exchange with vm-2, which passes on tables, timed out on an open connection, 500ms before",
 		}},
 		"delegated": {"it may have run; the caller has no answer (outcome may_have_run, code delegate_lost)", []string{
 			"this entry reached no endpoint of m, and vm-3, which served the request, was lost",
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -140,6 +140,15 @@
 	return m
 }
 
+// ObservePeerTimeout counts an exchange that timed out.
+func (m *Metrics) ObservePeerTimeout(reused bool) {
+	connection := "new"
+	if reused {
+		connection = "reused"
+	}
+	m.PeerTimeouts.WithLabelValues(connection).Inc()
+}
+
 func counter(name, help string) prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 }
