--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -15,9 +15,12 @@
 // cases plays each case and returns whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"brittle":   playBrittle,
+	"limits":    playLimits,
 	"memory":    playMemory,
 	"nonanswer": playNonAnswer,
+	"shares":    playShares,
 	"surplus":   playSurplus,
+	"unframed":  playUnframed,
 	"version":   playVersion,
 }
 
--- a/review/driver/raw.go
+++ b/review/driver/raw.go
@@ -30,6 +30,9 @@
 	surplus func(status int) bool
 	instead func() bool
 
+	// says is a line of the head of all its answers.
+	says string
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -154,13 +157,13 @@
 	}
 	body := "done " + id
 	return http.StatusOK, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-by-%s\r\n%sContent-Length: %d\r\n\r\n%s",
-		platform.HeaderRequestID, id, platform.HeaderSignature, s.id, s.brittleLine(), len(body), body)
+		platform.HeaderRequestID, id, platform.HeaderSignature, s.id, s.says+s.brittleLine(), len(body), body)
 }
 
 func (s *rawServer) refuse(id string, status int) (int, []byte) {
 	s.w.note("%s refuses %s with %d", s.id, id, status)
 	return status, fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n",
-		status, http.StatusText(status), platform.HeaderRequestID, id, platform.HeaderNotRun, s.brittleLine())
+		status, http.StatusText(status), platform.HeaderRequestID, id, platform.HeaderNotRun, s.says+s.brittleLine())
 }
 
 // ran reports how often it ran a request.
