--- /dev/null
+++ b/review/standins-2/server.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bridgehoist/bridgehoist/platform"
+	"github.com/bridgehoist/bridgehoist/platform/standin"
+)
+
+// server is a stand-in of a server: a model server that runs so many requests at once and lets a few more
+// wait, or a plain service.
+type server struct {
+	w       *world
+	id      string
+	service string
+	zone    string
+	address string
+	born    int64
+	slots   int
+	room    int
+	events  int
+	every   time.Duration
+	prefill time.Duration
+	work    time.Duration
+
+	places chan struct{}
+	mu     sync.Mutex
+	// state by request id: when it arrived, began and ended.
+	arrived, began, ended map[string]time.Time
+	waiting               int
+	runs                  map[string]int
+}
+
+func (w *world) newServer(host int, id, service, zone string, slots, room int) (*server, error) {
+	s := &server{w: w, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, room: room, places: make(chan struct{}, slots),
+		arrived: map[string]time.Time{}, began: map[string]time.Time{}, ended: map[string]time.Time{}, runs: map[string]int{}}
+	var err error
+	s.address, err = w.listen(host, s)
+	return s, err
+}
+
+// record is what it writes into the store.
+func (s *server) record(state string, sequence int) []byte {
+	return []byte(filled(recordText, "SERVICE", s.service, "ADDRESS", s.address, "ZONE", s.zone, "SLOTS", s.slots, "STATE", state, "SEQUENCE", sequence, "BORN", s.born))
+}
+
+func (s *server) publish(st *standin.Store, state string) {
+	st.Put(platform.EndpointPrefix+s.id, s.record(state, 1))
+	s.w.logf("%s (%s) at %s is %s in the store", s.id, s.service, s.address, state)
+}
+
+func (s *server) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == platform.PathReport {
+		s.report(rw)
+		return
+	}
+	id := r.Header.Get(platform.HeaderRequestID)
+	h := rw.Header()
+	h.Set(platform.HeaderRequestID, id)
+	if want := r.Header.Get(platform.HeaderInstance); want != "" && want != s.id {
+		h.Set(platform.HeaderSelf, s.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.note(s.arrived, id)
+	s.w.logf("%s: %s arrives", s.id, id)
+	if !s.admit(r.Context()) {
+		s.w.logf("%s: %s turned away or gone, not run", s.id, id)
+		if r.Context().Err() == nil {
+			h.Set(platform.HeaderNotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	defer func() { <-s.places }()
+	s.note(s.began, id)
+	s.w.logf("%s: %s begins to run", s.id, id)
+	defer func() { s.note(s.ended, id); s.w.logf("%s: %s ends", s.id, id) }()
+	h.Set(platform.HeaderSignature, s.id+"."+id)
+	if r.Header.Get(platform.HeaderTokens) != "" {
+		s.stream(rw, r, id)
+		return
+	}
+	if !sleep(r.Context(), s.work) {
+		return
+	}
+	fmt.Fprintf(rw, "%s %s %s %s", s.service, r.Method, r.RequestURI, body)
+}
+
+// admit waits for a place; it returns false if there is no room to wait, or the caller has gone.
+func (s *server) admit(ctx context.Context) bool {
+	select {
+	case s.places <- struct{}{}:
+		return true
+	default:
+	}
+	s.mu.Lock()
+	full := s.waiting >= s.room
+	if !full {
+		s.waiting++
+	}
+	s.mu.Unlock()
+	if full {
+		return false
+	}
+	defer func() {
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	select {
+	case s.places <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *server) stream(rw http.ResponseWriter, r *http.Request, id string) {
+	if !sleep(r.Context(), s.prefill) {
+		return
+	}
+	rw.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(rw)
+	defer func() {
+		s.mu.Lock()
+		delete(s.runs, id)
+		s.mu.Unlock()
+	}()
+	for n := 1; n <= s.events; n++ {
+		s.mu.Lock()
+		s.runs[id] = n
+		s.mu.Unlock()
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s-%d\n\n", n, id, n); err != nil {
+			return
+		}
+		_ = out.Flush()
+		if n < s.events && !sleep(r.Context(), s.every) {
+			return
+		}
+	}
+}
+
+func (s *server) report(rw http.ResponseWriter) {
+	s.mu.Lock()
+	var runs []string
+	used := 0
+	for id, n := range s.runs {
+		runs = append(runs, fmt.Sprintf(`[%q, %d, %d, 5]`, id, 1000+4*n, n))
+		used += 1000 + 4*n
+	}
+	text := filled(reportText, "QUEUED", s.waiting, "ACTIVE", len(s.places), "USED", used, "STATE", "ready", "RUNS", strings.Join(runs, ","), "BORN", s.born)
+	s.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(rw, text)
+}
+
+func (s *server) note(m map[string]time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := m[id]; !known {
+		m[id] = time.Now()
+	}
+}
+
+func (s *server) at(m map[string]time.Time, id string) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := m[id]
+	return t, ok
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
