--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -7,7 +7,8 @@
 
 // cases are the scripts, by name.
 var cases = map[string]func(*world) error{
-	"stop-with-queue": stopWithQueue,
+	"stop-with-queue":   stopWithQueue,
+	"readers-restarted": readersRestarted,
 }
 
 func main() {
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -28,6 +28,8 @@
 	every   time.Duration
 	prefill time.Duration
 	work    time.Duration
+	// quiet leaves its requests out of the record.
+	quiet bool
 
 	places chan struct{}
 	mu     sync.Mutex
@@ -73,9 +75,9 @@
 		return
 	}
 	s.note(s.arrived, id)
-	s.w.logf("%s: %s arrives", s.id, id)
+	s.logf("%s: %s arrives", s.id, id)
 	if !s.admit(r.Context()) {
-		s.w.logf("%s: %s turned away or gone, not run", s.id, id)
+		s.logf("%s: %s turned away or gone, not run", s.id, id)
 		if r.Context().Err() == nil {
 			h.Set(platform.HeaderNotRun, "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
@@ -84,8 +86,8 @@
 	}
 	defer func() { <-s.places }()
 	s.note(s.began, id)
-	s.w.logf("%s: %s begins to run", s.id, id)
-	defer func() { s.note(s.ended, id); s.w.logf("%s: %s ends", s.id, id) }()
+	s.logf("%s: %s begins to run", s.id, id)
+	defer func() { s.note(s.ended, id); s.logf("%s: %s ends", s.id, id) }()
 	h.Set(platform.HeaderSignature, s.id+"."+id)
 	if r.Header.Get(platform.HeaderTokens) != "" {
 		s.stream(rw, r, id)
@@ -97,6 +99,12 @@
 	fmt.Fprintf(rw, "%s %s %s %s", s.service, r.Method, r.RequestURI, body)
 }
 
+func (s *server) logf(format string, args ...any) {
+	if !s.quiet {
+		s.w.logf(format, args...)
+	}
+}
+
 // admit waits for a place; it returns false if there is no room to wait, or the caller has gone.
 func (s *server) admit(ctx context.Context) bool {
 	select {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,8 +70,13 @@
 // gateway is one process of the system, on a loopback address of its own.
 type gateway struct {
 	name, ip, zone, settings string
-	cmd                      *exec.Cmd
-	ended                    chan struct{}
+	// store is the address at which it reaches the store, and asked its calls there.
+	store, seeds string
+	// first says that the whole system starts for the first time.
+	first bool
+	asked atomic.Int64
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 func (g *gateway) callers() string   { return g.ip + ":8740" }
@@ -118,6 +124,8 @@
 	return l.Addr().String(), nil
 }
 
+func newStandInStore() *standin.Store { return standin.New() }
+
 // newStore serves a store.
 func (w *world) newStore(host int) (*standin.Store, string, error) {
 	s := standin.New()
@@ -127,9 +135,19 @@
 
 // newGateways makes the settings of some gateways.
 func (w *world) newGateways(n int, store string) {
-	var seeds []string
+	var in []string
 	for i := range n {
-		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", w.net, i+1), zone: zones[i%len(zones)]}
+		in = append(in, zones[i%len(zones)])
+	}
+	w.newGatewaysIn(in, store)
+}
+
+// newGatewaysIn makes the settings of a gateway for each of some zones. The address of the store may be
+// empty, if it is set for each.
+func (w *world) newGatewaysIn(zones []string, store string) {
+	var seeds []string
+	for i, zone := range zones {
+		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", w.net, i+1), zone: zone, store: store, first: true}
 		g.settings = filepath.Join(w.dir, g.name+".json")
 		w.gateways = append(w.gateways, g)
 		if len(seeds) < 3 {
@@ -137,12 +155,13 @@
 		}
 	}
 	for _, g := range w.gateways {
-		w.writeSettings(g, store, strings.Join(seeds, ", "))
+		g.seeds = strings.Join(seeds, ", ")
+		w.writeSettings(g)
 	}
 }
 
-func (w *world) writeSettings(g *gateway, store, seeds string) {
-	text := filled(settingsText, "NODE", g.name, "IP", g.ip, "ZONE", g.zone, "SEEDS", seeds, "STORE", store)
+func (w *world) writeSettings(g *gateway) {
+	text := filled(settingsText, "NODE", g.name, "IP", g.ip, "ZONE", g.zone, "SEEDS", g.seeds, "STORE", g.store, "FIRST", g.first)
 	if !json.Valid([]byte(text)) {
 		panic("settings: " + text)
 	}
