--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -9,6 +9,13 @@
 var cases = map[string]func(*world) error{
 	"stop-with-queue":   stopWithQueue,
 	"readers-restarted": readersRestarted,
+	"new-seeds":         newSeeds,
+	"not-an-answer":     notAnAnswer,
+	"large-bodies":      largeBodies,
+	"delegated-abroad":  delegatedAbroad,
+	"bound-and-cut":     boundAndCut,
+	"last-tenant":       lastTenant,
+	"ran-and-503":       ranAnd503,
 }
 
 func main() {
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +34,20 @@
 	// quiet leaves its requests out of the record.
 	quiet bool
 
+	door *door
+	// from holds the gateways that requests came from.
+	from map[string]*gateway
+
+	// failShare of the requests that it has worked on are answered failStatus; see fails.
+	failShare  float64
+	failStatus int
+	// brief leaves the body out of its answers.
+	brief bool
+	// garble, if set, may answer something else; it reports whether it did.
+	garble func(rw http.ResponseWriter, id string) bool
+	// limit is what it names as its limit; zero is none.
+	limit float64
+
 	places chan struct{}
 	mu     sync.Mutex
 	// state by request id: when it arrived, began and ended.
@@ -41,15 +58,28 @@
 
 func (w *world) newServer(host int, id, service, zone string, slots, room int) (*server, error) {
 	s := &server{w: w, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, room: room, places: make(chan struct{}, slots),
-		arrived: map[string]time.Time{}, began: map[string]time.Time{}, ended: map[string]time.Time{}, runs: map[string]int{}}
-	var err error
-	s.address, err = w.listen(host, s)
-	return s, err
+		arrived: map[string]time.Time{}, began: map[string]time.Time{}, ended: map[string]time.Time{}, runs: map[string]int{}, from: map[string]*gateway{}}
+	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", w.net, host))
+	if err != nil {
+		return nil, err
+	}
+	s.address = l.Addr().String()
+	s.door = &door{Listener: l, w: w, conns: map[net.Conn]*gateway{}}
+	h := &http.Server{Handler: s, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, comesFrom{}, s.door.owner(c))
+	}}
+	go func() { _ = h.Serve(s.door) }()
+	return s, nil
 }
 
 // record is what it writes into the store.
 func (s *server) record(state string, sequence int) []byte {
-	return []byte(filled(recordText, "SERVICE", s.service, "ADDRESS", s.address, "ZONE", s.zone, "SLOTS", s.slots, "STATE", state, "SEQUENCE", sequence, "BORN", s.born))
+	return s.recordAt(s.address, state, sequence)
+}
+
+// recordAt is its record with another address.
+func (s *server) recordAt(address, state string, sequence int) []byte {
+	return []byte(filled(recordText, "SERVICE", s.service, "ADDRESS", address, "ZONE", s.zone, "SLOTS", s.slots, "STATE", state, "SEQUENCE", sequence, "BORN", s.born))
 }
 
 func (s *server) publish(st *standin.Store, state string) {
@@ -65,6 +95,7 @@
 	id := r.Header.Get(platform.HeaderRequestID)
 	h := rw.Header()
 	h.Set(platform.HeaderRequestID, id)
+	s.tellLimit(h)
 	if want := r.Header.Get(platform.HeaderInstance); want != "" && want != s.id {
 		h.Set(platform.HeaderSelf, s.id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -75,6 +106,11 @@
 		return
 	}
 	s.note(s.arrived, id)
+	if g, _ := r.Context().Value(comesFrom{}).(*gateway); g != nil {
+		s.mu.Lock()
+		s.from[id] = g
+		s.mu.Unlock()
+	}
 	s.logf("%s: %s arrives", s.id, id)
 	if !s.admit(r.Context()) {
 		s.logf("%s: %s turned away or gone, not run", s.id, id)
@@ -88,6 +124,9 @@
 	s.note(s.began, id)
 	s.logf("%s: %s begins to run", s.id, id)
 	defer func() { s.note(s.ended, id); s.logf("%s: %s ends", s.id, id) }()
+	if s.garble != nil && s.garble(rw, id) {
+		return
+	}
 	h.Set(platform.HeaderSignature, s.id+"."+id)
 	if r.Header.Get(platform.HeaderTokens) != "" {
 		s.stream(rw, r, id)
@@ -96,9 +135,47 @@
 	if !sleep(r.Context(), s.work) {
 		return
 	}
+	if status := s.failing(); status != 0 {
+		rw.WriteHeader(status)
+		return
+	}
+	if s.brief {
+		body = nil
+	}
 	fmt.Fprintf(rw, "%s %s %s %s", s.service, r.Method, r.RequestURI, body)
 }
 
+// names has it name a limit of requests a second in its answers.
+func (s *server) names(limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+func (s *server) tellLimit(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit > 0 {
+		h.Set(platform.HeaderLimit, strconv.FormatFloat(s.limit, 'f', 1, 64))
+	}
+}
+
+// fails has it fail a share of the requests that it has worked on with a status of its own.
+func (s *server) fails(share float64, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failShare, s.failStatus = share, status
+}
+
+func (s *server) failing() (status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.Float64() < s.failShare {
+		return s.failStatus
+	}
+	return 0
+}
+
 func (s *server) logf(format string, args ...any) {
 	if !s.quiet {
 		s.w.logf(format, args...)
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -52,6 +52,22 @@
 
 var zones = []string{"hetauda-hall", "lalitpur-hall", "bhaktapur-hall"}
 
+// regions gives the region of each zone.
+var regions = map[string]string{
+	"hetauda-hall": "bagmati", "lalitpur-hall": "bagmati", "bhaktapur-hall": "bagmati",
+	"regina-a": "sask", "saskatoon-a": "sask", "winnipeg-a": "manitoba", "brandon-a": "manitoba",
+}
+
+// zoneTable is what the settings say of the zones of some machines.
+func zoneTable(gateways []*gateway) string {
+	in := map[string]string{}
+	for _, g := range gateways {
+		in[g.zone] = regions[g.zone]
+	}
+	data, _ := json.Marshal(in) // Texts can always be written.
+	return string(data)
+}
+
 // world is one play.
 type world struct {
 	trouble bool
@@ -161,7 +177,8 @@
 }
 
 func (w *world) writeSettings(g *gateway) {
-	text := filled(settingsText, "NODE", g.name, "IP", g.ip, "ZONE", g.zone, "SEEDS", g.seeds, "STORE", g.store, "FIRST", g.first)
+	text := filled(settingsText, "NODE", g.name, "IP", g.ip, "ZONE", g.zone, "SEEDS", g.seeds, "STORE", g.store, "FIRST", g.first,
+		"REGION", regions[g.zone], "ZONES", zoneTable(w.gateways))
 	if !json.Valid([]byte(text)) {
 		panic("settings: " + text)
 	}
@@ -258,11 +275,21 @@
 	name, prefix, kind, service         string
 	timeout, aim, priority, maxAttempts int
 	resume                              bool
+	// homes are the regions in which it may be served; all if there are none.
+	homes []string
 }
 
 func (r route) text() string {
 	return filled(routeText, "NAME", r.name, "PREFIX", r.prefix, "TYPE", r.kind, "TIMEOUT", r.timeout, "AIM", r.aim, "PRIORITY", r.priority,
-		"SERVICE", r.service, "ATTEMPTS", r.maxAttempts, "RESUME", r.resume)
+		"SERVICE", r.service, "ATTEMPTS", r.maxAttempts, "RESUME", r.resume, "REGIONS", quoted(r.homes))
+}
+
+func quoted(names []string) string {
+	var out []string
+	for _, n := range names {
+		out = append(out, strconv.Quote(n))
+	}
+	return strings.Join(out, ", ")
 }
 
 // configuration writes one; tenants maps names to keys.
