review: case 7, channels that come up and hang are taken for slow servers

Cause: a target is only delegated if no connection to it can be opened, and an answer that doesn't come within the request's time counts as no failure of its endpoint.

--- a/review/standins-2/abroad.go
+++ b/review/standins-2/abroad.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,18 +18,24 @@
 	cutPrefix = "/publish/"
 )
 
-// twoRegions is a system of four machines in two regions, each beside a server of one service. The first
-// machine reaches the servers over paths of its own.
+// twoRegions is a system of some machines in two regions, with a server of one service in each zone. The first
+// machines reach the servers over paths of their own.
 type twoRegions struct {
 	*world
 	at    *gateway
+	far   []*gateway
 	desks []*server
 	paths []*path
 }
 
-// newTwoRegions starts one. The store, as it shows it to the first machine, has the addresses of the paths.
+// newTwoRegions starts one. The store, as it shows it to the first machines, has the addresses of the paths.
 // Everything else, the revisions too, is the same for all.
 func newTwoRegions(w *world, routes ...route) (*twoRegions, error) {
+	return newRegions(w, []string{"regina-a", "saskatoon-a", "winnipeg-a", "brandon-a"}, 1, routes...)
+}
+
+// newRegions starts one with a machine in each zone, of which the first so many have paths.
+func newRegions(w *world, in []string, far int, routes ...route) (*twoRegions, error) {
 	store, storeAt, err := w.newStore(200)
 	if err != nil {
 		return nil, err
@@ -40,10 +47,12 @@
 	for _, s := range []*standin.Store{store, own} {
 		s.Put(platform.ConfigurationKey, configuration(7, 24, true, map[string]string{tenant: apiKey}, routes...))
 	}
-	in := []string{"regina-a", "saskatoon-a", "winnipeg-a", "brandon-a"}
 	w.newGatewaysIn(in, storeAt)
-	t := &twoRegions{world: w, at: w.gateways[0]}
+	t := &twoRegions{world: w, at: w.gateways[0], far: w.gateways[:far]}
 	for i, zone := range in {
+		if slices.Contains(in[:i], zone) {
+			continue
+		}
 		d, err := w.newServer(100+i, "i-desk-"+zone, "yard-desk", zone, 6, 12)
 		if err != nil {
 			return nil, err
@@ -66,7 +75,7 @@
 		seeds[i].cut()
 	}
 	for i, g := range w.gateways {
-		if i == 0 {
+		if i < far {
 			g.store = ownAt
 		}
 		g.seeds = strconv.Quote(seeds[0].address) + ", " + strconv.Quote(seeds[1].address)
@@ -183,14 +192,35 @@
 // first tries at these machines are served less than two thirds as often as those at the others, and more than
 // 10 + 1 in 50 of all first tries fail there.
 func boundAndCut(w *world) error {
-	const (
-		contact = 3 * time.Second
-		cutFor  = 12 * time.Second
-	)
 	t, err := newTwoRegions(w, cutRoute("r-publish", cutPrefix, home))
 	if err != nil {
 		return err
 	}
+	return t.judgeCut(t.cut)
+}
+
+// cutAndHang: all machines of a zone, three of five, are partitioned from all servers, and their channels to them
+// hang. See boundAndCut for the rule.
+func cutAndHang(w *world) error {
+	t, err := newRegions(w, []string{zones[0], zones[0], zones[0], zones[1], zones[2]}, 3, cutRoute("r-publish", cutPrefix))
+	if err != nil {
+		return err
+	}
+	return t.judgeCut(func() {
+		t.logf("%d machines are partitioned from all servers; their channels hang", len(t.far))
+		for _, p := range t.paths {
+			p.silence()
+		}
+	})
+}
+
+// judgeCut has callers ask all machines before, within and after a cut, and checks the rule.
+func (t *twoRegions) judgeCut(cut func()) error {
+	const (
+		contact = 3 * time.Second
+		cutFor  = 12 * time.Second
+	)
+	w := t.world
 	type first struct {
 		g *gateway
 		answer
@@ -220,7 +250,7 @@
 	time.Sleep(3 * time.Second)
 	began := time.Now()
 	if w.trouble {
-		t.cut()
+		cut()
 	}
 	time.Sleep(cutFor)
 	ended := time.Now()
@@ -240,10 +270,10 @@
 		}
 		served := f.status == http.StatusOK && f.err == nil
 		switch {
-		case f.g == t.at && served:
+		case slices.Contains(t.far, f.g) && served:
 			thereServed++
 			there++
-		case f.g == t.at:
+		case slices.Contains(t.far, f.g):
 			there++
 		case served:
 			othersServed++
@@ -257,10 +287,10 @@
 	}
 	shareThere, shareOthers := float64(thereServed)/float64(there), float64(othersServed)/float64(others)
 	failed, allowed := there-thereServed, 10+float64(there+others)/50
-	w.logf("from %v after the cut: served %d of %d first tries at %s, %d of %d at the others; %d failed there, %.0f may", contact, thereServed, there, t.at.name,
+	w.logf("from %v after the cut: served %d of %d first tries at %d machines, %d of %d at the others; %d failed there, %.0f may", contact, thereServed, there, len(t.far),
 		othersServed, others, failed, allowed)
 	if shareThere < shareOthers*2/3 && float64(failed) > allowed {
-		w.breaks("RECOVER: %d of %d first tries at %s were served, %d of %d at the others; %d failed there, %.0f may", thereServed, there, t.at.name,
+		w.breaks("RECOVER: %d of %d first tries at the %d cut machines were served, %d of %d at the others; %d failed there, %.0f may", thereServed, there, len(t.far),
 			othersServed, others, failed, allowed)
 	}
 	return nil
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -11,9 +11,9 @@
 	"readers-restarted": readersRestarted,
 	"new-seeds":         newSeeds,
 	"not-an-answer":     notAnAnswer,
-	"large-bodies":      largeBodies,
 	"delegated-abroad":  delegatedAbroad,
 	"bound-and-cut":     boundAndCut,
+	"cut-and-hang":      cutAndHang,
 	"last-tenant":       lastTenant,
 	"ran-and-503":       ranAnd503,
 }
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -41,8 +41,6 @@
 	// failShare of the requests that it has worked on are answered failStatus; see fails.
 	failShare  float64
 	failStatus int
-	// brief leaves the body out of its answers.
-	brief bool
 	// garble, if set, may answer something else; it reports whether it did.
 	garble func(rw http.ResponseWriter, id string) bool
 	// limit is what it names as its limit; zero is none.
@@ -64,12 +62,18 @@
 		return nil, err
 	}
 	s.address = l.Addr().String()
+	s.serve(l)
+	return s, nil
+}
+
+func (s *server) serve(l net.Listener) {
+	w := s.w
 	s.door = &door{Listener: l, w: w, conns: map[net.Conn]*gateway{}}
 	h := &http.Server{Handler: s, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, comesFrom{}, s.door.owner(c))
 	}}
-	go func() { _ = h.Serve(s.door) }()
-	return s, nil
+	d := s.door
+	go func() { _ = h.Serve(d) }()
 }
 
 // record is what it writes into the store.
@@ -139,9 +143,6 @@
 		rw.WriteHeader(status)
 		return
 	}
-	if s.brief {
-		body = nil
-	}
 	fmt.Fprintf(rw, "%s %s %s %s", s.service, r.Method, r.RequestURI, body)
 }
 
