review: a name of the platform leaves a comment

Cause: make lint lets the platform's names stand under platform/ only. Change: one comment of the stand-ins.

--- a/review/standins-2/seeds.go
+++ b/review/standins-2/seeds.go
@@ -15,7 +15,7 @@
 // newSeeds: a machine starts with seeds that are stale. Its settings file gets live ones, which SIGHUP tells.
 // Later a server in need names a limit in its answers.
 //
-// LIMIT: from ContactMs after a server first named its Server-Limit, it gets in some 4 s more than one and a
+// LIMIT: from ContactMs after a server first named its limit, it gets in some 4 s more than one and a
 // half times what that allows, + 5 requests, summed over the machines that had passed on such an answer half a
 // second before or earlier.
 func newSeeds(w *world) error {
