--- a/review/standins-2/abroad.go
+++ b/review/standins-2/abroad.go
@@ -229,7 +229,31 @@
 	var tries []first
 	stop := make(chan struct{})
 	var all sync.WaitGroup
+	out := map[*gateway]bool{}
+	asked, ready := map[*gateway]int{}, map[*gateway]int{}
 	for _, g := range w.gateways {
+		// The platform asks each second, and hands out no new channels to a machine that misses twice.
+		all.Go(func() {
+			misses := 0
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Second):
+				}
+				ok := w.ready(g, time.Millisecond)
+				if misses++; ok {
+					misses = 0
+				}
+				mu.Lock()
+				asked[g]++
+				if ok {
+					ready[g]++
+				}
+				out[g] = misses >= 2
+				mu.Unlock()
+			}
+		})
 		all.Go(func() {
 			for {
 				select {
@@ -237,6 +261,12 @@
 					return
 				case <-time.After(60 * time.Millisecond):
 				}
+				mu.Lock()
+				isOut := out[g]
+				mu.Unlock()
+				if isOut {
+					continue
+				}
 				all.Go(func() {
 					a := t.ask(g, cutPrefix)
 					w.logf("client: %s, sent at %.3f to %s: %s", a.id, a.sent.Sub(w.begun).Seconds(), g.name, a.text())
@@ -262,6 +292,9 @@
 	time.Sleep(cutLimit)
 	close(stop)
 	all.Wait()
+	for _, g := range w.gateways {
+		w.logf("%s was ready at %d of %d questions of the platform", g.name, ready[g], asked[g])
+	}
 	var there, others, thereServed, othersServed int
 	for _, f := range tries {
 		// Tries that the end of the cut could help aren't judged.
