shutdown: requests that a stopping entry holds are answered or refused

Cause: stop waited for open requests until 0.7 s before the end of the grace period and then closed all connections. The scheduler didn't know of the stop, so requests stayed in the queue, and entered it, that could not end before. The same held for plain requests in flight, bodies that were still arriving (400), requests delegated to a peer, and requests delegated to a stopping peer. Ruled out: a balancer that goes on sending (the requests were read before SIGTERM), and signals in series (NotifyContext drops later ones).

Change: package shutdown plans the end of a process. The scheduler refuses at once what isn't expected to end before it. 1.2 s before the end of the grace period the contexts of requests end whose response has not begun (filter drain): 503 if the request has not run, 504 otherwise. A stopping entry asks the peer of a delegated request for its outcome (Withdraw). Responses that begin during a stop close their connections. SIGHUP and SIGTERM are handled from the first line of run on. The entry with our own interface does the same at the end of -drain-timeout.

The soak counts connections that close before any byte of an answer.

--- a/cmd/bridgehoist-gateway/main.go
+++ b/cmd/bridgehoist-gateway/main.go
@@ -40,6 +40,11 @@
 }
 
 func run(cfg gateway.Config) error {
+	// From here on no signal ends the process by its default action.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	vm, err := platform.ReadSettings(platform.SettingsPath())
 	if err != nil {
 		return err
@@ -50,16 +55,12 @@
 	out := logging.NewBounded(os.Stdout, cfg.LogLines)
 	defer out.Close(logFlush)
 	logger := logging.New(out, "gateway", vm.VM)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	go heap.Bound(ctx)
-	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, logger))
+	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, hup, logger))
 }
 
 // reloads reads the settings file again at each SIGHUP.
-func reloads(ctx context.Context, logger *log.Logger) <-chan platform.Settings {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reloads(ctx context.Context, hup <-chan os.Signal, logger *log.Logger) <-chan platform.Settings {
 	out := make(chan platform.Settings)
 	go func() {
 		for range hup {
--- a/gen/bridgehoist/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/bridgehoist/peer/v1/peerv1connect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServiceHandoverProcedure = "/bridgehoist.peer.v1.PeerService/Handover"
 	// PeerServiceDelegateProcedure is the fully-qualified name of the PeerService's Delegate RPC.
 	PeerServiceDelegateProcedure = "/bridgehoist.peer.v1.PeerService/Delegate"
+	// PeerServiceWithdrawProcedure is the fully-qualified name of the PeerService's Withdraw RPC.
+	PeerServiceWithdrawProcedure = "/bridgehoist.peer.v1.PeerService/Withdraw"
 )
 
 // PeerServiceClient is a client for the bridgehoist.peer.v1.PeerService service.
@@ -56,6 +58,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Delegate asks an entry to serve a request whose endpoints the calling entry can't reach.
 	Delegate(context.Context, *connect.Request[v1.DelegateRequest]) (*connect.ServerStreamForClient[v1.DelegateResponse], error)
+	// Withdraw ends a delegated request early. Its outcome still comes as the end of Delegate.
+	Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the bridgehoist.peer.v1.PeerService service. By
@@ -93,6 +97,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Delegate")),
 			connect.WithClientOptions(opts...),
 		),
+		withdraw: connect.NewClient[v1.WithdrawRequest, v1.WithdrawResponse](
+			httpClient,
+			baseURL+PeerServiceWithdrawProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Withdraw")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -102,6 +112,7 @@
 	run      *connect.Client[v1.RunRequest, v1.RunResponse]
 	handover *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
 	delegate *connect.Client[v1.DelegateRequest, v1.DelegateResponse]
+	withdraw *connect.Client[v1.WithdrawRequest, v1.WithdrawResponse]
 }
 
 // Exchange calls bridgehoist.peer.v1.PeerService.Exchange.
@@ -124,6 +135,11 @@
 	return c.delegate.CallServerStream(ctx, req)
 }
 
+// Withdraw calls bridgehoist.peer.v1.PeerService.Withdraw.
+func (c *peerServiceClient) Withdraw(ctx context.Context, req *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error) {
+	return c.withdraw.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the bridgehoist.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange reconciles what two entries know: push what the other lacks,
@@ -136,6 +152,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Delegate asks an entry to serve a request whose endpoints the calling entry can't reach.
 	Delegate(context.Context, *connect.Request[v1.DelegateRequest], *connect.ServerStream[v1.DelegateResponse]) error
+	// Withdraw ends a delegated request early. Its outcome still comes as the end of Delegate.
+	Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -169,6 +187,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Delegate")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceWithdrawHandler := connect.NewUnaryHandler(
+		PeerServiceWithdrawProcedure,
+		svc.Withdraw,
+		connect.WithSchema(peerServiceMethods.ByName("Withdraw")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/bridgehoist.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -179,6 +203,8 @@
 			peerServiceHandoverHandler.ServeHTTP(w, r)
 		case PeerServiceDelegateProcedure:
 			peerServiceDelegateHandler.ServeHTTP(w, r)
+		case PeerServiceWithdrawProcedure:
+			peerServiceWithdrawHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -203,3 +229,7 @@
 func (UnimplementedPeerServiceHandler) Delegate(context.Context, *connect.Request[v1.DelegateRequest], *connect.ServerStream[v1.DelegateResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("bridgehoist.peer.v1.PeerService.Delegate is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bridgehoist.peer.v1.PeerService.Withdraw is not implemented"))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -76,6 +77,15 @@
 	read(clock.Now(), d.policy)
 }
 
+// UpdateScheduler is Update if the policy is a *scheduler.Scheduler, and does nothing for other policies.
+func (d *Dispatcher) UpdateScheduler(change func(now time.Time, s *scheduler.Scheduler)) {
+	d.Update(func(now time.Time, p scheduler.Policy) {
+		if s, ok := p.(*scheduler.Scheduler); ok {
+			change(now, s)
+		}
+	})
+}
+
 // ViewScheduler calls view if the policy is a *scheduler.Scheduler, and does nothing for other
 // policies. view may change the scheduler's state.
 func (d *Dispatcher) ViewScheduler(view func(now time.Time, s *scheduler.Scheduler)) {
@@ -126,7 +136,8 @@
 	case v := <-ch:
 		return v.grant, v.err
 	case <-ctx.Done():
-		return Grant{}, d.withdraw(id, ch)
+		d.withdraw(id, ch)
+		return Grant{}, shutdown.NotRun(ctx)
 	}
 }
 
@@ -147,13 +158,13 @@
 
 // withdraw cancels a request whose context is done, or releases its grant if
 // the policy has already granted it.
-func (d *Dispatcher) withdraw(id scheduler.ID, ch chan decision) *outcome.Error {
+func (d *Dispatcher) withdraw(id scheduler.ID, ch chan decision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
 	if d.policy.Cancel(now, id) {
 		delete(d.waiting, id)
-		return callerGone()
+		return
 	}
 	select {
 	case v := <-ch:
@@ -165,11 +176,6 @@
 		// The policy no longer holds the request, but its decision has not been delivered.
 		delete(d.waiting, id)
 	}
-	return callerGone()
-}
-
-func callerGone() *outcome.Error {
-	return outcome.NotRunf(outcome.CodeCallerGone, "the caller has gone or the time is up")
 }
 
 // Progress records the number of tokens generated for a granted request.
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -14,6 +14,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/filters/bound"
 	"github.com/bridgehoist/bridgehoist/internal/filters/claim"
 	"github.com/bridgehoist/bridgehoist/internal/filters/classify"
+	"github.com/bridgehoist/bridgehoist/internal/filters/drain"
 	"github.com/bridgehoist/bridgehoist/internal/filters/identify"
 	"github.com/bridgehoist/bridgehoist/internal/filters/quarantined"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
@@ -33,6 +34,7 @@
 	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout)
 	run = bound.New(run, e.cfg.MaxOpen)
 	run = account.New(run, account.Own, e.metrics.Observe)
+	run = drain.New(run, e.open, e.stopping.Load)
 
 	var tickets http.Handler = http.HandlerFunc(e.tickets)
 	tickets = identify.New(tickets, e.lookupKey)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"sync/atomic"
@@ -70,6 +71,9 @@
 	exchange *controllers.Exchange
 	config   *controllers.ValueWatcher
 	peerTLS  *tls.Config
+	// open ends when the requests must end that the entry still holds; abort ends it.
+	open  context.Context
+	abort context.CancelCauseFunc
 }
 
 // New makes an entry from checked settings.
@@ -81,6 +85,7 @@
 		metrics: metrics.New(),
 		traffic: &peering.Traffic{},
 	}
+	e.open, e.abort = context.WithCancelCause(context.Background())
 	e.client = engineclient.New(e.onSaid)
 	var err error
 	if e.peerTLS, err = cfg.PeerTLS.Load(); err != nil {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -16,8 +16,10 @@
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
 // Run serves until the context ends, then stops without cutting any request.
@@ -133,10 +135,15 @@
 // stop ends the entry: unready, serve what the balancer still sends, let all
 // requests end, hand the tickets over, and tell the others.
 func (e *Entry) stop(ctx context.Context, s *servers) {
+	schedule := shutdown.NewSchedule(clock.Now(), e.cfg.DrainTimeout)
 	e.stopping.Store(true)
+	e.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
+	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
+	defer cancelAbort()
+	context.AfterFunc(abort, func() { e.abort(shutdown.ErrStopping) })
 	e.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
-	time.Sleep(e.cfg.DrainDelay)
+	pause.For(abort, e.cfg.DrainDelay)
 	s.callers.SetKeepAlivesEnabled(false)
 	drain, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
 	defer cancel()
--- a/internal/filters/body/body.go
+++ b/internal/filters/body/body.go
@@ -4,6 +4,7 @@
 package body
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
@@ -19,14 +21,13 @@
 // the timeout.
 func New(next http.Handler, limit int64, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(timeout))
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		data, err := read(w, r, limit, timeout)
 		if err != nil {
-			respond.Refuse(w, r, refusal(err, limit))
+			// What is left of the body can't be told from the next request.
+			w.Header().Set("Connection", "close")
+			respond.Refuse(w, r, refusal(r.Context(), err, limit))
 			return
 		}
-		_ = control.SetReadDeadline(time.Time{})
 		j := job.FromRequest(r)
 		j.Body = data
 		j.ContentType = r.Header.Get("Content-Type")
@@ -34,10 +35,26 @@
 	})
 }
 
-func refusal(err error, limit int64) *outcome.Error {
+// read reads the body until the timeout or the end of the request's context.
+func read(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil && stop() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return data, err
+}
+
+func refusal(ctx context.Context, err error, limit int64) *outcome.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return outcome.NotRunf(outcome.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
 	}
+	if context.Cause(ctx) == shutdown.ErrStopping {
+		return outcome.Stopping()
+	}
 	return outcome.NotRunf(outcome.CodeBadRequest, "the body could not be read")
 }
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -6,6 +6,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/filters/account"
 	"github.com/bridgehoist/bridgehoist/internal/filters/body"
 	"github.com/bridgehoist/bridgehoist/internal/filters/bound"
+	"github.com/bridgehoist/bridgehoist/internal/filters/drain"
 	"github.com/bridgehoist/bridgehoist/internal/filters/quarantined"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/filters/route"
@@ -21,18 +22,16 @@
 	run = route.New(run, g.tableInForce)
 	run = bound.New(run, g.cfg.MaxOpen)
 	run = account.New(run, g.fill, g.onRequest)
+	run = drain.New(run, g.open, g.sendsAway)
 	return run
 }
 
-func (g *Gateway) fill(w http.ResponseWriter, r *http.Request, j *job.Job) {
+func (g *Gateway) fill(_ http.ResponseWriter, r *http.Request, j *job.Job) {
 	g.protocol.ReadCaller(j, r.Header)
 	j.ExactRetryAfter = true
 	if d := delegationOf(r.Context()); d != nil {
 		j.DelegatedBy, d.job = d.from, j
 	}
-	if g.sendsAway() {
-		w.Header().Set("Connection", "close")
-	}
 }
 
 func (g *Gateway) relay(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -170,7 +170,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, string(data), resp.Header, err}
+	return answer{resp.StatusCode, string(data), resp.Header, err, resp.Close}
 }
 
 const (
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -12,6 +12,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -85,7 +86,7 @@
 		if err != nil && err.Code == outcome.CodeDelegateLost && ctx.Err() != nil {
 			// The call was given up here; that says nothing about the peer.
 			j.Delegate = peer.VM
-			err.Code = givenUpCode(ctx)
+			err.Code = shutdown.Code(ctx)
 		}
 		g.countDelegated("out", err)
 		if err == nil || err.Outcome != outcome.NotRun || !ownRefusals[err.Code] {
@@ -98,14 +99,6 @@
 	return false, nil
 }
 
-// givenUpCode returns the code of a request whose context has ended.
-func givenUpCode(ctx context.Context) outcome.Code {
-	if clock.Expired(ctx) {
-		return outcome.CodeDeadlineUnreachable
-	}
-	return outcome.CodeCallerGone
-}
-
 // refusalMemory is how long a peer is left out that refused a request for a target. By then its
 // record tells whether it reaches the target.
 const refusalMemory = time.Second
--- a/internal/gateway/delegation_test.go
+++ b/internal/gateway/delegation_test.go
@@ -31,7 +31,13 @@
 
 // newDelegationWorld starts a partitioned entry and peers with the given flags.
 func newDelegationWorld(t *testing.T, peers int, flags ...string) *delegationWorld {
+	return newDelegationWorldWithGrace(t, peers, defaultGrace, flags...)
+}
+
+// newDelegationWorldWithGrace is newDelegationWorld with the grace period of all entries.
+func newDelegationWorldWithGrace(t *testing.T, peers int, grace time.Duration, flags ...string) *delegationWorld {
 	d := &delegationWorld{world: newWorld(t)}
+	d.grace = grace
 	d.links = d.controlLinks()
 	d.engine, d.desk = d.endpoint("engine-1", "engine"), d.endpoint("desk-1", "desk")
 	d.cut = d.start(d.settings("vm-cut"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,8 @@
 //	                                                                    |
 //	        no request is open, or the grace period is nearly over      v
 //	                                                                 [stopped]
+//
+// Package shutdown explains what becomes of the requests of a draining gateway.
 package gateway
 
 import (
@@ -109,8 +111,11 @@
 	crashes *crashwatch.Watcher
 	runner  *runner.Runner
 	// inForce are the endpoints in force.
-	inForce  atomic.Pointer[fleet.List]
-	work     context.Context
+	inForce atomic.Pointer[fleet.List]
+	work    context.Context
+	// open ends when the requests must end that the gateway still holds; abort ends it.
+	open     context.Context
+	abort    context.CancelCauseFunc
 	exchange *controllers.Exchange
 	load     *controllers.LoadPoller
 	// checking holds the lives of the engines whose state is being read out of turn.
@@ -149,6 +154,7 @@
 
 		restored: fleet.RestoreReconciler{EndpointGracePeriod: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat), ClosedGracePeriod: closedHold},
 	}
+	g.open, g.abort = context.WithCancelCause(context.Background())
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -15,7 +15,9 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -34,9 +36,6 @@
 	peerIdle        = 30 * time.Second
 	peerIdleConns   = 1
 	peerIdleTotal   = 32
-	// graceMargin is how long before the platform kills the process it gives up
-	// what is still open.
-	graceMargin = 700 * time.Millisecond
 	// farewellTimeout is for telling the peers.
 	farewellTimeout = 300 * time.Millisecond
 	// listenerCloseGrace is for closing the listener of the peers.
@@ -137,16 +136,19 @@
 	return stats
 }
 
-// stop ends the gateway: unready at once, serve what the balancer still sends,
-// let open requests end, and tell the peers.
+// stop ends the gateway: unready at once, serve what the balancer still sends, let open requests end or
+// answer them, and tell the peers.
 func (g *Gateway) stop(ctx context.Context, s *servers) {
-	begun := clock.Now()
+	schedule := shutdown.NewSchedule(clock.Now(), g.vm.Bounds.Grace)
 	g.stopping.Store(true)
+	g.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
+	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
+	defer cancelAbort()
+	context.AfterFunc(abort, func() { g.abort(shutdown.ErrStopping) })
 	g.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
-	deadline := begun.Add(g.vm.Bounds.Grace - graceMargin)
-	time.Sleep(g.cfg.DrainDelay)
-	open, cancel := clock.WithDeadline(ctx, deadline)
+	pause.For(abort, g.cfg.DrainDelay)
+	open, cancel := clock.WithDeadline(ctx, schedule.Close)
 	defer cancel()
 	if err := s.callers.Shutdown(open); err != nil {
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,126 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/platform"
+)
+
+// longWork exceeds every grace period in this file.
+const longWork = time.Minute
+
+// callAll sends plain requests at the same time, and returns their answers when all have come.
+func (e *entry) callAll(count int) (wait func() map[string]answer) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	answers := map[string]answer{}
+	for i := range count {
+		id := fmt.Sprintf("r%d", i)
+		all.Go(func() {
+			a := e.call(id, http.MethodPost, "/plain/x", nil)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id] = a
+		})
+	}
+	return func() map[string]answer {
+		all.Wait()
+		return answers
+	}
+}
+
+// expectAnswered checks that each request was answered, and was refused if and only if it did not run.
+func (w *world) expectAnswered(answers map[string]answer) {
+	refused := 0
+	for id, a := range answers {
+		w.g.Expect(a.err).NotTo(HaveOccurred(), id)
+		if len(w.ledger.Of(id)) == 0 {
+			refused++
+			w.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), id)
+			w.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty(), id)
+		} else {
+			w.g.Expect(a.status).To(Equal(http.StatusGatewayTimeout), id)
+		}
+	}
+	w.g.Expect(refused).To(And(BeNumerically(">", 0), BeNumerically("<", len(answers))))
+}
+
+// TestRequestsHeldAtAStopAreAnswered guards against connections that a stopping entry closes without an
+// answer: of requests that wait for an endpoint, and of plain requests that an endpoint works on.
+func TestRequestsHeldAtAStopAreAnswered(t *testing.T) {
+	w := newWorld(t)
+	desk := w.endpoint("desk-1", "desk")
+	desk.Work = longWork
+	vm := w.settings("vm-1")
+	vm.Bounds.Grace = 2 * time.Second
+	e := w.start(vm).waitReady()
+	wait := e.callAll(40)
+	w.g.Eventually(func() int { return len(w.ledger.Runs()) }, eventually).Should(BeNumerically(">=", 8))
+	e.stop()
+	w.expectAnswered(wait())
+	w.g.Expect(w.logs.with("request failed", "code=stopping", "outcome=not_run")).NotTo(BeEmpty())
+	w.g.Expect(w.logs.with("requests cut")).To(BeEmpty())
+}
+
+// TestARequestWhoseBodyArrivesAtAStopIsRefused guards against a 400, after which callers don't try again.
+func TestARequestWhoseBodyArrivesAtAStopIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("desk-1", "desk")
+	vm := w.settings("vm-1")
+	vm.Bounds.Grace = 2 * time.Second
+	e := w.start(vm).waitReady()
+	c, err := net.Dial("tcp", e.vm.Callers)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	fmt.Fprintf(c, "POST /plain/x HTTP/1.1\r\nHost: h.example\r\n%s: r1\r\n%s: %s\r\nContent-Length: 100\r\n\r\nhalf", platform.HeaderRequestID, platform.HeaderAPIKey, apiKey)
+	w.g.Expect(e.call("r2", http.MethodPost, "/plain/x", nil).status).To(Equal(http.StatusOK))
+	e.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	w.g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	w.g.Expect(w.ledger.Of("r1")).To(BeEmpty())
+}
+
+// TestDelegatedRequestsHeldAtAStopAreAnswered guards against the same at the entry that has delegated
+// them, which alone knows the caller, and at the peer that serves them.
+func TestDelegatedRequestsHeldAtAStopAreAnswered(t *testing.T) {
+	for _, stops := range []string{"delegating entry", "serving peer"} {
+		t.Run(stops, func(t *testing.T) {
+			d := newDelegationWorldWithGrace(t, 1, 2*time.Second)
+			d.awaitServed()
+			d.desk.Work = longWork
+			wait := d.cut.callAll(40)
+			d.g.Eventually(func() int { return len(d.ledger.Of("r0")) + len(d.ledger.Runs()) }, eventually).Should(BeNumerically(">=", 8))
+			stopping := d.cut
+			if stops == "serving peer" {
+				stopping = d.peers[0]
+			}
+			stopping.stop()
+			d.expectAnswered(wait())
+		})
+	}
+}
+
+// TestResponsesOfAStoppingEntryCloseTheirConnections guards against callers that send their next request
+// on a connection that is about to be closed.
+func TestResponsesOfAStoppingEntryCloseTheirConnections(t *testing.T) {
+	w := newWorld(t)
+	desk := w.endpoint("desk-1", "desk")
+	desk.Work = 300 * time.Millisecond
+	e := w.start(w.settings("vm-1"), "-drain-delay", "5s").waitReady()
+	wait := e.callAll(1)
+	w.g.Eventually(func() int { return len(w.ledger.Runs()) }, eventually).Should(Equal(1))
+	e.stop()
+	a := wait()["r0"]
+	w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
+	w.g.Expect(a.closes).To(BeTrue())
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -27,6 +27,8 @@
 	// eventually bounds waits; nothing depends on how long they take.
 	eventually = "20s"
 	apiKey     = "key-1"
+	// defaultGrace is the grace period of entries.
+	defaultGrace = 20 * time.Second
 )
 
 // world is a store, endpoints and gateways on loopback.
@@ -41,6 +43,9 @@
 	// entries are the gateways in the order of their starts.
 	entries []*entry
 
+	// grace is the grace period of entries that start.
+	grace time.Duration
+
 	// prepare, if set, is called with each gateway before it runs.
 	prepare func(*entry, *gateway.Gateway)
 
@@ -92,7 +97,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, g: NewWithT(t), store: standin.New(), ledger: &standin.Ledger{}, logs: &lines{}, endpoints: map[string]*standin.Endpoint{}}
+	w := &world{t: t, g: NewWithT(t), store: standin.New(), ledger: &standin.Ledger{}, logs: &lines{}, grace: defaultGrace, endpoints: map[string]*standin.Endpoint{}}
 	server := httptest.NewServer(w.store.Handler())
 	t.Cleanup(server.Close)
 	t.Cleanup(func() {
@@ -208,7 +213,7 @@
 		VM: name, DataCenter: "dc",
 		Callers: freeport.Address(w.t), Readiness: freeport.Address(w.t), Peers: freeport.Address(w.t),
 		Seeds: seeds, Store: w.url, FirstStart: true,
-		Bounds: platform.Bounds{Grace: 20 * time.Second, RetryRatio: 0.2, RetrySlack: 58},
+		Bounds: platform.Bounds{Grace: w.grace, RetryRatio: 0.2, RetrySlack: 58},
 	}
 }
 
@@ -280,6 +285,8 @@
 	header http.Header
 	// err says that the answer broke off.
 	err error
+	// closes says that the answer asks to close the connection.
+	closes bool
 }
 
 // request makes a caller's request.
@@ -310,7 +317,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, string(body), resp.Header, err}
+	return answer{resp.StatusCode, string(body), resp.Header, err, resp.Close}
 }
 
 func (e *entry) stream(id string) answer { return e.streamAfter(id, "/stream/x", "") }
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +22,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
@@ -80,6 +84,9 @@
 		return connect.NewError(connect.CodeUnimplemented, errors.New("this entry accepts no delegated requests"))
 	}
 	msg := req.Msg
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer s.delegations.add(msg.GetDelegationId(), cancel)()
 	r, err := newDelegatedRequest(ctx, msg)
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
@@ -92,6 +99,50 @@
 	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
 }
 
+// Withdraw implements peerv1connect.PeerServiceHandler. The calling entry is about to stop.
+func (s *Server) Withdraw(_ context.Context, req *connect.Request[peerv1.WithdrawRequest]) (*connect.Response[peerv1.WithdrawResponse], error) {
+	if !s.delegations.end(req.Msg.GetDelegationId(), shutdown.ErrStopping) {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("no such delegated request"))
+	}
+	return connect.NewResponse(&peerv1.WithdrawResponse{}), nil
+}
+
+// delegations holds how to end the delegated requests that a server serves, by delegation ID. The zero
+// value is empty. It is safe for concurrent use.
+type delegations struct {
+	mu   sync.Mutex
+	ends map[uint64]context.CancelCauseFunc
+}
+
+// add adds a request until remove is called. ID zero is not added.
+func (d *delegations) add(id uint64, end context.CancelCauseFunc) (remove func()) {
+	if id == 0 {
+		return func() {}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ends == nil {
+		d.ends = map[uint64]context.CancelCauseFunc{}
+	}
+	d.ends[id] = end
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.ends, id)
+	}
+}
+
+// end ends a request with a cause, and reports whether it was there.
+func (d *delegations) end(id uint64, cause error) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	end, ok := d.ends[id]
+	if ok {
+		end(cause)
+	}
+	return ok
+}
+
 // newDelegatedRequest returns the request as the server of the delegating entry has read it.
 func newDelegatedRequest(ctx context.Context, msg *peerv1.DelegateRequest) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, msg.GetMethod(), "/", bytes.NewReader(msg.GetBody()))
@@ -193,13 +244,26 @@
 // Delegate has a peer serve a request, and passes on its response: a stream as it arrives, any other
 // response when it is complete. header is that of the request. The error is the outcome of a request
 // that failed. It is NotRun only if the peer can't have begun to serve the request, or says so.
+//
+// If ctx ends because the entry is about to stop, the peer is asked for the outcome, and the call ends
+// withdrawTimeout later at the latest.
 func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
 	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	call, cancel := callContext(ctx)
+	defer cancel(nil)
+	traced := httptrace.WithClientTrace(call, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+	id := rand.Uint64()
+	stop := context.AfterFunc(ctx, func() {
+		if context.Cause(ctx) == shutdown.ErrStopping {
+			withdraw(call, client, id)
+		}
+		cancel(context.Cause(ctx))
+	})
+	defer stop()
 	stream, err := client.Delegate(traced, connect.NewRequest(&peerv1.DelegateRequest{
-		FromVm: d.fromVM, Method: j.Method, Uri: []byte(j.Path), Host: []byte(j.Host), Headers: encodeHeaders(header), Body: j.Body,
+		DelegationId: id, FromVm: d.fromVM, Method: j.Method, Uri: []byte(j.Path), Host: []byte(j.Host), Headers: encodeHeaders(header), Body: j.Body,
 	}))
 	if err != nil {
 		return delegationError(err, connected.Load(), false)
@@ -214,6 +278,33 @@
 	return delegationError(stream.Err(), connected.Load(), relay.started)
 }
 
+// callContext returns a context for a call that outlasts ctx but has its values and its deadline.
+func callContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return call, cancel
+	}
+	call, cancelDeadline := context.WithDeadline(call, deadline)
+	return call, func(cause error) {
+		cancel(cause)
+		cancelDeadline()
+	}
+}
+
+// withdrawTimeout bounds the wait for the outcome of a withdrawn request. It is less than the time for
+// final answers at the end of a process.
+const withdrawTimeout = 300 * time.Millisecond
+
+// withdraw asks a peer to end a delegated request, and waits until the call has ended.
+func withdraw(call context.Context, client peerv1connect.PeerServiceClient, id uint64) {
+	call, cancel := context.WithTimeout(call, withdrawTimeout)
+	defer cancel()
+	if _, err := client.Withdraw(call, connect.NewRequest(&peerv1.WithdrawRequest{DelegationId: id})); err == nil {
+		<-call.Done()
+	}
+}
+
 // delegatedResponse passes a response of a peer on to a sink.
 type delegatedResponse struct {
 	sink job.HeaderSink
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -51,6 +51,8 @@
 	largeDocs    largeDocuments
 	// delegated serves delegated requests; nil if none are accepted.
 	delegated DelegateHandler
+	// delegations are the delegated requests that are being served.
+	delegations delegations
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -88,7 +89,7 @@
 			return r.checkProof(&st, err)
 		}
 		if !pause.For(ctx, retry.Backoff(st.attempts, rand.Float64)) {
-			return st.weakenRefusal(outcome.NotRunf(outcome.CodeDeadlineUnreachable, "the time is up"))
+			return st.weakenRefusal(shutdown.NotRun(ctx))
 		}
 	}
 }
@@ -148,6 +149,10 @@
 
 // attempt runs the request once. rerun reports whether another attempt follows.
 func (r *Runner) attempt(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant, st *requestState) (err *outcome.Error, rerun bool) {
+	if ctx.Err() != nil {
+		r.cfg.Dispatcher.Finish(grant.ID, scheduler.Result{})
+		return st.weakenRefusal(shutdown.NotRun(ctx)), false
+	}
 	finish, refused := r.beginAttempt(j)
 	if refused != nil {
 		r.cfg.Dispatcher.Finish(grant.ID, scheduler.Result{})
@@ -257,17 +262,13 @@
 	retry.CallerGone:             outcome.CodeCallerGone,
 }
 
-// failureCode returns the code of a failed attempt. A passed deadline and a caller that
-// disconnected take precedence, since they break the connection to the endpoint too.
+// failureCode returns the code of a failed attempt. The end of the request's context takes precedence,
+// since it breaks the connection to the endpoint too.
 func failureCode(ctx context.Context, f *attempt.Failure) outcome.Code {
-	switch {
-	case clock.Expired(ctx):
-		return outcome.CodeDeadlineUnreachable
-	case ctx.Err() != nil:
-		return outcome.CodeCallerGone
-	default:
-		return codeByFailure[f.Kind]
+	if ctx.Err() != nil {
+		return shutdown.Code(ctx)
 	}
+	return codeByFailure[f.Kind]
 }
 
 // retryAfterFailure is the Retry-After of a request that failed at its endpoints.
--- /dev/null
+++ b/internal/shutdown/shutdown.go
@@ -0,0 +1,68 @@
+// Package shutdown plans how a process ends and tells the requests that it still holds.
+//
+//	[serving] --signal--> [draining] --Abort--> [answering] --Close--> [closed]
+//
+// A draining process serves the requests that it has and those that still arrive, unless they aren't
+// expected to end before Abort. At Abort every request whose response has not begun gets its final
+// answer: a refusal if it has not run, and a failure otherwise. Connections that are still open at
+// Close are closed. Streams that have begun may use the time until then.
+package shutdown
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+const (
+	// maxCloseMargin is the time between Close and the end of the grace period: the process informs its
+	// peers and exits.
+	maxCloseMargin = 700 * time.Millisecond
+	// maxAnswerTime is the time between Abort and Close: final answers are written and delivered.
+	maxAnswerTime = 500 * time.Millisecond
+	// maxMarginShare bounds either margin as a fraction of a short grace period.
+	maxMarginShare = 4
+)
+
+// ErrStopping is the cause of contexts that end because the process is about to end.
+var ErrStopping = errors.New("the entry is stopping")
+
+// Schedule holds the times of a shutdown, on package clock's clock.
+type Schedule struct {
+	Abort, Close time.Time
+}
+
+// NewSchedule returns the schedule of a process that got its signal at begun and may be killed after
+// the grace period.
+func NewSchedule(begun time.Time, grace time.Duration) Schedule {
+	closing := begun.Add(grace - min(maxCloseMargin, grace/maxMarginShare))
+	return Schedule{Abort: closing.Add(-min(maxAnswerTime, grace/maxMarginShare)), Close: closing}
+}
+
+// Code returns the code of a request whose context has ended.
+func Code(ctx context.Context) outcome.Code {
+	switch {
+	case clock.Expired(ctx):
+		return outcome.CodeDeadlineUnreachable
+	case context.Cause(ctx) == ErrStopping:
+		return outcome.CodeStopping
+	default:
+		return outcome.CodeCallerGone
+	}
+}
+
+// NotRun returns the outcome of a request whose context ended before it was sent.
+func NotRun(ctx context.Context) *outcome.Error {
+	switch code := Code(ctx); code {
+	case outcome.CodeStopping:
+		return outcome.Stopping()
+	case outcome.CodeDeadlineUnreachable:
+		return outcome.NotRunf(code, "the time is up")
+	default:
+		return outcome.NotRunf(code, "the caller has gone")
+	}
+}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -67,8 +67,8 @@
 	return req
 }
 
-func (g *gateway) call(client *http.Client, kind string) result {
-	res := result{id: g.nextID(), kind: kind, gateway: g.vm.VM}
+func (g *gateway) call(client *http.Client, kind string) (res result) {
+	res = result{id: g.nextID(), kind: kind, gateway: g.vm.VM}
 	path := "/" + kind + "/x"
 	req := g.request(res.id, path)
 	res.want = "POST " + path + " body"
@@ -84,6 +84,8 @@
 		req.Header.Set(platform.HeaderPromptParts, soundParts(g.w.serial))
 		g.w.mu.Unlock()
 	}
+	sent := time.Now()
+	defer func() { res.elapsed = time.Since(sent) }()
 	resp, err := client.Do(req)
 	if err != nil {
 		res.err = err
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -73,6 +73,9 @@
 		bad("broke off within an event")
 	case r.status == http.StatusInternalServerError && r.signature == "":
 		bad("is an error that no endpoint signed")
+	case w.atWorkUntilTheEnd(r):
+	case w.harm < fault && r.err != nil && r.status == 0 && (len(runs) > 0 || r.elapsed > lossSlack):
+		bad("got no answer within %v, though all that happened was planned", r.elapsed)
 	case w.harm < fault && r.err != nil && r.status != 0:
 		bad("was cut, though all that happened was planned")
 	case w.harm < fault && r.status != http.StatusOK && r.status != http.StatusServiceUnavailable && r.status != 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,10 +47,13 @@
 	restores bool
 	// parts says that it draws one of partPlans.
 	parts bool
+	// stops says that it draws one of stopPlans.
+	stops bool
 }
 
 // String gives the seed as it is written, with a c behind the number if it may crash, an n if
-// endpoints throttle, an r if the store is restored, and a p if parts of prompts crash endpoints.
+// endpoints throttle, an r if the store is restored, and a p if parts of prompts crash
+// endpoints, and an s if gateways stop under load.
 func (s seed) String() string {
 	text := strconv.FormatUint(s.number, 10)
 	if s.crashes {
@@ -65,16 +68,20 @@
 	if s.parts {
 		text += "p"
 	}
+	if s.stops {
+		text += "s"
+	}
 	return text
 }
 
 func parseSeed(text string) (seed, error) {
-	number, parts := strings.CutSuffix(text, "p")
+	number, stops := strings.CutSuffix(text, "s")
+	number, parts := strings.CutSuffix(number, "p")
 	number, restores := strings.CutSuffix(number, "r")
 	number, throttling := strings.CutSuffix(number, "n")
 	number, crashes := strings.CutSuffix(number, "c")
 	n, err := strconv.ParseUint(number, 10, 64)
-	return seed{n, crashes, throttling, restores, parts}, err
+	return seed{n, crashes, throttling, restores, parts, stops}, err
 }
 
 // seeds lists the seeds to run.
@@ -92,8 +99,8 @@
 	}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
-			kind := rand.IntN(5)
-			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4})
+			kind := rand.IntN(6)
+			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4, stops: kind == 5})
 		}
 		return out
 	}
@@ -114,7 +121,7 @@
 const atOnce = 4
 
 func TestSoak(t *testing.T) {
-	soak(t, func(s seed) bool { return !s.crashes && !s.throttling && !s.restores && !s.parts })
+	soak(t, func(s seed) bool { return !s.crashes && !s.throttling && !s.restores && !s.parts && !s.stops })
 }
 
 // TestSoakWithCrashes runs the seeds that may draw one of crashPlans.
@@ -123,6 +130,9 @@
 // TestSoakWithCrashingParts runs the seeds that draw one of partPlans.
 func TestSoakWithCrashingParts(t *testing.T) { soak(t, func(s seed) bool { return s.parts }) }
 
+// TestSoakWithStops runs the seeds that draw one of stopPlans.
+func TestSoakWithStops(t *testing.T) { soak(t, func(s seed) bool { return s.stops }) }
+
 // TestSoakWithThrottling runs the seeds that draw one of throttlingPlans.
 func TestSoakWithThrottling(t *testing.T) { soak(t, func(s seed) bool { return s.throttling }) }
 
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.stops {
+		return stopPlans[s.number%uint64(len(stopPlans))]
+	}
 	if s.parts {
 		return partPlans[s.number%uint64(len(partPlans))]
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -99,6 +99,8 @@
 	signature         string
 	quarantined       bool
 	err               error
+	// elapsed is the time from sending the request to the end of its answer.
+	elapsed time.Duration
 }
 
 func newWorld(t *testing.T, s seed) *world {
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -128,6 +128,15 @@
 	return New(NotRun, c, format, args...)
 }
 
+// retryAfterStopping is the delay in refusals of a stopping entry. Other entries can serve the request
+// at once.
+const retryAfterStopping = 100 * time.Millisecond
+
+// Stopping returns the refusal of an entry that is about to stop.
+func Stopping() *Error {
+	return NotRunf(CodeStopping, "the entry is stopping").WithRetryAfter(retryAfterStopping)
+}
+
 // MayHaveRunf returns an error with the outcome MayHaveRun.
 func MayHaveRunf(c Code, format string, args ...any) *Error {
 	return New(MayHaveRun, c, format, args...)
--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -47,6 +47,7 @@
 		}
 		s.refuseItem(q, 0, err)
 	}
+	s.refuseBeforeStop(now, q)
 	if len(q.items) == 0 {
 		return
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -78,6 +78,8 @@
 	cachedCapacity       backpressure.Capacity
 	cachedCapacityTarget string
 	throttledCapacityAt  time.Time
+	// stopAt is when the entry ends the requests that it still has; zero unless it is stopping.
+	stopAt time.Time
 	// freeItems are kept for reuse.
 	freeItems []*item
 
