peering: the end of a delegated request's time ends its call once

Cause: since the context of a delegated call had a deadline of its own, the same as the request's. When the call's passed first, the peer was taken for lost (502) although the time was up (504).

Change: the call ends by the end of the request's context alone. Peers are told the time that is left in the request's own header, as before.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -249,7 +249,8 @@
 // withdrawTimeout later at the latest.
 func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
 	var connected atomic.Bool
-	call, cancel := callContext(ctx)
+	// The call outlasts ctx, whose end is handled below.
+	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	traced := httptrace.WithClientTrace(call, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
@@ -278,20 +279,6 @@
 	return delegationError(stream.Err(), connected.Load(), relay.started)
 }
 
-// callContext returns a context for a call that outlasts ctx but has its values and its deadline.
-func callContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
-	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return call, cancel
-	}
-	call, cancelDeadline := context.WithDeadline(call, deadline)
-	return call, func(cause error) {
-		cancel(cause)
-		cancelDeadline()
-	}
-}
-
 // withdrawTimeout bounds the wait for the outcome of a withdrawn request. It is less than the time for
 // final answers at the end of a process.
 const withdrawTimeout = 300 * time.Millisecond
