upstream, peering: bytes without end fail their connection alone

Cause: http.ReadResponse reads heads without a bound. Ruled out: bodies, events and reports, which were bounded each, though not together. The tests found the same cause on related paths: the bodies of surplus answers, bytes on idle connections, heads of answers of peers and of the store (10 MB), messages of peers and what they decompress to (8 MB each, any number), pages of a list, callers' connections; and the bounds of plain answers (4 MB, also delegated, 8 MB) and of bodies allowed 1,024 at once, while sound answers above them were refused.

Change: heads are bounded in bytes and fields. What is read whole reserves its memory in a budget that follows from MemoryMb (package membudget). Without room a body is refused with 503 before it runs, and the rest of it is read so that the refusal arrives; a plain answer is passed on as it arrives, and cut if it breaks off; other connections end alone. Idle connections are searched for stray bytes. Connections to the entry are bounded (package connlimit).

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -47,6 +47,8 @@
 	Failure *Failure
 	// ErrorAnswer is set if the complete answer is an error of the endpoint or of the request.
 	ErrorAnswer bool
+	// Begun is set if the caller has a part of an answer that no other attempt can continue.
+	Begun bool
 	// Released is the number of tokens sent to the caller.
 	Released int
 	// Generated is the number of tokens received from the endpoint.
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -29,9 +29,11 @@
 )
 
 const (
-	dialTimeout      = time.Second
-	maxEventBytes    = 64 << 10
-	maxReplyBytes    = 4 << 20
+	dialTimeout   = time.Second
+	maxEventBytes = 64 << 10
+	maxReplyBytes = 4 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes     = 64 << 10
 	maxIdlePerServer = 64
 	idleTimeout      = 30 * time.Second
 	cancelTimeout    = 2 * time.Second
@@ -53,6 +55,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -31,7 +31,7 @@
 	run = quarantined.New(run, e.beliefs.Guard())
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
-	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout)
+	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout, nil)
 	run = bound.New(run, e.cfg.MaxOpen)
 	run = account.New(run, account.Own, e.metrics.Observe)
 	run = drain.New(run, e.open, e.stopping.Load)
--- a/internal/filters/body/body.go
+++ b/internal/filters/body/body.go
@@ -13,19 +13,26 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
-// New makes the filter for bodies of at most limit bytes that arrive within
-// the timeout.
-func New(next http.Handler, limit int64, timeout time.Duration) http.Handler {
+// restTimeout is for the rest of a body whose request has been refused.
+const restTimeout = 500 * time.Millisecond
+
+// retryAfterBusy is when a caller may come back whose body found no room.
+const retryAfterBusy = time.Second
+
+// New makes the filter for bodies of at most limit bytes that arrive within the timeout. They are held in
+// memory, which may be nil, until their requests have ended.
+func New(next http.Handler, limit int64, timeout time.Duration, memory *membudget.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, err := read(w, r, limit, timeout)
+		held := memory.Reserve()
+		defer held.Release()
+		data, err := read(w, r, held, limit, timeout)
 		if err != nil {
-			// What is left of the body can't be told from the next request.
-			w.Header().Set("Connection", "close")
-			respond.Refuse(w, r, refusal(r.Context(), err, limit))
+			refuse(w, r, refusal(r.Context(), err, limit), limit)
 			return
 		}
 		j := job.FromRequest(r)
@@ -35,13 +42,25 @@
 	})
 }
 
+// refuse answers a request whose body has not been read whole, and closes its connection. The rest is read
+// meanwhile: a connection that is closed with unread bytes is reset, and the answer may be lost.
+func refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error, limit int64) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	respond.Refuse(w, r, err)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(restTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, limit)
+}
+
 // read reads the body until the timeout or the end of the request's context.
-func read(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+func read(w http.ResponseWriter, r *http.Request, held *membudget.Reservation, limit int64, timeout time.Duration) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	data, err := held.ReadAll(r.Body, limit)
 	if err == nil && stop() {
 		_ = control.SetReadDeadline(time.Time{})
 	}
@@ -49,8 +68,10 @@
 }
 
 func refusal(ctx context.Context, err error, limit int64) *outcome.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.Is(err, membudget.ErrExhausted) {
+		return outcome.NotRunf(outcome.CodeEntryBusy, "the entry holds too many large bodies already").WithRetryAfter(retryAfterBusy)
+	}
+	if errors.Is(err, membudget.ErrTooLarge) {
 		return outcome.NotRunf(outcome.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
 	}
 	if context.Cause(ctx) == shutdown.ErrStopping {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	// crashes finds out which requests endpoints ended under.
 	crashes *crashwatch.Watcher
 	runner  *runner.Runner
+	memory  memoryPlan
 	// inForce are the endpoints in force.
 	inForce atomic.Pointer[fleet.List]
 	work    context.Context
@@ -155,12 +156,14 @@
 		restored: fleet.RestoreReconciler{EndpointGracePeriod: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat), ClosedGracePeriod: closedHold},
 	}
 	g.open, g.abort = context.WithCancelCause(context.Background())
+	g.memory = planMemory(vm.Limits, cfg.MaxOpen)
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
 	g.registerPlacements()
 	g.metrics.Levels(g.levelStats)
 	g.pool = upstream.NewPool(g.protocol, upstream.Hooks{Dialed: g.metrics.Connections.Inc, Admit: g.admit, Answered: g.onResponseHead})
+	g.pool.MaxHeadBytes, g.pool.Memory = g.memory.headBytes, g.memory.answers
 	g.store = published.New(g.parsers(), g.onValue, g.onFleet)
 	g.store.OnDeferred(g.onDeferred)
 	g.makeExchange()
@@ -184,6 +187,7 @@
 	}
 	loops.Go(func() { g.watchClock(work) })
 	loops.Go(func() { g.dispatcher.Run(work) })
+	loops.Go(func() { g.pool.Run(work) })
 	loops.Go(func() { g.start(work) })
 	g.log.Info("started", "data_center", g.vm.DataCenter, "callers", g.vm.Callers, "peers", g.vm.Peers,
 		"store", g.vm.Store, "seeds", len(g.vm.Seeds), "first_start", g.vm.FirstStart)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/connlimit"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
@@ -38,6 +39,8 @@
 	peerIdleTotal   = 32
 	// farewellTimeout is for telling the peers.
 	farewellTimeout = 300 * time.Millisecond
+	// maxOtherConnections bounds those to readiness and to metrics.
+	maxOtherConnections = 64
 	// listenerCloseGrace is for closing the listener of the peers.
 	listenerCloseGrace = 100 * time.Millisecond
 )
@@ -49,6 +52,8 @@
 		MaxIdleConnsPerHost: peerIdleConns,
 		MaxIdleConns:        peerIdleTotal,
 		IdleConnTimeout:     peerIdle,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -59,6 +64,7 @@
 
 func (g *Gateway) listen() (*servers, error) {
 	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
+	exchange.LimitMemory(g.memory.peers)
 	callers := g.callers()
 	if !g.cfg.Without.has(mechDelegation) {
 		exchange.ServeDelegated(func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
@@ -68,7 +74,7 @@
 	}
 	s := &servers{}
 	var err error
-	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness()); err != nil {
+	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness(), maxOtherConnections); err != nil {
 		return nil, err
 	}
 	if address := noticeAddress(g.vm); address != "" {
@@ -80,21 +86,22 @@
 			return nil, err
 		}
 	}
-	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler("")); err != nil {
+	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.connections); err != nil {
 		return nil, err
 	}
 	if g.cfg.MetricsPort != 0 {
-		if s.metrics, err = g.serve(addressOn(g.vm, g.cfg.MetricsPort), g.metricsHandler()); err != nil {
+		if s.metrics, err = g.serve(addressOn(g.vm, g.cfg.MetricsPort), g.metricsHandler(), maxOtherConnections); err != nil {
 			return nil, err
 		}
 	}
-	if s.callers, err = g.serve(g.vm.Callers, callers); err != nil {
+	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.connections); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-func (g *Gateway) serve(address string, h http.Handler) (*http.Server, error) {
+// serve listens on an address for at most so many connections at once.
+func (g *Gateway) serve(address string, h http.Handler, connections int) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -104,6 +111,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       g.cfg.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connlimit.New(connections, g.metrics.ConnectionsLimited.Inc).ConnState,
 		ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	go func() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,6 +58,8 @@
 	EndedUnder prometheus.Counter
 	// Connections counts new connections to endpoints.
 	Connections prometheus.Counter
+	// ConnectionsLimited counts connections to this process that were closed since there were too many.
+	ConnectionsLimited prometheus.Counter
 	// Moves counts generations that were to be moved to another engine, by result.
 	Moves *prometheus.CounterVec
 	// RefusedMoves counts the first copies of generations that were not made, by cause.
@@ -118,6 +120,7 @@
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
+	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
 	m.RefusedMoves = counters("move_refusals_total", "Copies of generations that were refused, by cause.", "cause")
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -16,6 +16,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/revision"
@@ -45,6 +46,9 @@
 	// called.
 	Networks []netip.Prefix
 	Traffic  *Traffic
+	// Memory bounds what responses decompress to; nil is unlimited. HTTP bounds what arrives; see
+	// LimitResponses.
+	Memory *membudget.Budget
 	// Timeout bounds one exchange; zero means exchangeTimeout.
 	Timeout time.Duration
 	// OnTimeout, if set, is called when an exchange times out. reused reports that its connection
@@ -88,7 +92,7 @@
 		clear(c.byAddress)
 	}
 	p := peerv1connect.NewPeerServiceClient(c.cfg.HTTP, c.cfg.Scheme+"://"+address,
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes), decompressWithin(c.cfg.Memory))
 	c.byAddress[address] = p
 	return p
 }
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -22,6 +22,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
@@ -194,12 +195,15 @@
 			Head: &peerv1.DelegateHead{Status: int32(w.status), Headers: encodeHeaders(w.header)},
 		}})
 	}
-	if len(w.body) > 0 {
-		w.send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Data{Data: w.body}})
-		w.body = nil
+	for part := range slices.Chunk(w.body, maxPartBytes) {
+		w.send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Data{Data: part}})
 	}
+	w.body = nil
 }
 
+// maxPartBytes is the size of a part of a delegated response. Its message is held whole at both ends.
+const maxPartBytes = 64 << 10
+
 func (w *delegateWriter) send(part *peerv1.DelegateResponse) {
 	if err := w.stream.Send(part); err != nil && w.err == nil {
 		w.err = err
@@ -233,12 +237,15 @@
 type Delegator struct {
 	http   *http.Client
 	fromVM string
+	memory *membudget.Budget
 }
 
 // NewDelegator returns a delegator for the entry on a VM. Each request gets a connection of its own:
-// a kept one may have died without a reset, and a request that was lost on it can't be repeated.
-func NewDelegator(fromVM string, dial tcpconn.DialContext) *Delegator {
-	return &Delegator{fromVM: fromVM, http: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
+// a kept one may have died without a reset, and a request that was lost on it can't be repeated. memory
+// bounds what is held of responses; nil is unlimited.
+func NewDelegator(fromVM string, dial tcpconn.DialContext, memory *membudget.Budget) *Delegator {
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	return &Delegator{fromVM: fromVM, http: &http.Client{Transport: LimitResponses(transport, memory)}, memory: memory}
 }
 
 // Delegate has a peer serve a request, and passes on its response: a stream as it arrives, any other
@@ -251,10 +258,11 @@
 	var connected atomic.Bool
 	// The call outlasts ctx, whose end is handled below.
 	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	call, message := withMessageMemory(call)
 	defer cancel(nil)
 	traced := httptrace.WithClientTrace(call, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), decompressWithin(d.memory))
 	id := rand.Uint64()
 	stop := context.AfterFunc(ctx, func() {
 		if context.Cause(ctx) == shutdown.ErrStopping {
@@ -270,8 +278,10 @@
 		return delegationError(err, connected.Load(), false)
 	}
 	defer stream.Close()
-	relay := delegatedResponse{sink: sink}
+	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve()}
+	defer relay.memory.Release()
 	for stream.Receive() {
+		message.next()
 		if done, failure := relay.take(stream.Msg()); done {
 			return failure
 		}
@@ -292,13 +302,17 @@
 	}
 }
 
+// maxPlainBytes is up to which size a response that isn't a stream is held until it is complete.
+const maxPlainBytes = 4 << 20
+
 // delegatedResponse passes a response of a peer on to a sink.
 type delegatedResponse struct {
 	sink job.HeaderSink
 	head *peerv1.DelegateHead
-	// plain is the body of a response that isn't a stream, passed on when it is complete.
-	plain []byte
-	// started is set once a part of a stream has been passed on.
+	// plain is the body of a response that isn't a stream, passed on when it is complete or too large.
+	plain  []byte
+	memory *membudget.Reservation
+	// started is set once a part of the response has been passed on.
 	started bool
 }
 
@@ -317,17 +331,21 @@
 		return false, nil
 	case r.head == nil:
 		return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the peer sent data before the head")
-	case isEventStream(r.head):
-		return r.takeEvents(msg.GetData())
+	case r.started || isEventStream(r.head):
+		return r.pass(msg.GetData())
 	}
 	r.plain = append(r.plain, msg.GetData()...)
-	if len(r.plain) > maxMessageBytes {
-		return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the response is larger than %d bytes", maxMessageBytes)
+	if len(r.plain) <= maxPlainBytes && r.memory.Resize(int64(cap(r.plain))) {
+		return false, nil
 	}
-	return false, nil
+	plain := r.plain
+	r.plain = nil
+	r.memory.Release()
+	return r.pass(plain)
 }
 
-func (r *delegatedResponse) takeEvents(data []byte) (done bool, failure *outcome.Error) {
+// pass passes on a part of the response.
+func (r *delegatedResponse) pass(data []byte) (done bool, failure *outcome.Error) {
 	if !r.started {
 		r.started = true
 		r.sink.Start(int(r.head.GetStatus()), decodeHeaders(r.head.GetHeaders()), -1)
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -21,6 +21,7 @@
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
@@ -53,6 +54,8 @@
 	delegated DelegateHandler
 	// delegations are the delegated requests that are being served.
 	delegations delegations
+	// memory bounds what is held of calls; nil is unlimited.
+	memory *membudget.Budget
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
@@ -62,12 +65,15 @@
 	return &Server{clusterState: cs, store: s, owner: o, makeJob: m, traffic: t}
 }
 
+// LimitMemory sets the budget for what is held of calls. It must be called before Handler.
+func (s *Server) LimitMemory(b *membudget.Budget) { s.memory = b }
+
 // Handler returns the HTTP handler of the service. With a non-empty token it refuses calls without
 // this bearer token.
 func (s *Server) Handler(token string) http.Handler {
 	mux := http.NewServeMux()
-	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes))
-	mux.Handle(path, requireToken(token, s.largeDocs.trackResponses(h)))
+	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes), decompressWithin(s.memory))
+	mux.Handle(path, requireToken(token, limitBodies(s.largeDocs.trackResponses(h), s.memory)))
 	return mux
 }
 
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -11,6 +11,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -38,6 +39,8 @@
 	framed bool
 	// survived is set once OnSurvived has been called for the current endpoint.
 	survived bool
+	// memory is that of an incomplete event.
+	memory *membudget.Reservation
 	// arriving is the handoff whose first event is still to come; nil if there is none.
 	arriving *HandoffEvent
 }
@@ -49,7 +52,9 @@
 		sent:     start,
 		perEvent: f.cfg.TokensPerEvent(j.Row.Target),
 		read:     read,
+		memory:   f.cfg.Pool.Memory.Reserve(),
 	}
+	defer p.memory.Release()
 	if !p.state.HeaderSent {
 		p.state.LastEventAt = start
 	}
@@ -218,6 +223,9 @@
 	if err != nil {
 		return err
 	}
+	if !p.memory.Resize(int64(p.state.Events.Buffered())) {
+		return membudget.ErrExhausted
+	}
 	if count == 0 {
 		return nil
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -215,6 +215,7 @@
 		Idempotent:        j.Row.Idempotent,
 		Resumable:         j.Row.Resumable,
 		Released:          st.released,
+		Begun:             result.Begun,
 		Attempts:          st.attempts,
 		SentAttempts:      st.sentAttempts,
 		MaxSentAttempts:   j.Row.MaxAttempts,
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.floods {
+		return floodPlans[s.number%uint64(len(floodPlans))]
+	}
 	if s.stops {
 		return stopPlans[s.number%uint64(len(stopPlans))]
 	}
@@ -136,6 +139,7 @@
 	p := planOf(w.drawn)
 	w.plan = p.name
 	w.t.Logf("plan: %s", p.name)
+	defer w.watchMemory()()
 	lasts := runFor
 	if w.drawn.throttling {
 		lasts += throttleFor
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
@@ -26,6 +27,9 @@
 	lastUsed time.Time
 	// keep is how long the endpoint keeps it without use; zero if it didn't say.
 	keep time.Duration
+	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come.
+	headLimited bool
+	headLeft    int
 }
 
 // Dialer opens a TCP connection.
@@ -41,7 +45,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	c := &conn{Conn: nc}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
+}
+
+// errHeadTooLarge means that the head of an answer exceeds its limit.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// limitHead limits what is read until unlimitHead: a head of so many bytes, and the part of the body that
+// is read ahead.
+func (c *conn) limitHead(bytes int) { c.headLimited, c.headLeft = true, bytes+readBufferBytes }
+
+func (c *conn) unlimitHead() { c.headLimited = false }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.headLimited {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // usable reports whether a kept connection may carry another request: the
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
@@ -27,14 +30,27 @@
 	// read. Larger ones are written beside it, as an endpoint may answer before it
 	// has read all.
 	writeAtOnce = 32 << 10
-	// maxStrayAnswers bounds the answers to other requests that are skipped.
+	// maxStrayAnswers bounds the answers to other requests, and the informational ones, that are skipped.
 	maxStrayAnswers = 4
+	// maxStrayBytes bounds the body of one of them.
+	maxStrayBytes = 4 << 20
+	// defaultHeadBytes bounds the head of an answer unless MaxHeadBytes is set.
+	defaultHeadBytes = 16 << 10
+	// maxHeadFields bounds the fields of a head. In memory each takes far more than its bytes.
+	maxHeadFields = 256
+	// sweepInterval is the time between two searches for idle connections that endpoints have closed, or
+	// have sent something on that nobody reads.
+	sweepInterval = 5 * time.Second
 )
 
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	// Dial opens the connections. Tests may replace it before the first use.
 	Dial Dialer
+	// MaxHeadBytes bounds the status line and the fields of an answer; zero is defaultHeadBytes. Memory
+	// bounds what is read whole of answers; nil is unlimited. Neither may change after the first use.
+	MaxHeadBytes int
+	Memory       *membudget.Budget
 
 	protocol Protocol
 	hooks    Hooks
@@ -89,6 +105,34 @@
 	}
 }
 
+// Run closes idle connections that are no longer usable, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	for pause.For(ctx, sweepInterval) {
+		p.sweep()
+	}
+}
+
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for life, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if c.usable(now, defaultMaxIdle) {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		clear(conns[len(kept):])
+		p.idle[life] = kept
+		if len(kept) == 0 {
+			delete(p.idle, life)
+		}
+	}
+}
+
 // take returns a kept connection that is usable, or nil.
 func (p *Pool) take(life fleet.Instance) *conn {
 	p.mu.Lock()
@@ -250,12 +294,9 @@
 // answer reads heads until one is of the request; heard is told of each.
 func (p *Pool) answer(c *conn, r *Request, heard func(status int, a Answer)) (*Response, error) {
 	for range maxStrayAnswers {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, err
-		}
-		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		hr, err := p.readHead(c, r)
 		if err != nil {
-			return nil, notAnAnswer(err)
+			return nil, err
 		}
 		if hr.StatusCode < http.StatusOK {
 			continue
@@ -264,7 +305,7 @@
 		heard(hr.StatusCode, a)
 		if a.RequestID != "" && a.RequestID != r.ID {
 			// A surplus answer to an earlier request on this connection.
-			if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+			if err := discardStray(hr.Body); err != nil {
 				return nil, err
 			}
 			continue
@@ -286,6 +327,40 @@
 	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
 }
 
+// readHead reads the status line and the fields of the next answer.
+func (p *Pool) readHead(c *conn, r *Request) (*http.Response, error) {
+	c.limitHead(cmp.Or(p.MaxHeadBytes, defaultHeadBytes))
+	defer c.unlimitHead()
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, notAnAnswer(err)
+	}
+	fields := 0
+	for _, values := range hr.Header {
+		fields += len(values)
+	}
+	if fields > maxHeadFields {
+		return nil, errors.Wrapf(errNotAnAnswer, "a head of %d fields", fields)
+	}
+	return hr, nil
+}
+
+// discardStray reads the body of an answer to another request.
+func discardStray(body io.Reader) error {
+	n, err := io.CopyN(io.Discard, body, maxStrayBytes)
+	switch {
+	case err == io.EOF:
+		return nil
+	case err != nil:
+		return err
+	default:
+		return errors.Wrapf(errNotAnAnswer, "an answer to another request is longer than %d bytes", n)
+	}
+}
+
 // notAnAnswer tells bytes that make no sense from a connection that ended.
 func notAnAnswer(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || isNetwork(err) {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -56,6 +56,8 @@
 	GenerationKnown bool
 	// Released is the number of tokens that the caller has received.
 	Released int
+	// Begun is set if the caller has a part of an answer that no other run can continue.
+	Begun bool
 	// Resumes is the number of consecutive resumptions without a token.
 	Resumes int
 	// Attempts is the number of attempts so far, this one included.
@@ -117,7 +119,7 @@
 }
 
 func canRerun(a Attempt) bool {
-	if a.Released > 0 && !a.Resumable || a.Failure == CallerGone {
+	if a.Begun || a.Released > 0 && !a.Resumable || a.Failure == CallerGone {
 		return false
 	}
 	if a.Attempts >= MaxTotalAttempts || a.TimeLeft <= 0 {
@@ -136,7 +138,7 @@
 func provenNotRun(f Failure) bool { return f == NotSent || f == RefusedBeforeExecution }
 
 func finalOutcome(a Attempt) outcome.Outcome {
-	if a.Released > 0 {
+	if a.Begun || a.Released > 0 {
 		return outcome.Incomplete
 	}
 	if provenNotRun(a.Failure) && !a.EarlierMayHaveRun {
--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -125,6 +125,9 @@
 // continues.
 func (s *Splitter) DiscardPartial() { s.buffer = nil }
 
+// Buffered returns the size in bytes of what is held of an incomplete event.
+func (s *Splitter) Buffered() int { return cap(s.buffer) }
+
 // HasPartial reports whether an incomplete event has been received.
 func (s *Splitter) HasPartial() bool { return len(bytes.TrimSpace(s.buffer)) > 0 }
 
