readership: readers of the store that stop, pause or start again are replaced in time

Cause: an entry stands in for a reader of the store once the reader's record is older than some rounds of the exchange (2.5 s with five entries). A reader that was killed and starts again has a new record at once, which counted as "reads", but doesn't read for another 2 s. Ruled out: old values from the peers (they had none newer) and a slow exchange (once read, a version reaches all within 0.4 s). On the same path, readers that are paused are noticed by the same age, and those that stop at their end.

Change: readers announce by a datagram, every twelfth of ConfigApplyMs, that they read, and only while the store answers them (package readership). An entry that doesn't hear two for a quarter of ConfigApplyMs reads too, those of lower rank later; no more than four ask a store that answers nobody, as before. A reader that gets SIGTERM says at once that it is to be replaced.

--- a/internal/controllers/value_watcher.go
+++ b/internal/controllers/value_watcher.go
@@ -4,12 +4,15 @@
 	"context"
 	"math/bits"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/readership"
 )
 
 // WatchersPerDataCenter is how many entries of a data centre watch the platform. The others
@@ -69,8 +72,22 @@
 	// and when one succeeds again, with the downtime.
 	OnStoreState func(reachable bool, downtime time.Duration, err error)
 
+	// Readers, if set, decides which entries watch instead of the records of peers, and Announce is called
+	// every AnnounceInterval while this entry does, and at once when its state changes.
+	Readers          *readership.Set
+	Announce         func(readership.State)
+	AnnounceInterval time.Duration
+
 	// lostAt is when reads of the platform began to fail; zero if the last one succeeded.
 	lostAt time.Time
+	// watching says that the entry has watched the platform since its last decision to.
+	watching bool
+	// announced is the state that was announced last, and answeredUntil until when a watcher counts as one
+	// that the platform answers; zero before its first answer.
+	announceMu    sync.Mutex
+	announced     readership.State
+	answeredUntil time.Time
+	retired       bool
 }
 
 // PlatformSource is the source reported for values read from the platform.
@@ -88,22 +105,34 @@
 	if !pause.For(ctx, c.StartDelay) {
 		return
 	}
+	if c.Readers != nil {
+		go c.announceReading(ctx)
+	}
 	lastRead := clock.Now()
 	for ctx.Err() == nil {
 		now := clock.Now()
-		watcher, _ := c.role(now)
-		if !watcher && now.Sub(lastRead) < c.nonWatcherReadInterval(now) && c.Store.Ready() {
-			pause.For(ctx, roleCheckInterval)
+		role := c.role(now)
+		c.setWatching(role.Reads)
+		if !role.Reads && now.Sub(lastRead) < c.nonWatcherReadInterval(now) && c.Store.Ready() {
+			c.awaitRoleCheck(ctx, role)
 			continue
 		}
 		lastRead = now
 		// While reads of the platform fail, they don't wait for a change, so that the platform
 		// answers them at once: a watch that hangs would delay the detection of its recovery.
 		wait := time.Duration(0)
-		if watcher && c.lostAt.IsZero() {
+		if role.Reads && c.lostAt.IsZero() {
 			wait = c.watchWait(now)
 		}
+		c.extendAnswer(wait + answerSlack)
 		changed, err := c.Read(ctx, wait)
+		spacing := time.Duration(0)
+		if err == nil && changed {
+			spacing = jittered(c.watchSpacing(now))
+		}
+		if role.Reads {
+			c.recordAnswer(err == nil, spacing+answerSlack)
+		}
 		switch {
 		case err != nil && wait > 0:
 			// It is unknown which changes a failed watch has missed. The next read requests all
@@ -112,28 +141,132 @@
 		case err != nil:
 			pause.For(ctx, jittered(failureDelay))
 		case changed:
-			pause.For(ctx, jittered(c.watchSpacing(now)))
+			pause.For(ctx, spacing)
 		}
 	}
 }
 
-// role reports whether the entry watches the platform, and whether it is the first watcher of its
+// answerSlack is how much later than expected an answer of the platform may come before the entry no longer
+// counts as one that the platform answers.
+const answerSlack = 500 * time.Millisecond
+
+// setWatching announces that the entry begins to watch the platform, or stops.
+func (c *ValueWatcher) setWatching(watching bool) {
+	c.announceMu.Lock()
+	defer c.announceMu.Unlock()
+	c.watching = watching
+	c.announceChange()
+}
+
+// recordAnswer records whether the platform has answered a watcher, and within which time the next answer is
+// due.
+func (c *ValueWatcher) recordAnswer(answered bool, within time.Duration) {
+	c.announceMu.Lock()
+	defer c.announceMu.Unlock()
+	c.answeredUntil = time.Time{}
+	if answered {
+		c.answeredUntil = clock.Now().Add(within)
+	}
+	c.announceChange()
+}
+
+// extendAnswer gives the platform time to answer, if it answered before.
+func (c *ValueWatcher) extendAnswer(within time.Duration) {
+	c.announceMu.Lock()
+	defer c.announceMu.Unlock()
+	if !c.answeredUntil.IsZero() {
+		c.answeredUntil = clock.Now().Add(within)
+	}
+}
+
+// announceReading announces the state of a watcher until ctx ends.
+func (c *ValueWatcher) announceReading(ctx context.Context) {
+	for pause.For(ctx, c.AnnounceInterval) {
+		c.announceMu.Lock()
+		if state := c.state(); state != readership.Stopped {
+			c.announce(state)
+		}
+		c.announceMu.Unlock()
+	}
+}
+
+// state returns the state to announce. announceMu must be held.
+func (c *ValueWatcher) state() readership.State {
+	switch {
+	case !c.watching || c.retired:
+		return readership.Stopped
+	case clock.Now().Before(c.answeredUntil):
+		return readership.Reading
+	default:
+		return readership.Asking
+	}
+}
+
+// announceChange announces the state if it has changed. announceMu must be held.
+func (c *ValueWatcher) announceChange() {
+	if state := c.state(); state != c.announced {
+		c.announce(state)
+	}
+}
+
+func (c *ValueWatcher) announce(state readership.State) {
+	c.announced = state
+	if c.Announce != nil {
+		c.Announce(state)
+	}
+}
+
+// Retire announces that the entry is about to stop, so that others replace it. It watches on until its
+// context ends.
+func (c *ValueWatcher) Retire() {
+	c.announceMu.Lock()
+	defer c.announceMu.Unlock()
+	c.retired = true
+	c.announceChange()
+}
+
+// awaitRoleCheck waits until the role of a non-watcher may change.
+func (c *ValueWatcher) awaitRoleCheck(ctx context.Context, role readership.Role) {
+	if c.Readers == nil {
+		pause.For(ctx, roleCheckInterval)
+		return
+	}
+	ctx, cancel := clock.WithDeadline(ctx, clock.Now().Add(min(max(role.Recheck, minRoleCheckInterval), roleCheckInterval)))
+	defer cancel()
+	select {
+	case <-c.Readers.Changed():
+	case <-ctx.Done():
+	}
+}
+
+// minRoleCheckInterval bounds how often the role is decided.
+const minRoleCheckInterval = 5 * time.Millisecond
+
+// role decides whether the entry watches the platform, and whether it is the first watcher of its
 // data centre.
-func (c *ValueWatcher) role(now time.Time) (watcher, first bool) {
+func (c *ValueWatcher) role(now time.Time) readership.Role {
 	rounds := staleAfterRounds + bits.Len(uint(c.ClusterState.LocalSize(now)-1))
 	higherRanked, higherActive := c.ClusterState.HigherRankedWatchers(now, watchJob, time.Duration(rounds)*c.ExchangeInterval)
+	if c.Readers != nil {
+		return c.Readers.Decide(now, c.watching, higherRanked)
+	}
 	if c.ExchangeInterval == 0 {
-		return higherRanked < WatchersPerDataCenter, higherRanked == 0
+		return readership.Role{Reads: higherRanked < WatchersPerDataCenter, First: higherRanked == 0}
 	}
 	standby := higherRanked < 2*WatchersPerDataCenter && higherActive < WatchersPerDataCenter
-	return higherRanked < WatchersPerDataCenter || standby, higherActive == 0
+	return readership.Role{Reads: higherRanked < WatchersPerDataCenter || standby, First: higherActive == 0}
+}
+
+// RanksAbove reports whether a VM ranks above another as a watcher.
+func RanksAbove(vm, other string) bool {
+	return membership.RendezvousScore(watchJob, vm) > membership.RendezvousScore(watchJob, other)
 }
 
 // watchWait returns the wait of the next watch. The jitter keeps the watches of different entries
 // from ending together, so that one that stalls without a connection error is covered by another.
 func (c *ValueWatcher) watchWait(now time.Time) time.Duration {
 	wait := jittered(c.WatchWait)
-	if _, first := c.role(now); c.MaxFirstWatcherWait == 0 || !first {
+	if c.MaxFirstWatcherWait == 0 || !c.role(now).First {
 		return wait
 	}
 	return min(wait, time.Duration((1+rand.Float64())/2*float64(c.MaxFirstWatcherWait)))
@@ -141,7 +274,7 @@
 
 // watchSpacing returns the mean delay until the next watch.
 func (c *ValueWatcher) watchSpacing(now time.Time) time.Duration {
-	if _, first := c.role(now); first {
+	if c.role(now).First {
 		return c.WatchSpacing
 	}
 	return c.SecondaryWatchSpacing
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+	"github.com/bridgehoist/bridgehoist/pkg/readership"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
@@ -124,6 +125,8 @@
 	// notices is nil if the platform leaves no port for them.
 	notices *notices.Notifier
 	config  *controllers.ValueWatcher
+	// readers are those of the store in the own data centre; nil if they aren't announced.
+	readers *readership.Set
 
 	// grace, lives, restored and their timer, and what follows, are guarded by mu.
 	mu       sync.Mutex
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -80,7 +80,7 @@
 	if address := noticeAddress(g.vm); address != "" {
 		g.notices, err = notices.New(notices.Config{
 			Listen: address, OnPromptSent: g.onPromptSent, OnPromptPrefilled: g.onPromptPrefilled, OnSpeed: g.onSpeed, OnLoads: g.onLoads, Now: clock.Now, Log: g.log,
-			OnReservations: g.onReservations, OnInvalid: g.onInvalidNotice,
+			OnReservations: g.onReservations, OnInvalid: g.onInvalidNotice, OnReader: g.onReader,
 		})
 		if err != nil {
 			return nil, err
@@ -149,6 +149,7 @@
 func (g *Gateway) stop(ctx context.Context, s *servers) {
 	schedule := shutdown.NewSchedule(clock.Now(), g.vm.Bounds.Grace)
 	g.stopping.Store(true)
+	g.config.Retire()
 	g.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
 	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
 	defer cancelAbort()
--- a/internal/gateway/mechanisms.go
+++ b/internal/gateway/mechanisms.go
@@ -34,6 +34,8 @@
 	mechReaders scheduler.Mechanism = "readers"
 	// mechSettling waits after the start before engines and store are read.
 	mechSettling scheduler.Mechanism = "settling"
+	// mechReaderNotices has readers of the store announce themselves.
+	mechReaderNotices scheduler.Mechanism = "reader-notices"
 	// mechRetryBudget bounds the repeats of each target.
 	mechRetryBudget scheduler.Mechanism = "retry-budget"
 	// mechLapseHold uses endpoints a little longer that vanish together.
@@ -49,7 +51,7 @@
 
 var ownMechanisms = []scheduler.Mechanism{
 	mechMoves, mechCopyRefresh, mechCopySlack, mechGroupPlans, mechMoveReservations, mechMoveRetargeting, mechNotices, mechLoadNews, mechClosingReads,
-	mechReaders, mechSettling, mechRetryBudget, mechLapseHold, mechStranded, mechDelegation, mechQuarantine,
+	mechReaders, mechReaderNotices, mechSettling, mechRetryBudget, mechLapseHold, mechStranded, mechDelegation, mechQuarantine,
 }
 
 // mechanisms is a set of mechanisms, as a setting.
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -20,6 +20,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/readership"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
@@ -88,6 +89,7 @@
 		OnError:                func(error) { g.metrics.PlatformErrors.Inc() },
 		OnStoreState:           g.onStoreState,
 	}
+	g.watchReaders()
 	g.load = &controllers.LoadPoller{
 		ClusterState: g.beliefs,
 		FetchLoad:    g.readLoad,
@@ -248,6 +250,31 @@
 	minFirstWait = 300 * time.Millisecond
 )
 
+const (
+	// readerPart is the part of the time until a configuration must be in force, as a divisor, after which a
+	// reader of the store that isn't heard is replaced.
+	readerPart = 4
+	// announcementsPerTimeout is how often a reader announces itself in that time.
+	announcementsPerTimeout = 3
+	// readerStagger is how much later an entry replaces a reader for each entry of higher rank.
+	readerStagger = 25 * time.Millisecond
+)
+
+// watchReaders has the readers of the store replaced as soon as they aren't heard. Where the platform
+// leaves no port for notices, the records of peers tell of readers, later.
+func (g *Gateway) watchReaders() {
+	if noticeAddress(g.vm) == "" || g.vm.Bounds.ConfigApply == 0 || g.cfg.Without.has(mechReaderNotices) {
+		return
+	}
+	timeout := g.vm.Bounds.ConfigApply / readerPart
+	g.readers = readership.New(readership.Config{
+		Readers: controllers.WatchersPerDataCenter, Timeout: timeout, Stagger: readerStagger,
+		Above: func(vm string) bool { return controllers.RanksAbove(vm, g.vm.VM) },
+	})
+	g.config.Readers, g.config.AnnounceInterval = g.readers, timeout/announcementsPerTimeout
+	g.config.Announce = g.announceReader
+}
+
 // firstWait is for how long a watch of a first watcher waits, so that one that hears nothing
 // is given up in time for a configuration that must be in force within bound. Without a
 // bound there is none.
--- a/internal/gateway/restored_fleet_test.go
+++ b/internal/gateway/restored_fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -100,8 +101,11 @@
 	// while they are cut off from others, by name and by address.
 	storeCut map[string]bool
 	sides    map[string]string
-	// random draws which packets are lost.
-	random *rand.Rand
+	// random draws which packets are lost, and noticeRandom which notices.
+	random, noticeRandom *rand.Rand
+	// hear takes notices, and readAt is when entries last called the store, both by name.
+	hear   map[string]func(vm string, state peerv1.ReaderState)
+	readAt map[string]time.Time
 }
 
 func (l *links) change(f func()) {
@@ -114,7 +118,11 @@
 func (l *links) storeFor(entry string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.down && !l.storeCut[entry]
+	if l.down || l.storeCut[entry] {
+		return false
+	}
+	l.readAt[entry] = time.Now()
+	return true
 }
 
 // peer serves an address for an entry; nil if it can't be reached.
@@ -198,7 +206,8 @@
 func newPlayedFleet(t *testing.T, seed uint64, size, dataCenters int) *playedFleet {
 	f := &playedFleet{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), dataCenters: dataCenters, within: 2 * time.Second, contact: 3 * time.Second,
-		store: standin.New(), links: links{handlers: map[string]http.Handler{}, storeCut: map[string]bool{}, sides: map[string]string{}, random: rand.New(rand.NewPCG(seed, 2))},
+		store: standin.New(), links: links{handlers: map[string]http.Handler{}, storeCut: map[string]bool{}, sides: map[string]string{}, random: rand.New(rand.NewPCG(seed, 2)),
+			hear: map[string]func(string, peerv1.ReaderState){}, readAt: map[string]time.Time{}, noticeRandom: rand.New(rand.NewPCG(seed, 3))},
 		endpoints: map[string]*standin.Endpoint{}, states: map[string]int{},
 	}
 	if size > 60 {
@@ -244,7 +253,7 @@
 	e.listed, e.gone, e.unusable = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	address := f.address(e)
 	e.g = New(cfg, platform.Settings{
-		VM: e.name, DataCenter: e.dc, Peers: address, Seeds: seeds, Store: "10.9.9.9:1", FirstStart: first, Heartbeat: heartbeat,
+		VM: e.name, DataCenter: e.dc, Peers: address, PortLow: 7200, PortHigh: 7200, Seeds: seeds, Store: "10.9.9.9:1", FirstStart: first, Heartbeat: heartbeat,
 		Bounds: platform.Bounds{ConfigApply: f.within},
 	}, log.NewWithOptions(&e.logs, log.Options{ReportTimestamp: true, TimeFormat: "04:05.000"}))
 	store := inProcess(func(*http.Request) http.Handler {
@@ -261,8 +270,10 @@
 	e.peerConnections = newKeptConnections(peer, peerIdleConns, peerIdleTotal)
 	e.g.peersHTTP.Transport = impaired{e.peerConnections, f, false}
 	handler := peering.NewServer(e.g.beliefs, e.g.store, nil, nil, e.g.traffic).Handler("")
-	f.links.change(func() { f.links.handlers[address] = handler })
 	ctx, cancel := context.WithCancel(f.t.Context())
+	e.g.config.Announce = f.announcer(ctx, e)
+	hear := e.g.onReader
+	f.links.change(func() { f.links.handlers[address], f.links.hear[e.name] = handler, hear })
 	e.stop, e.g.work = cancel, ctx
 	go e.g.start(ctx)
 }
--- a/internal/gateway/tell.go
+++ b/internal/gateway/tell.go
@@ -10,6 +10,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/readership"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
@@ -121,6 +122,30 @@
 	}
 }
 
+// announceReader announces to the entries of the own data centre whether this entry reads the store.
+func (g *Gateway) announceReader(state readership.State) {
+	if g.notices != nil {
+		g.metrics.Notices.WithLabelValues("reader_told").Add(float64(g.notices.AnnounceReader(g.vm.DataCenter, g.vm.VM, readerStates[state])))
+	}
+}
+
+// readerStates are the states on the wire.
+var readerStates = map[readership.State]peerv1.ReaderState{
+	readership.Stopped: peerv1.ReaderState_READER_STATE_STOPPED,
+	readership.Asking:  peerv1.ReaderState_READER_STATE_ASKING,
+	readership.Reading: peerv1.ReaderState_READER_STATE_READING,
+}
+
+// onReader applies the announcement of another reader of the store.
+func (g *Gateway) onReader(vm string, state peerv1.ReaderState) {
+	g.metrics.Notices.WithLabelValues("reader_heard").Inc()
+	for known, wire := range readerStates {
+		if g.readers != nil && wire == state {
+			g.readers.Hear(clock.Now(), vm, known)
+		}
+	}
+}
+
 func (g *Gateway) onInvalidNotice(kind string) {
 	g.metrics.ReservationNotices.WithLabelValues("invalid").Inc()
 	g.log.Debug("notice ignored", "kind", kind)
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -3,6 +3,8 @@
 // is reserved there for generations to be copied. One entry of each other data centre periodically
 // gets the loads of the local engines.
 //
+// Readers of the platform's store announce that they read it; see package readership.
+//
 // Load reports are half a second old when they are used, and the exchange between entries adds as
 // much. An engine prefills a prompt within that time, so that entries which rely on reports alone
 // all send to the engine that was idle a second ago. A notice is one small datagram to each entry
@@ -66,6 +68,8 @@
 	// with the kind of a notice that is ignored because it can't be right. Each may be nil.
 	OnReservations func([]Reservation)
 	OnInvalid      func(kind string)
+	// OnReader, if set, is called with announcements of other entries that read the platform's store.
+	OnReader func(vm string, state peerv1.ReaderState)
 	// Now is the clock for the rate limit of prompt notices.
 	Now func() time.Time
 	Log *log.Logger
@@ -170,6 +174,15 @@
 	return n.send(&peerv1.Datagram{Kind: &peerv1.Datagram_Loads{Loads: loads}}, recipients)
 }
 
+// AnnounceReader announces to the other entries of the local data centre whether this entry reads the
+// platform's store. It returns how many it notified.
+func (n *Notifier) AnnounceReader(localDataCenter, vm string, state peerv1.ReaderState) int {
+	n.mu.Lock()
+	peers := n.peers[localDataCenter]
+	n.mu.Unlock()
+	return n.send(&peerv1.Datagram{Kind: &peerv1.Datagram_Reader{Reader: &peerv1.ReaderNotice{Vm: vm, State: state}}}, peers)
+}
+
 // send sends a datagram to each peer and returns the number of datagrams sent.
 func (n *Notifier) send(d *peerv1.Datagram, peers []netip.AddrPort) (sent int) {
 	data, err := proto.Marshal(d)
@@ -246,6 +259,10 @@
 		}
 	case *peerv1.Datagram_Speed:
 		n.receiveSpeed(kind.Speed.GetEndpoint(), kind.Speed)
+	case *peerv1.Datagram_Reader:
+		if n.cfg.OnReader != nil {
+			n.cfg.OnReader(kind.Reader.GetVm(), kind.Reader.GetState())
+		}
 	case *peerv1.Datagram_Loads:
 		n.cfg.OnLoads(kind.Loads)
 	case *peerv1.Datagram_Reservations:
