upstream: an answer belongs to one try of a request

Cause: an endpoint's refusal of a first try came once more, late, on the connection that the second try of the same request had taken. Answers are known by the ID of their request, which all tries share. Ruled out: relay and runner, which act on the answer that they are given. On related paths nothing told apart the answers to calls of engines (reports, copies: no ID at all), and an answer without an ID was taken for that to a request that has one, also as a proof that it hasn't run.

Change: a connection carries one try of each request, one call without an ID, and 256 requests in all. Others take another connection or open one. An answer without an ID is none to a request with one.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -24,10 +24,12 @@
 	silent
 	// flood sends bytes without end in place of what comes back.
 	flood
+	// repeat sends short answers once more, before the next answer on the same connection.
+	repeat
 )
 
 func (m mode) String() string {
-	return [...]string{"pass", "delay", "reset", "one_way", "silent", "flood"}[m]
+	return [...]string{"pass", "delay", "reset", "one_way", "silent", "flood", "repeat"}[m]
 }
 
 // held is by how much delay holds data up.
@@ -155,8 +157,9 @@
 	p.conns[c], p.conns[up] = true, true
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(up, c, false) })
-	both.Go(func() { p.copy(c, up, true) })
+	answers := &repeater{}
+	both.Go(func() { p.copy(up, c, false, answers) })
+	both.Go(func() { p.copy(c, up, true, answers) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -165,7 +168,7 @@
 }
 
 // copy passes data on until one side ends; back is the way to the caller.
-func (p *proxy) copy(to, from net.Conn, back bool) {
+func (p *proxy) copy(to, from net.Conn, back bool, answers *repeater) {
 	defer to.Close()
 	defer from.Close()
 	buf := make([]byte, 4096)
@@ -184,6 +187,16 @@
 			p.flood(to)
 			return
 		}
+		if n > 0 && !back {
+			answers.request()
+		}
+		if n > 0 && back {
+			if late := answers.answer(buf[:n]); late != nil && p.now() == repeat {
+				if _, err := to.Write(late); err != nil {
+					return
+				}
+			}
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,12 +51,14 @@
 	stops bool
 	// floods says that it draws one of floodPlans.
 	floods bool
+	// surplus says that it draws one of surplusPlans.
+	surplus bool
 }
 
 // String gives the seed as it is written, with a c behind the number if it may crash, an n if
 // endpoints throttle, an r if the store is restored, and a p if parts of prompts crash
-// endpoints, and an s if gateways stop under load, and an f
-// if what they are connected to sends without end.
+// endpoints, and an s if gateways stop under load, an f
+// if what they are connected to sends without end, and a u if answers come once more.
 func (s seed) String() string {
 	text := strconv.FormatUint(s.number, 10)
 	if s.crashes {
@@ -77,18 +79,22 @@
 	if s.floods {
 		text += "f"
 	}
+	if s.surplus {
+		text += "u"
+	}
 	return text
 }
 
 func parseSeed(text string) (seed, error) {
-	number, floods := strings.CutSuffix(text, "f")
+	number, surplus := strings.CutSuffix(text, "u")
+	number, floods := strings.CutSuffix(number, "f")
 	number, stops := strings.CutSuffix(number, "s")
 	number, parts := strings.CutSuffix(number, "p")
 	number, restores := strings.CutSuffix(number, "r")
 	number, throttling := strings.CutSuffix(number, "n")
 	number, crashes := strings.CutSuffix(number, "c")
 	n, err := strconv.ParseUint(number, 10, 64)
-	return seed{n, crashes, throttling, restores, parts, stops, floods}, err
+	return seed{n, crashes, throttling, restores, parts, stops, floods, surplus}, err
 }
 
 // seeds lists the seeds to run.
@@ -106,8 +112,8 @@
 	}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
-			kind := rand.IntN(7)
-			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4, stops: kind == 5, floods: kind == 6})
+			kind := rand.IntN(8)
+			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4, stops: kind == 5, floods: kind == 6, surplus: kind == 7})
 		}
 		return out
 	}
@@ -129,7 +135,7 @@
 
 func TestSoak(t *testing.T) {
 	soak(t, func(s seed) bool {
-		return !s.crashes && !s.throttling && !s.restores && !s.parts && !s.stops && !s.floods
+		return !s.crashes && !s.throttling && !s.restores && !s.parts && !s.stops && !s.floods && !s.surplus
 	})
 }
 
@@ -145,6 +151,9 @@
 // TestSoakWithFloods runs the seeds that draw one of floodPlans.
 func TestSoakWithFloods(t *testing.T) { soak(t, func(s seed) bool { return s.floods }) }
 
+// TestSoakWithSurplusAnswers runs the seeds that draw one of surplusPlans.
+func TestSoakWithSurplusAnswers(t *testing.T) { soak(t, func(s seed) bool { return s.surplus }) }
+
 // TestSoakWithThrottling runs the seeds that draw one of throttlingPlans.
 func TestSoakWithThrottling(t *testing.T) { soak(t, func(s seed) bool { return s.throttling }) }
 
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.surplus {
+		return surplusPlans[s.number%uint64(len(surplusPlans))]
+	}
 	if s.floods {
 		return floodPlans[s.number%uint64(len(floodPlans))]
 	}
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -64,6 +64,7 @@
 				close(ended)
 			})
 			pool := newPool()
+			go pool.Run(t.Context())
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			var before, after runtime.MemStats
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
@@ -27,6 +28,10 @@
 	lastUsed time.Time
 	// keep is how long the endpoint keeps it without use; zero if it didn't say.
 	keep time.Duration
+	// carried holds the hashes of the IDs of the requests that it has carried, and unnamed is set once it
+	// has carried one without an ID; see mayCarry.
+	carried map[uint64]bool
+	unnamed bool
 	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come.
 	headLimited bool
 	headLeft    int
@@ -50,6 +55,34 @@
 	return c, nil
 }
 
+// maxCarried bounds the requests that one connection carries.
+const maxCarried = 256
+
+// mayCarry reports whether an answer to a request on this connection can be told from a surplus answer to
+// an earlier request. Answers are known by the IDs of their requests, and all tries of one request have the
+// same ID, so that a connection carries one try of each, and one request without an ID.
+func (c *conn) mayCarry(requestID string) bool {
+	if requestID == "" {
+		return !c.unnamed
+	}
+	return !c.carried[xxhash.Sum64String(requestID)]
+}
+
+// carry records a request.
+func (c *conn) carry(requestID string) {
+	if requestID == "" {
+		c.unnamed = true
+		return
+	}
+	if c.carried == nil {
+		c.carried = map[uint64]bool{}
+	}
+	c.carried[xxhash.Sum64String(requestID)] = true
+}
+
+// usedUp reports whether it may carry no more requests.
+func (c *conn) usedUp() bool { return len(c.carried) >= maxCarried }
+
 // errHeadTooLarge means that the head of an answer exceeds its limit.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
--- a/internal/upstream/look.go
+++ b/internal/upstream/look.go
@@ -24,7 +24,7 @@
 // Look tells whether an endpoint's process is there. A kept connection that is open and
 // silent shows it for nothing; else one is opened, and kept if it comes up.
 func (p *Pool) Look(ctx context.Context, e fleet.Endpoint) Presence {
-	if c := p.take(e.Instance()); c != nil {
+	if c := p.take(e.Instance(), func(*conn) bool { return true }); c != nil {
 		p.put(e.Instance(), c)
 		return Listening
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -133,15 +134,21 @@
 	}
 }
 
-// take returns a kept connection that is usable, or nil.
-func (p *Pool) take(life fleet.Instance) *conn {
+// take returns a kept connection that is usable and that fits, or nil.
+func (p *Pool) take(life fleet.Instance, fits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
-	for conns := p.idle[life]; len(conns) > 0; conns = p.idle[life] {
-		c := conns[len(conns)-1]
-		p.idle[life] = conns[:len(conns)-1]
-		if c.usable(now, defaultMaxIdle) {
+	conns := p.idle[life]
+	for i := len(conns) - 1; i >= 0; i-- {
+		c := conns[i]
+		usable := c.usable(now, defaultMaxIdle)
+		if usable && !fits(c) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
+		p.idle[life] = conns
+		if usable {
 			return c
 		}
 		c.Close()
@@ -188,7 +195,7 @@
 		return nil, &attempt.Failure{Kind: retry.NotSent, Paused: true, Err: err}
 	}
 	for {
-		c := p.take(e.Instance())
+		c := p.take(e.Instance(), func(c *conn) bool { return c.mayCarry(r.ID) })
 		kept := c != nil
 		if !kept {
 			var err error
@@ -208,6 +215,7 @@
 
 func (p *Pool) exchange(ctx context.Context, c *conn, e fleet.Endpoint, r *Request, s Sending) (*Response, *attempt.Failure) {
 	release := context.AfterFunc(ctx, func() { c.Close() })
+	c.carry(r.ID)
 	fail := func(kind retry.Failure, err error) (*Response, *attempt.Failure) {
 		release()
 		c.Close()
@@ -219,7 +227,7 @@
 		return fail(retry.NotSent, err)
 	}
 	resp, err := p.answer(c, r, func(status int, a Answer) {
-		if a.RequestID != "" && a.RequestID != r.ID {
+		if a.RequestID != r.ID {
 			p.answered(e, time.Time{}, status, a)
 			return
 		}
@@ -303,7 +311,10 @@
 		}
 		a := p.protocol.ReadAnswer(hr.StatusCode, hr.Header)
 		heard(hr.StatusCode, a)
-		if a.RequestID != "" && a.RequestID != r.ID {
+		if a.RequestID != r.ID && a.RequestID == "" && !c.unnamed {
+			return nil, errors.Wrapf(errNotAnAnswer, "status %d without the ID of a request", hr.StatusCode)
+		}
+		if a.RequestID != r.ID {
 			// A surplus answer to an earlier request on this connection.
 			if err := discardStray(hr.Body); err != nil {
 				return nil, err
@@ -321,7 +332,7 @@
 			body:     hr.Body,
 			Framed:   framed,
 			Closing:  hr.Close,
-			reusable: !hr.Close && framed,
+			reusable: !hr.Close && framed && !c.usedUp(),
 		}, nil
 	}
 	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,7 +8,8 @@
 // are written and read by net/http.
 //
 // Connections are kept by the life of their endpoint. A connection is to one process, so
-// that an answer is always of the life which got the request.
+// that an answer is always of the life which got the request. An answer belongs to one try of
+// a request: no connection carries two that their answers don't tell apart.
 //
 //	idle --Do--> sent --answer with the request's id--> answered --Close--> idle
 //	  |           |  \--answer with another id: skipped             \--> closed
@@ -52,7 +53,7 @@
 
 // Answer is what the head of an endpoint's answer says.
 type Answer struct {
-	// RequestID of the request that it answers; empty if the endpoint didn't say.
+	// RequestID of the request that it answers; empty if that had none.
 	RequestID string
 	// Signed says that the endpoint vouches for the answer.
 	Signed bool
@@ -93,7 +94,7 @@
 
 // Request is a request as it goes to an endpoint.
 type Request struct {
-	// ID of the request, by which its answer is known.
+	// ID of the request, by which its answer is known; empty for calls, whose answers have none.
 	ID     string
 	Method string
 	// URI is the request target as the caller sent it.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -472,4 +472,9 @@
 mutant "readership: all ask" pkg/readership/readership.go 's/^\tmaxAsking = 2$/\tmaxAsking = 20/' ./pkg/readership
 mutant "readership: ends aren't announced" pkg/readership/readership.go 's/^\t\tdelete(s.heard, vm)$//' ./pkg/readership
 
+mutant "own answer: two tries on a connection" internal/upstream/conn.go 's/return !c.carried\[xxhash.Sum64String(requestID)\]/return true/' "./internal/upstream -run LateAnswer"
+mutant "own answer: two calls on a connection" internal/upstream/conn.go 's/^\t\treturn !c.unnamed$/\t\treturn true/' "./internal/upstream -run LateAnswerToACall"
+mutant "own answer: connections are never used up" internal/upstream/conn.go 's/return len(c.carried) >= maxCarried/return false/' "./internal/upstream -run BoundedNumber"
+mutant "own answer: answers without an ID are taken" internal/upstream/pool.go 's/if a.RequestID != r.ID \&\& a.RequestID == "" \&\& !c.unnamed {/if false {/; s/^\t\tif a.RequestID != r.ID {$/\t\tif a.RequestID != "" \&\& a.RequestID != r.ID {/' "./internal/upstream -run WithoutAnID"
+
 exit $green
