--- a/internal/soak/floods_test.go
+++ b/internal/soak/floods_test.go
@@ -31,7 +31,7 @@
 var floodHeads = []string{
 	"", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nField: ", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
 	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "HTTP/1.1 500 Failed\r\n\r\n",
-	"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n",
+	"HTTP/1.1 503 Full\r\n" + platform.HeaderNotRun + ": 1\r\n\r\n",
 }
 
 // floodBlocks are what they go on with.
