relay, peering: memory that is released twice or refused late

Found by reading the changes of this issue once more: - relay released the memory of a plain answer when the request's context ended, while the answer might still be read: a data race, by which the budget could shrink for good. It is released when the attempt ends, or with the context if the answer is kept. - A delegated request whose body the peer had no memory for was reported as one that may have run. The peer refuses it before it is handled, so that it is not run (TestADelegatedRequestWithoutRoomIsNotRun). - The search for an idle connection looked into the socket of each that it then didn't use.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -373,7 +373,7 @@
 	switch {
 	case started:
 		return outcome.New(outcome.Incomplete, outcome.CodeDelegateLost, "delegate: %v", err)
-	case !connected, connect.CodeOf(err) == connect.CodeUnimplemented:
+	case !connected, connect.CodeOf(err) == connect.CodeUnimplemented, connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted:
 		return outcome.NotRunf(outcome.CodeDelegateLost, "delegate: %v", err)
 	}
 	return outcome.MayHaveRunf(outcome.CodeDelegateLost, "delegate: %v", err)
--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -18,16 +18,29 @@
 // maxResponseHeaderBytes bounds the head of a peer's response.
 const maxResponseHeaderBytes = 64 << 10
 
-// limitBodies reserves memory for what is read of the bodies of calls, until the calls have ended.
+// limitBodies reserves memory for what is read of the bodies of calls, until the calls have ended. A call
+// for which there is none fails with connect.CodeResourceExhausted before it is handled.
 func limitBodies(next http.Handler, memory *membudget.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := memory.Reserve()
 		defer held.Release()
-		r.Body = readCloser{held.CountReader(r.Body, maxMessageBytes), r.Body}
+		r.Body = readCloser{exhaustedReader{held.CountReader(r.Body, maxMessageBytes)}, r.Body}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// exhaustedReader tells the other side that there is no memory.
+type exhaustedReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (r exhaustedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrTooLarge) {
+		err = connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return n, err
+}
+
 type readCloser struct {
 	io.Reader
 	io.Closer
--- a/internal/peering/memory_test.go
+++ b/internal/peering/memory_test.go
@@ -157,6 +157,31 @@
 	}
 }
 
+// TestADelegatedRequestWithoutRoomIsNotRun guards against a failure in place of a refusal, by which the
+// caller could try again: the peer has no memory for the body.
+func TestADelegatedRequestWithoutRoomIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	served := 0
+	p := newPeer(t, "b")
+	s := NewServer(p.state, p.store, nil, nil, &Traffic{})
+	s.LimitMemory(membudget.New(peerBudget))
+	s.ServeDelegated(func(string, http.ResponseWriter, *http.Request) *outcome.Error { served++; return nil })
+	server := httptest.NewServer(s.Handler(""))
+	t.Cleanup(server.Close)
+	d := NewDelegator("a", tcpconn.Dialer(time.Second), nil)
+	for _, size := range []int{1 << 10, 4 << 20} {
+		j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h", Body: make([]byte, size)}
+		err := d.Delegate(t.Context(), membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+		if size > peerBudget {
+			g.Expect(err).NotTo(BeNil())
+			g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+		} else {
+			g.Expect(err).To(BeNil())
+		}
+	}
+	g.Expect(served).To(Equal(1))
+}
+
 type endless struct{}
 
 // Read implements io.Reader.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -232,8 +232,8 @@
 // as it arrives.
 func (f *Forwarder) passPlain(ctx context.Context, j *job.Job, sink job.HeaderSink, resp *upstream.Response, start time.Time) attempt.Result {
 	memory := f.cfg.Pool.Memory.Reserve()
-	// The answer may be needed until the last attempt has ended.
-	context.AfterFunc(ctx, memory.Release)
+	release := memory.Release
+	defer func() { release() }()
 	body, err := memory.ReadAll(resp, maxWholeBytes)
 	if errors.Is(err, membudget.ErrTooLarge) || errors.Is(err, membudget.ErrExhausted) {
 		j.Timings.RecordProgress(j.ArrivedAt, start)
@@ -244,6 +244,10 @@
 	}
 	answer := &attempt.Answer{Status: resp.Status, Header: resp.Header, Body: body}
 	result := resultOf(answer, j.Row.Idempotent)
+	if result.Failure != nil {
+		// The answer may be needed until the last attempt has ended.
+		release = func() { context.AfterFunc(ctx, memory.Release) }
+	}
 	if result.Failure == nil {
 		j.Timings.RecordProgress(j.ArrivedAt, start)
 		answer.WriteTo(sink)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -142,13 +142,12 @@
 	conns := p.idle[life]
 	for i := len(conns) - 1; i >= 0; i-- {
 		c := conns[i]
-		usable := c.usable(now, defaultMaxIdle)
-		if usable && !fits(c) {
+		if !fits(c) {
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
 		p.idle[life] = conns
-		if usable {
+		if c.usable(now, defaultMaxIdle) {
 			return c
 		}
 		c.Close()
