--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 	}
 	g.open, g.abort = context.WithCancelCause(context.Background())
 	g.memory = planMemory(vm.Limits, cfg.MaxOpen)
+	g.memory.register(g.metrics)
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -43,6 +44,13 @@
 	connections int
 }
 
+// register adds gauges of the reserved memory.
+func (p memoryPlan) register(m *metrics.Metrics) {
+	for name, budget := range map[string]*membudget.Budget{"bodies": p.bodies, "answers": p.answers, "peers": p.peers} {
+		m.Gauge("memory_reserved_"+name+"_bytes", "Memory reserved for "+name+".", func() float64 { return float64(budget.Used()) })
+	}
+}
+
 // planMemory splits the memory of a VM among maxOpen requests at once.
 func planMemory(limits platform.VMLimits, maxOpen int) memoryPlan {
 	memory := cmp.Or(limits.MemoryBytes, defaultMemory)
