--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -9,9 +9,7 @@
 	"net/url"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -100,50 +98,6 @@
 	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
 }
 
-// Withdraw implements peerv1connect.PeerServiceHandler. The calling entry is about to stop.
-func (s *Server) Withdraw(_ context.Context, req *connect.Request[peerv1.WithdrawRequest]) (*connect.Response[peerv1.WithdrawResponse], error) {
-	if !s.delegations.end(req.Msg.GetDelegationId(), shutdown.ErrStopping) {
-		return nil, connect.NewError(connect.CodeNotFound, errors.New("no such delegated request"))
-	}
-	return connect.NewResponse(&peerv1.WithdrawResponse{}), nil
-}
-
-// delegations holds how to end the delegated requests that a server serves, by delegation ID. The zero
-// value is empty. It is safe for concurrent use.
-type delegations struct {
-	mu   sync.Mutex
-	ends map[uint64]context.CancelCauseFunc
-}
-
-// add adds a request until remove is called. ID zero is not added.
-func (d *delegations) add(id uint64, end context.CancelCauseFunc) (remove func()) {
-	if id == 0 {
-		return func() {}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ends == nil {
-		d.ends = map[uint64]context.CancelCauseFunc{}
-	}
-	d.ends[id] = end
-	return func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.ends, id)
-	}
-}
-
-// end ends a request with a cause, and reports whether it was there.
-func (d *delegations) end(id uint64, cause error) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	end, ok := d.ends[id]
-	if ok {
-		end(cause)
-	}
-	return ok
-}
-
 // newDelegatedRequest returns the request as the server of the delegating entry has read it.
 func newDelegatedRequest(ctx context.Context, msg *peerv1.DelegateRequest) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, msg.GetMethod(), "/", bytes.NewReader(msg.GetBody()))
@@ -289,19 +243,6 @@
 	return delegationError(stream.Err(), connected.Load(), relay.started)
 }
 
-// withdrawTimeout bounds the wait for the outcome of a withdrawn request. It is less than the time for
-// final answers at the end of a process.
-const withdrawTimeout = 300 * time.Millisecond
-
-// withdraw asks a peer to end a delegated request, and waits until the call has ended.
-func withdraw(call context.Context, client peerv1connect.PeerServiceClient, id uint64) {
-	call, cancel := context.WithTimeout(call, withdrawTimeout)
-	defer cancel()
-	if _, err := client.Withdraw(call, connect.NewRequest(&peerv1.WithdrawRequest{DelegationId: id})); err == nil {
-		<-call.Done()
-	}
-}
-
 // maxPlainBytes is up to which size a response that isn't a stream is held until it is complete.
 const maxPlainBytes = 4 << 20
 
--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -24,17 +24,24 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := memory.Reserve()
 		defer held.Release()
-		r.Body = readCloser{exhaustedReader{held.CountReader(r.Body, maxMessageBytes)}, r.Body}
+		r.Body = readCloser{exhaustedReader{held.CountReader(r.Body, maxMessageBytes), r.Body}, r.Body}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// exhaustedReader tells the other side that there is no memory.
-type exhaustedReader struct{ io.Reader }
+// exhaustedReader tells the other side that there is no memory. It reads the rest of the body first: a
+// connection that is closed with unread bytes is reset, and the response may be lost.
+type exhaustedReader struct {
+	io.Reader
+	body io.Reader
+}
 
 // Read implements io.Reader.
 func (r exhaustedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
+	if errors.Is(err, membudget.ErrExhausted) {
+		_, _ = io.CopyN(io.Discard, r.body, maxMessageBytes)
+	}
 	if errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrTooLarge) {
 		err = connect.NewError(connect.CodeResourceExhausted, err)
 	}
