entry: the end of a planned stop has a test; three mutants that proved nothing

Cause: the abort at the end of -drain-timeout had no test on our own interface. Of the new mutants, "heads unbounded" and "fields unbounded" stayed green: the first was no fault as written, the second had no test. Change: TestRequestsHeldAtTheEndOfAStopAreAnswered, TestAHeadOfManyFieldsIsNoAnswer, mutants rewritten (two didn't build).

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -51,6 +51,12 @@
 
 // startEntry runs an entry before some engines and returns its callers' address.
 func startEntry(tb testing.TB, engines ...string) string {
+	address, _ := startEntryWith(tb, nil, engines...)
+	return address
+}
+
+// startEntryWith is startEntry with flags; stop begins a planned stop.
+func startEntryWith(tb testing.TB, flags []string, engines ...string) (address string, stop func()) {
 	sum := sha256.Sum256([]byte("key"))
 	peer := freeport.Address(tb)
 	var endpoints []fleet.Endpoint
@@ -75,6 +81,7 @@
 	cfg.Register(set)
 	args := []string{"-vm", "e", "-data-center", "hall", "-listen", freeport.Address(tb), "-peer", peer, "-operator", freeport.Address(tb),
 		"-platform", platform.URL, "-drain-delay", "0s", "-handover-linger", "0s"}
+	args = append(args, flags...)
 	if err := set.Read(args); err != nil {
 		tb.Fatal(err)
 	}
@@ -96,7 +103,7 @@
 	for !e.ready() {
 		time.Sleep(time.Millisecond)
 	}
-	return cfg.Listen
+	return cfg.Listen, cancel
 }
 
 func stream(b *testing.B, address string, tokens int) {
--- /dev/null
+++ b/internal/entry/shutdown_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/pkg/invariant"
+)
+
+// TestRequestsHeldAtTheEndOfAStopAreAnswered guards against connections that are closed without an answer when
+// the time of a stop is over: of requests that an engine hasn't answered.
+func TestRequestsHeldAtTheEndOfAStopAreAnswered(t *testing.T) {
+	g := NewWithT(t)
+	arrived := make(chan struct{}, 8)
+	inner := fastEngine()
+	t.Cleanup(inner.Close)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engineapi.PathCompletions {
+			inner.Config.Handler.ServeHTTP(w, r)
+			return
+		}
+		// The server notices that a caller has gone once it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(engine.Close)
+	cut := invariant.Count(invariant.DrainCutsNothing)
+	address, stop := startEntryWith(t, []string{"-drain-timeout", "2s"}, strings.TrimPrefix(engine.URL, "http://"))
+	answers := make(chan int, 3)
+	for range cap(answers) {
+		go func() {
+			status, _ := complete(g, address, "p")
+			answers <- status
+		}()
+	}
+	g.Eventually(arrived, "10s").Should(Receive())
+	stop()
+	for range cap(answers) {
+		g.Eventually(answers, "10s").Should(Receive(Or(Equal(http.StatusGatewayTimeout), Equal(http.StatusServiceUnavailable))))
+	}
+	g.Expect(invariant.Count(invariant.DrainCutsNothing)).To(Equal(cut))
+}
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -122,3 +122,15 @@
 	close(send)
 	g.Eventually(ended, "20s").Should(BeClosed())
 }
+
+// TestAHeadOfManyFieldsIsNoAnswer guards against fields of a few bytes, which take far more in memory.
+func TestAHeadOfManyFieldsIsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	p := listen(t, func(c net.Conn, next func() string) {
+		id := next()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nOf: "+id+"\r\n"+strings.Repeat("a:\r\n", 300)+"Content-Length: 0\r\n\r\n")
+		next()
+	})
+	_, err := do(newPool(), p.endpoint, "a")
+	g.Expect(err).To(HaveOccurred())
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -454,12 +454,12 @@
 mutant "precedence: time to wait from three times" pkg/scheduler/precedence.go 's/^const minYieldRatio = 2$/const minYieldRatio = 6/' "./pkg/scheduler -run NeedsTime"
 mutant "shutdown: no abort" internal/gateway/listen.go 's/^\tcontext.AfterFunc(abort, .*$//' "./internal/gateway -run AtAStop"
 mutant "shutdown: waiting requests stay" pkg/scheduler/dispatch.go 's/^\ts.refuseBeforeStop(now, q)$//' "./pkg/scheduler -run Outlast"
-mutant "shutdown: new requests are admitted" pkg/scheduler/shutdown.go 's/end.After(s.stopAt)/false/' "./pkg/scheduler -run Outlast"
+mutant "shutdown: new requests are admitted" pkg/scheduler/shutdown.go 's/end.After(s.stopAt)/end.After(s.stopAt) \&\& false/' "./pkg/scheduler -run Outlast"
 mutant "shutdown: delegated requests aren't withdrawn" internal/peering/delegation.go 's/^\t\t\twithdraw(call, client, id)$//' "./internal/gateway -run DelegatedRequestsHeldAtAStop"
 mutant "shutdown: bodies aren't ended" internal/filters/body/body.go 's/context.AfterFunc(r.Context(), func() { .* })/context.AfterFunc(r.Context(), func() {})/' "./internal/gateway -run BodyArrives"
 mutant "shutdown: responses don't close" internal/filters/drain/drain.go 's/if w.closing() {/if false {/' "./internal/gateway -run ResponsesOfAStopping"
-mutant "memory: heads unbounded" internal/upstream/conn.go 's/if c.headLeft <= 0 {/if false {/' "./internal/upstream -run WithoutEnd"
-mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run WithoutEnd"
+mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
+mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
 mutant "memory: idle connections aren't swept" internal/upstream/pool.go 's/^\t\tp.sweep()$//' "./internal/upstream -run IdleConnection"
 mutant "memory: budgets grant all" internal/membudget/membudget.go 's/if b.used.Add(n) > b.limit {/if b.used.Add(n) < 0 {/' "./internal/membudget ./internal/peering -run WithoutEnd|Bounds|Resizes|Reservation"
 mutant "memory: responses of peers unbounded" internal/peering/memory.go 's/if !b.message.held.Resize(2 \* b.message.size) {/if false {/' "./internal/peering -run WithoutEnd"
@@ -468,7 +468,7 @@
 mutant "memory: large answers are repeated" pkg/retry/retry.go 's/if a.Begun || a.Released > 0 \&\& !a.Resumable/if a.Released > 0 \&\& !a.Resumable/' "./internal/gateway -run LargeAnswerThatBreaks"
 mutant "readership: not announced" internal/gateway/parts.go 's/^\tg.config.Announce = g.announceReader$//; s/^\tg.readers = readership.New/\tg.readers = nil; _ = readership.New/' "./internal/gateway -run ReadersEnd"
 mutant "readership: announced for long" pkg/readership/readership.go 's/now.Sub(a.at) >= s.cfg.Timeout/now.Sub(a.at) >= 4*s.cfg.Timeout/' ./pkg/readership
-mutant "readership: nobody steps back" pkg/readership/readership.go 's/reads \&\& !s.enough(readingAbove, askingAbove):/reads:/' ./pkg/readership
+mutant "readership: nobody steps back" pkg/readership/readership.go 's/reads \&\& !s.enough(readingAbove, askingAbove):/reads \&\& (true || !s.enough(readingAbove, askingAbove)):/' ./pkg/readership
 mutant "readership: all ask" pkg/readership/readership.go 's/^\tmaxAsking = 2$/\tmaxAsking = 20/' ./pkg/readership
 mutant "readership: ends aren't announced" pkg/readership/readership.go 's/^\t\tdelete(s.heard, vm)$//' ./pkg/readership
 
