wording: readers, connections and injected faults in the usual terms

Cause: names such as Hear, usedUp, unnamed and strike, and comments around them, read oddly. Change: Observe, exhausted, anonymous, readerFaults; comments of package readership. Nothing changes in what the code does.

--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -60,8 +60,8 @@
 	return readers
 }
 
-// strikes are what may befall readers: each is over after a time.
-var strikes = map[string]func(f *playedFleet, e *playedEntry, lasts time.Duration){
+// readerFaults are injected into readers; each ends after a time.
+var readerFaults = map[string]func(f *playedFleet, e *playedEntry, lasts time.Duration){
 	"killed": func(f *playedFleet, e *playedEntry, lasts time.Duration) {
 		e.stop()
 		f.move(e, e.name)
@@ -84,9 +84,9 @@
 	},
 }
 
-// playStrikes has a share of the entries struck, readers first, again and again, and a configuration
-// published each time.
-func (f *playedFleet) playStrikes(strike func(f *playedFleet, e *playedEntry, lasts time.Duration), share float64) {
+// playReaderFaults injects a fault into a share of the entries, readers first, several times, and publishes a
+// configuration each time.
+func (f *playedFleet) playReaderFaults(inject func(f *playedFleet, e *playedEntry, lasts time.Duration), share float64) {
 	const (
 		calm        = 9 * time.Second
 		rounds      = 4
@@ -105,7 +105,7 @@
 		for _, e := range hit[:min(len(hit), int(share*float64(len(f.entries))))] {
 			lasts := 100*time.Millisecond + time.Duration(f.random.Int64N(int64(longestDown)))
 			disturb(&e.disturbed, lasts)
-			strike(f, e, lasts)
+			inject(f, e, lasts)
 		}
 		f.steps(time.Duration(f.random.Int64N(int64(maxPublish))))
 		f.publish()
@@ -114,7 +114,7 @@
 	f.steps(calm)
 }
 
-// maxOfAllKinds is the size of the largest fleet that all strikes befall.
+// maxOfAllKinds is the size of the largest fleet that all kinds of faults are played in.
 const maxOfAllKinds = 9
 
 // TestConfigurationsInForceAfterTheirReadersEnd guards against a store that nobody reads: readers are killed
@@ -122,7 +122,7 @@
 func TestConfigurationsInForceAfterTheirReadersEnd(t *testing.T) {
 	more, _ := strconv.Atoi(os.Getenv("FLEET_SEEDS"))
 	for _, size := range []struct{ entries, dataCenters, seeds int }{{5, 1, 4}, {9, 3, 4}, {66, 3, 1}} {
-		for kind, strike := range strikes {
+		for kind, inject := range readerFaults {
 			if size.entries > maxOfAllKinds && kind != "killed" {
 				continue
 			}
@@ -131,7 +131,7 @@
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						f := newPlayedFleet(t, seed, size.entries, size.dataCenters)
-						f.playStrikes(strike, 0.6)
+						f.playReaderFaults(inject, 0.6)
 						t.Log(f.propagation.String())
 					})
 				})
--- a/internal/gateway/tell.go
+++ b/internal/gateway/tell.go
@@ -141,7 +141,7 @@
 	g.metrics.Notices.WithLabelValues("reader_heard").Inc()
 	for known, wire := range readerStates {
 		if g.readers != nil && wire == state {
-			g.readers.Hear(clock.Now(), vm, known)
+			g.readers.Observe(clock.Now(), vm, known)
 		}
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -73,7 +73,7 @@
 		bad("broke off within an event")
 	case r.status == http.StatusInternalServerError && r.signature == "":
 		bad("is an error that no endpoint signed")
-	case w.atWorkUntilTheEnd(r):
+	case w.wasRunningAtStop(r):
 	case w.harm < fault && r.err != nil && r.status == 0 && (len(runs) > 0 || r.elapsed > lossSlack):
 		bad("got no answer within %v, though all that happened was planned", r.elapsed)
 	case w.harm < fault && r.err != nil && r.status != 0:
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -34,9 +34,9 @@
 	}})},
 }
 
-// atWorkUntilTheEnd reports whether a stream ended as one does whose engine was still at work when its
-// gateway, or its own time, ended.
-func (w *world) atWorkUntilTheEnd(r result) bool {
+// wasRunningAtStop reports whether a stream ended because its gateway stopped, or its timeout passed, while an
+// engine was running it.
+func (w *world) wasRunningAtStop(r result) bool {
 	if !w.drawn.stops || r.kind != kindStream || !w.arrived(r.id) {
 		return false
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,10 +28,10 @@
 	lastUsed time.Time
 	// keep is how long the endpoint keeps it without use; zero if it didn't say.
 	keep time.Duration
-	// carried holds the hashes of the IDs of the requests that it has carried, and unnamed is set once it
+	// carried holds the hashes of the IDs of the requests that it has carried, and anonymous is set once it
 	// has carried one without an ID; see mayCarry.
-	carried map[uint64]bool
-	unnamed bool
+	carried   map[uint64]bool
+	anonymous bool
 	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come.
 	headLimited bool
 	headLeft    int
@@ -63,7 +63,7 @@
 // same ID, so that a connection carries one try of each, and one request without an ID.
 func (c *conn) mayCarry(requestID string) bool {
 	if requestID == "" {
-		return !c.unnamed
+		return !c.anonymous
 	}
 	return !c.carried[xxhash.Sum64String(requestID)]
 }
@@ -71,7 +71,7 @@
 // carry records a request.
 func (c *conn) carry(requestID string) {
 	if requestID == "" {
-		c.unnamed = true
+		c.anonymous = true
 		return
 	}
 	if c.carried == nil {
@@ -80,8 +80,8 @@
 	c.carried[xxhash.Sum64String(requestID)] = true
 }
 
-// usedUp reports whether it may carry no more requests.
-func (c *conn) usedUp() bool { return len(c.carried) >= maxCarried }
+// exhausted reports whether it may carry no more requests.
+func (c *conn) exhausted() bool { return len(c.carried) >= maxCarried }
 
 // errHeadTooLarge means that the head of an answer exceeds its limit.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -310,7 +310,7 @@
 		}
 		a := p.protocol.ReadAnswer(hr.StatusCode, hr.Header)
 		heard(hr.StatusCode, a)
-		if a.RequestID != r.ID && a.RequestID == "" && !c.unnamed {
+		if a.RequestID != r.ID && a.RequestID == "" && !c.anonymous {
 			return nil, errors.Wrapf(errNotAnAnswer, "status %d without the ID of a request", hr.StatusCode)
 		}
 		if a.RequestID != r.ID {
@@ -331,7 +331,7 @@
 			body:     hr.Body,
 			Framed:   framed,
 			Closing:  hr.Close,
-			reusable: !hr.Close && framed && !c.usedUp(),
+			reusable: !hr.Close && framed && !c.exhausted(),
 		}, nil
 	}
 	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
--- a/pkg/readership/readership.go
+++ b/pkg/readership/readership.go
@@ -6,14 +6,14 @@
 // from them. A record of the membership tells too late that a reader is gone, and a reader that has
 // started again has a new record before it reads. So readers announce several times a second that they
 // read, and only while the store answers them; otherwise they announce that they ask it. An entry that
-// doesn't hear enough readers becomes one, unless maxAsking times as many ask already, so that a store
+// gets announcements of too few readers becomes one, unless maxAsking times as many ask already, so that a store
 // that is away isn't called by all. Those of lower rank wait longer before they do, so that a few take over and
-// not all. A reader stops once it hears enough others of higher rank.
+// not all. A reader stops once enough others of higher rank announce themselves.
 //
-//	         fewer readers heard for long enough for its rank
+//	        too few readers announced for the delay of its rank
 //	[listening] ------------------------------------------> [reading]
 //	     ^                                                      |
-//	     +------------ enough of higher rank heard -------------+
+//	     +---------- enough of higher rank announced -----------+
 //
 // Announcements may be lost, so that for a moment more entries than necessary read, but never fewer.
 //
@@ -44,9 +44,10 @@
 	maxAsking = 2
 	// maxStaggered is the number of higher-ranked entries up to which each delays an entry.
 	maxStaggered = 8
-	// maxHeard bounds the entries whose announcements are held.
-	maxHeard = 64
-	// startTimeouts is how many timeouts after its start an entry has heard the readers that there are.
+	// maxAnnouncements bounds the stored announcements.
+	maxAnnouncements = 64
+	// startTimeouts is the time after the start, in timeouts, after which an entry has received the
+	// announcements of all readers.
 	startTimeouts = 2
 )
 
@@ -69,38 +70,38 @@
 	above bool
 }
 
-// Set is what one entry knows of the readers of its data centre. It is safe for concurrent use.
+// Set holds the readers of the data centre of one entry. It is safe for concurrent use.
 type Set struct {
 	cfg     Config
 	changed chan struct{}
 
 	mu sync.Mutex
-	// heard holds the entries that read or ask by their last announcement.
-	heard map[string]announcement
-	// startedAt is when the entry began to listen, and shortSince since when it has heard too few
-	// readers; zero if it hears enough.
+	// announcements holds the last announcement of each entry that reads or asks.
+	announcements map[string]announcement
+	// startedAt is the time of the first decision, and shortSince since when too few readers have
+	// announced themselves; zero if enough have.
 	startedAt, shortSince time.Time
 }
 
-// New returns a set that has heard nothing.
+// New returns an empty set.
 func New(cfg Config) *Set {
-	return &Set{cfg: cfg, changed: make(chan struct{}, 1), heard: map[string]announcement{}}
+	return &Set{cfg: cfg, changed: make(chan struct{}, 1), announcements: map[string]announcement{}}
 }
 
 // Changed receives a value when an entry has announced that it no longer reads.
 func (s *Set) Changed() <-chan struct{} { return s.changed }
 
-// Hear records the announcement of another entry.
-func (s *Set) Hear(now time.Time, vm string, state State) {
+// Observe records the announcement of another entry.
+func (s *Set) Observe(now time.Time, vm string, state State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	before, known := s.heard[vm]
+	before, known := s.announcements[vm]
 	switch {
 	case state == Stopped:
-		delete(s.heard, vm)
-	case known || len(s.heard) < maxHeard:
-		s.heard[vm] = announcement{now, state, s.cfg.Above(vm)}
+		delete(s.announcements, vm)
+	case known || len(s.announcements) < maxAnnouncements:
+		s.announcements[vm] = announcement{now, state, s.cfg.Above(vm)}
 	}
 	if !known || state >= before.state {
 		return
@@ -112,13 +113,13 @@
 }
 
 func (s *Set) expire(now time.Time) {
-	maps.DeleteFunc(s.heard, func(_ string, a announcement) bool { return now.Sub(a.at) >= s.cfg.Timeout })
+	maps.DeleteFunc(s.announcements, func(_ string, a announcement) bool { return now.Sub(a.at) >= s.cfg.Timeout })
 }
 
 // Role is what an entry does at a moment.
 type Role struct {
 	Reads bool
-	// First is set if no reader of higher rank is heard.
+	// First is set if no reader of higher rank has announced itself.
 	First bool
 	// Recheck is the time after which a listening entry must decide again, unless Changed receives a
 	// value before.
@@ -150,8 +151,8 @@
 		s.shortSince = now
 	}
 	due := s.shortSince.Add(s.cfg.Stagger * time.Duration(min(higherRanked, maxStaggered)))
-	if heard := s.startedAt.Add(startTimeouts * s.cfg.Timeout); due.Before(heard) {
-		due = heard
+	if settled := s.startedAt.Add(startTimeouts * s.cfg.Timeout); due.Before(settled) {
+		due = settled
 	}
 	role.Recheck = max(due.Sub(now), 0)
 	if role.Recheck == 0 {
@@ -163,7 +164,7 @@
 
 // count returns how many entries read, and how many read or ask; with above, only those of higher rank.
 func (s *Set) count(above bool) (reading, asking int) {
-	for _, a := range s.heard {
+	for _, a := range s.announcements {
 		if above && !a.above {
 			continue
 		}
@@ -183,7 +184,7 @@
 // nextExpiry returns the time until the first announcement no longer counts.
 func (s *Set) nextExpiry(now time.Time) time.Duration {
 	next := s.cfg.Timeout
-	for _, a := range s.heard {
+	for _, a := range s.announcements {
 		next = min(next, a.at.Add(s.cfg.Timeout).Sub(now))
 	}
 	return max(next, 0)
--- a/pkg/readership/readership_test.go
+++ b/pkg/readership/readership_test.go
@@ -59,7 +59,7 @@
 				settled := 0
 				for ; now.Sub(begun) < time.Minute; now = now.Add(tick) {
 					if now.Sub(begun) > 5*time.Second && now.Sub(begun) < 50*time.Second && r.IntN(300) == 0 {
-						strike(r, now, all)
+						injectFault(r, now, all)
 					}
 					for i, e := range all {
 						e.step(r, now, i, all)
@@ -89,8 +89,8 @@
 	}
 }
 
-// strike keeps entries from running for a time: those that read first, and at most all that run but one.
-func strike(r *rand.Rand, now time.Time, all []*entry) {
+// injectFault keeps entries from running for a time: those that read first, and at most all that run but one.
+func injectFault(r *rand.Rand, now time.Time, all []*entry) {
 	var reading, others []int
 	for i, e := range all {
 		switch {
@@ -139,7 +139,7 @@
 		e.announced = now
 		for j, other := range all {
 			if j != i && !now.Before(other.downUntil) && r.IntN(100) > 0 {
-				other.set.Hear(now, vm(i), readership.Reading)
+				other.set.Observe(now, vm(i), readership.Reading)
 			}
 		}
 	}
@@ -152,16 +152,16 @@
 	g.Expect(e.set.Decide(now, false, 2).Reads).To(BeFalse())
 	for range 20 {
 		now = now.Add(interval)
-		e.set.Hear(now, vm(0), readership.Reading)
-		e.set.Hear(now, vm(1), readership.Reading)
+		e.set.Observe(now, vm(0), readership.Reading)
+		e.set.Observe(now, vm(1), readership.Reading)
 		g.Expect(e.set.Decide(now, false, 2).Reads).To(BeFalse())
 	}
-	e.set.Hear(now, vm(0), readership.Stopped)
+	e.set.Observe(now, vm(0), readership.Stopped)
 	g.Expect(e.set.Changed()).To(Receive())
 	g.Expect(e.set.Decide(now, false, 2).Reads).To(BeFalse())
 	now = now.Add(2 * stagger)
 	g.Expect(e.set.Decide(now, false, 2).Reads).To(BeTrue())
-	e.set.Hear(now, vm(0), readership.Reading)
+	e.set.Observe(now, vm(0), readership.Reading)
 	g.Expect(e.set.Decide(now, true, 2).Reads).To(BeFalse())
 }
 
@@ -170,7 +170,7 @@
 	now := time.Now()
 	e := start(500, now, 0)
 	for i := range 100_000 {
-		e.set.Hear(now, vm(i%1000), readership.Reading)
+		e.set.Observe(now, vm(i%1000), readership.Reading)
 	}
 	g.Expect(e.set.Decide(now.Add(timeout), false, 5).Reads).To(BeFalse(), "it has just started")
 }
@@ -201,7 +201,7 @@
 				e.announced = now
 				for j, other := range all {
 					if j != i {
-						other.set.Hear(now, vm(i), readership.Asking)
+						other.set.Observe(now, vm(i), readership.Asking)
 					}
 				}
 			}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -470,11 +470,11 @@
 mutant "readership: announced for long" pkg/readership/readership.go 's/now.Sub(a.at) >= s.cfg.Timeout/now.Sub(a.at) >= 4*s.cfg.Timeout/' ./pkg/readership
 mutant "readership: nobody steps back" pkg/readership/readership.go 's/reads \&\& !s.enough(readingAbove, askingAbove):/reads \&\& (true || !s.enough(readingAbove, askingAbove)):/' ./pkg/readership
 mutant "readership: all ask" pkg/readership/readership.go 's/^\tmaxAsking = 2$/\tmaxAsking = 20/' ./pkg/readership
-mutant "readership: ends aren't announced" pkg/readership/readership.go 's/^\t\tdelete(s.heard, vm)$//' ./pkg/readership
+mutant "readership: ends aren't announced" pkg/readership/readership.go 's/^\t\tdelete(s.announcements, vm)$//' ./pkg/readership
 
 mutant "own answer: two tries on a connection" internal/upstream/conn.go 's/return !c.carried\[xxhash.Sum64String(requestID)\]/return true/' "./internal/upstream -run LateAnswer"
-mutant "own answer: two calls on a connection" internal/upstream/conn.go 's/^\t\treturn !c.unnamed$/\t\treturn true/' "./internal/upstream -run LateAnswerToACall"
+mutant "own answer: two calls on a connection" internal/upstream/conn.go 's/^\t\treturn !c.anonymous$/\t\treturn true/' "./internal/upstream -run LateAnswerToACall"
 mutant "own answer: connections are never used up" internal/upstream/conn.go 's/return len(c.carried) >= maxCarried/return false/' "./internal/upstream -run BoundedNumber"
-mutant "own answer: answers without an ID are taken" internal/upstream/pool.go 's/if a.RequestID != r.ID \&\& a.RequestID == "" \&\& !c.unnamed {/if false {/; s/^\t\tif a.RequestID != r.ID {$/\t\tif a.RequestID != "" \&\& a.RequestID != r.ID {/' "./internal/upstream -run WithoutAnID"
+mutant "own answer: answers without an ID are taken" internal/upstream/pool.go 's/if a.RequestID != r.ID \&\& a.RequestID == "" \&\& !c.anonymous {/if false {/; s/^\t\tif a.RequestID != r.ID {$/\t\tif a.RequestID != "" \&\& a.RequestID != r.ID {/' "./internal/upstream -run WithoutAnID"
 
 exit $green
