peering: withdrawing a delegated request no longer leaks the memory of its stream

Cause: the call of Withdraw was made with the context of the Delegate stream, which carries the reservation of the stream's messages. The response of Withdraw replaced it, without a lock: the memory of the stream was never released, and two goroutines wrote the same field.

Change: only the Delegate call carries the reservation.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -212,9 +212,9 @@
 	var connected atomic.Bool
 	// The call outlasts ctx, whose end is handled below.
 	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	call, message := withMessageMemory(call)
 	defer cancel(nil)
-	traced := httptrace.WithClientTrace(call, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	streaming, message := withMessageMemory(call)
+	traced := httptrace.WithClientTrace(streaming, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), decompressWithin(d.memory))
 	id := rand.Uint64()
--- /dev/null
+++ b/internal/peering/withdraw_test.go
@@ -0,0 +1,73 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+// TestOutcomesOfWithdrawnRequests guards against lost, or invented, outcomes of requests delegated by an entry that stops.
+func TestOutcomesOfWithdrawnRequests(t *testing.T) {
+	hang := make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	for name, c := range map[string]struct {
+		// withdraw serves the calls of Withdraw in place of the peer, if set.
+		withdraw http.HandlerFunc
+		final    *outcome.Error
+		want     outcome.Outcome
+	}{
+		"waits at the peer":             {nil, outcome.Stopping(), outcome.NotRun},
+		"runs at the peer":              {nil, outcome.MayHaveRunf(outcome.CodeStopping, "stopping"), outcome.MayHaveRun},
+		"a peer of an earlier version":  {http.NotFound, outcome.Stopping(), outcome.MayHaveRun},
+		"the call is lost":              {func(http.ResponseWriter, *http.Request) { <-hang }, outcome.Stopping(), outcome.MayHaveRun},
+		"the peer ends during the call": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, outcome.Stopping(), outcome.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			serving, ended := make(chan struct{}), make(chan struct{})
+			p := newPeer(t, "b")
+			s := NewServer(p.state, p.store, nil, nil, &Traffic{})
+			s.ServeDelegated(func(_ string, _ http.ResponseWriter, r *http.Request) *outcome.Error {
+				close(serving)
+				<-r.Context().Done()
+				close(ended)
+				return c.final
+			})
+			handler := s.Handler("")
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if c.withdraw != nil && strings.HasSuffix(r.URL.Path, "/Withdraw") {
+					c.withdraw(w, r)
+					return
+				}
+				handler.ServeHTTP(w, r)
+			}))
+			t.Cleanup(server.CloseClientConnections)
+			memory := membudget.New(peerBudget)
+			d := NewDelegator("a", tcpconn.Dialer(time.Second), memory)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			go func() {
+				<-serving
+				cancel(shutdown.ErrStopping)
+			}()
+			j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+			err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+			g.Expect(err).NotTo(BeNil())
+			g.Expect(err.Outcome).To(Equal(c.want))
+			g.Eventually(ended, "5s").Should(BeClosed(), "the peer stops its work")
+			g.Eventually(memory.Used, "5s").Should(BeZero())
+		})
+	}
+}
