httpserver: requests on connections that the process closes are counted and logged

Nothing told whether a request that ended with caller_gone had lost its connection by its caller or by the entry itself, and by which of its closings. Now httpserver records why it closes a connection, and the entries count and log the requests that meet it: late_requests_total{reason}.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -119,10 +119,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	if t != nil {
-		l = tls.NewListener(l, t)
-	}
-	return httpserver.Start(l, httpserver.Config{HTTP: &http.Server{
+	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, HTTP: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -131,6 +128,11 @@
 	}}), nil
 }
 
+// onLateRequest logs a request that was read on a connection which this process closes.
+func (e *Entry) onLateRequest(r *http.Request, why httpserver.CloseReason) {
+	e.log.Warn("request on a closing connection", "path", r.URL.Path, "reason", why)
+}
+
 // stop ends the entry: unready, serve what the balancer still sends, let all
 // requests end, hand the tickets over, and tell the others.
 func (e *Entry) stop(ctx context.Context, s *servers) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -22,6 +22,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
+	"github.com/bridgehoist/bridgehoist/platform"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 )
@@ -116,10 +117,17 @@
 		},
 		MaxConnections:     connections,
 		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
+		OnLateRequest:      g.onLateRequest,
 		OnEnd:              func(err error) { g.log.Error("listener ended", "address", address, "error", err) },
 	}), nil
 }
 
+// onLateRequest counts and logs a request that was read on a connection which this process closes.
+func (g *Gateway) onLateRequest(r *http.Request, why httpserver.CloseReason) {
+	g.metrics.LateRequests.WithLabelValues(string(why)).Inc()
+	g.log.Warn("request on a closing connection", "request", r.Header.Get(platform.HeaderRequestID), "reason", why)
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, operatorapi.PathMetrics, promhttp.HandlerFor(g.metrics.Registry, promhttp.HandlerOpts{}))
--- a/internal/httpserver/limit.go
+++ b/internal/httpserver/limit.go
@@ -39,6 +39,7 @@
 func (l *connections) changed(c net.Conn, state http.ConnState) {
 	if victim := l.update(c, state, time.Now()); victim != nil {
 		// The server notices, and reports StateClosed.
+		connOf(victim).closing.CompareAndSwap(nil, CloseLimit)
 		_ = victim.Close()
 		if l.onClose != nil {
 			l.onClose()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,6 +60,8 @@
 	Connections prometheus.Counter
 	// ConnectionsLimited counts connections to this process that were closed since there were too many.
 	ConnectionsLimited prometheus.Counter
+	// LateRequests counts requests that were read on connections which this process closes, by the reason.
+	LateRequests *prometheus.CounterVec
 	// Moves counts generations that were to be moved to another engine, by result.
 	Moves *prometheus.CounterVec
 	// RefusedMoves counts the first copies of generations that were not made, by cause.
@@ -121,6 +123,7 @@
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
+	m.LateRequests = counters("late_requests_total", "Requests that were read on connections which this process closes, by the reason.", "reason")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
 	m.RefusedMoves = counters("move_refusals_total", "Copies of generations that were refused, by cause.", "cause")
@@ -136,7 +139,7 @@
 	m.Delegated = counters("delegated_requests_total", "Requests delegated to peers (out) or by them (in), by outcome.", "direction", "outcome")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
