httpserver: a failing test of requests that are read while their connection is closed

The test holds the read that takes a piece of a request off its socket, has the server close the connection (drain, drain and close, close, limit of connections), and lets the read go on: then either the handler doesn't get the whole request, or its answer arrives. 144 cases: new, silent and used connections; heads and bodies in pieces, with a length and in chunks.

--- /dev/null
+++ b/internal/httpserver/closing_test.go
@@ -0,0 +1,204 @@
+package httpserver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
+)
+
+// pausingListener accepts connections whose reads can be paused.
+type pausingListener struct {
+	net.Listener
+	accepted chan *pausingConn
+}
+
+func (l *pausingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &pausingConn{Conn: nc, paused: make(chan struct{}), resume: make(chan struct{}), closed: make(chan struct{})}
+	l.accepted <- c
+	return c, nil
+}
+
+// pausingConn holds the read that completes pauseAfter bytes back until resume is closed: the bytes have been
+// taken off the socket, and the server doesn't know yet.
+type pausingConn struct {
+	net.Conn
+	pauseAfter             atomic.Int64
+	total                  int64
+	reads, closes          atomic.Int64
+	paused, resume, closed chan struct{}
+	closing                sync.Once
+}
+
+func (c *pausingConn) Read(p []byte) (int, error) {
+	c.reads.Add(1)
+	n, err := c.Conn.Read(p)
+	before := c.total
+	c.total += int64(n)
+	if at := c.pauseAfter.Load(); at > before && at <= c.total {
+		close(c.paused)
+		<-c.resume
+	}
+	return n, err
+}
+
+func (c *pausingConn) Close() error {
+	c.closes.Add(1)
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// closingWorld is a server with one connection.
+type closingWorld struct {
+	t        *testing.T
+	g        *WithT
+	listener *pausingListener
+	server   *Server
+	address  string
+	client   net.Conn
+	answers  *bufio.Reader
+	conn     *pausingConn
+	// passedOn counts the requests that were read whole.
+	passedOn atomic.Int64
+	sent     int64
+}
+
+func newClosingWorld(t *testing.T, maxConnections int) *closingWorld {
+	w := &closingWorld{t: t, g: NewWithT(t), listener: &pausingListener{Listener: freeport.Listen(t), accepted: make(chan *pausingConn, 8)}}
+	w.address = w.listener.Addr().String()
+	w.server = Start(w.listener, Config{MaxConnections: maxConnections, HTTP: &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.passedOn.Add(1)
+		fmt.Fprint(rw, "ok")
+	})}})
+	t.Cleanup(func() { _ = w.server.Close() })
+	w.client = dial(w.g, w.address)
+	t.Cleanup(func() { _ = w.client.Close() })
+	w.answers = bufio.NewReader(w.client)
+	w.conn = <-w.listener.accepted
+	return w
+}
+
+func (w *closingWorld) send(piece string) {
+	n, _ := io.WriteString(w.client, piece)
+	w.sent += int64(n)
+}
+
+// answered reads an answer, and reports whether it was whole.
+func (w *closingWorld) answered() bool {
+	_ = w.client.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(w.answers, nil)
+	if err != nil {
+		w.g.Expect(os.IsTimeout(err)).To(BeFalse(), "neither answered nor closed")
+		return false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && string(body) == "ok"
+}
+
+// use has the connection carry a request.
+func (w *closingWorld) use() {
+	w.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	w.g.Expect(w.answered()).To(BeTrue())
+	w.passedOn.Store(0)
+}
+
+// closers are the ways in which a server closes a connection that its goroutine may be reading from.
+var closers = map[string]func(w *closingWorld){
+	"drain": func(w *closingWorld) { _ = w.server.Drain(w.t.Context()) },
+	"drain and close": func(w *closingWorld) {
+		_ = w.server.Drain(w.t.Context())
+		_ = w.server.Close()
+	},
+	"close": func(w *closingWorld) { _ = w.server.Close() },
+	"limit": func(w *closingWorld) {
+		other := dial(w.g, w.address)
+		w.t.Cleanup(func() { _ = other.Close() })
+		select {
+		case <-w.conn.closed:
+		case <-(<-w.listener.accepted).closed:
+		}
+	},
+}
+
+// run runs a closer until it has ended or waits for the connection.
+func (w *closingWorld) run(closer func(*closingWorld)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		closer(w)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * drainPoll):
+	}
+}
+
+// TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped guards against requests that are passed on
+// although their connection is being closed.
+func TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped(t *testing.T) {
+	requests := map[string][]string{
+		"at once":     {"GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"pieces":      {"POST / HTT", "P/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "ab", "cd"},
+		"with body":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd"},
+		"in chunks":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nab", "cd\r\n0\r\n\r\n"},
+		"by its ends": {"G", "ET / HTTP/1.1\r\nHost: h\r\n\r", "\n"},
+	}
+	connections := map[string]func(w *closingWorld){
+		"new":    func(*closingWorld) {},
+		"silent": func(*closingWorld) { time.Sleep(newConnGrace + drainPoll) },
+		"used":   func(w *closingWorld) { w.use() },
+	}
+	for way, closer := range closers {
+		for name, pieces := range requests {
+			for connection, prepare := range connections {
+				for held := range pieces {
+					t.Run(fmt.Sprintf("%s/%s/%s/piece %d", way, name, connection, held), func(t *testing.T) {
+						t.Parallel()
+						w := newClosingWorld(t, 1)
+						prepare(w)
+						for _, piece := range pieces[:held] {
+							reads := w.conn.reads.Load()
+							w.send(piece)
+							w.g.Eventually(w.conn.reads.Load).Should(BeNumerically(">", reads))
+						}
+						w.conn.pauseAfter.Store(w.sent + int64(len(pieces[held])))
+						w.send(pieces[held])
+						<-w.conn.paused
+						w.run(closer)
+						closes := w.conn.closes.Load()
+						close(w.conn.resume)
+						for _, piece := range pieces[held+1:] {
+							w.send(piece)
+						}
+						if w.answered() {
+							w.g.Expect(w.passedOn.Load()).To(BeEquivalentTo(1))
+						} else {
+							// The server's goroutine closes the connection at its end.
+							w.g.Eventually(w.conn.closes.Load, "5s").Should(BeNumerically(">", closes))
+							w.g.Expect(w.passedOn.Load()).To(BeZero(), "passed on without an answer")
+						}
+					})
+				}
+			}
+		}
+	}
+}
