httpserver: a request is passed on only if its connection stays open for the answer

Cause: since a drain closes idle connections by http.Server.SetKeepAlivesEnabled(false). net/http calls a connection idle until it has parsed a whole head, so that a request which had been taken off the socket was still passed on. The same held for connections that give way at the limit, and for the last bytes of a body at the end of the server. Ruled out by the log of late requests: connections closed by their callers, and the end of the server after the drain (7 of 7 lost requests met the drain).

Change: the server wraps its connections and decides under one lock. One that is chosen for closing hands on neither bytes nor a request; one whose request has been handed on is not chosen before its response is written.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -128,9 +128,9 @@
 	}}), nil
 }
 
-// onLateRequest logs a request that was read on a connection which this process closes.
+// onLateRequest logs a request that was dropped since this process closes its connection.
 func (e *Entry) onLateRequest(r *http.Request, why httpserver.CloseReason) {
-	e.log.Warn("request on a closing connection", "path", r.URL.Path, "reason", why)
+	e.log.Warn("request dropped on a closing connection", "path", r.URL.Path, "reason", why)
 }
 
 // stop ends the entry: unready, serve what the balancer still sends, let all
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -33,12 +33,14 @@
 	return c, nil
 }
 
-// pausingConn holds the read that completes pauseAfter bytes back until resume is closed: the bytes have been
-// taken off the socket, and the server doesn't know yet.
+// pausingConn holds its server back, until resume is closed, when pauseAfter bytes have been taken off the socket:
+// before it gets them, or, with handedOn, before it handles them.
 type pausingConn struct {
 	net.Conn
 	pauseAfter             atomic.Int64
-	total                  int64
+	handedOn               atomic.Bool
+	total                  atomic.Int64
+	pausing                sync.Once
 	reads, closes          atomic.Int64
 	paused, resume, closed chan struct{}
 	closing                sync.Once
@@ -47,15 +49,29 @@
 func (c *pausingConn) Read(p []byte) (int, error) {
 	c.reads.Add(1)
 	n, err := c.Conn.Read(p)
-	before := c.total
-	c.total += int64(n)
-	if at := c.pauseAfter.Load(); at > before && at <= c.total {
-		close(c.paused)
-		<-c.resume
+	c.total.Add(int64(n))
+	if !c.handedOn.Load() {
+		c.pause()
 	}
 	return n, err
 }
 
+// SetReadDeadline is called by http.Server after it has got bytes, and before it handles a request.
+func (c *pausingConn) SetReadDeadline(t time.Time) error {
+	c.pause()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *pausingConn) pause() {
+	if at := c.pauseAfter.Load(); at == 0 || c.total.Load() < at {
+		return
+	}
+	c.pausing.Do(func() {
+		close(c.paused)
+		<-c.resume
+	})
+}
+
 func (c *pausingConn) Close() error {
 	c.closes.Add(1)
 	c.closing.Do(func() { close(c.closed) })
@@ -80,7 +96,7 @@
 func newClosingWorld(t *testing.T, maxConnections int) *closingWorld {
 	w := &closingWorld{t: t, g: NewWithT(t), listener: &pausingListener{Listener: freeport.Listen(t), accepted: make(chan *pausingConn, 8)}}
 	w.address = w.listener.Addr().String()
-	w.server = Start(w.listener, Config{MaxConnections: maxConnections, HTTP: &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	w.server = Start(w.listener, Config{MaxConnections: maxConnections, HTTP: &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			http.Error(rw, err.Error(), http.StatusBadRequest)
 			return
@@ -155,12 +171,16 @@
 // TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped guards against requests that are passed on
 // although their connection is being closed.
 func TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped(t *testing.T) {
-	requests := map[string][]string{
-		"at once":     {"GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
-		"pieces":      {"POST / HTT", "P/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "ab", "cd"},
-		"with body":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd"},
-		"in chunks":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nab", "cd\r\n0\r\n\r\n"},
-		"by its ends": {"G", "ET / HTTP/1.1\r\nHost: h\r\n\r", "\n"},
+	// head is the index of the piece that completes the head.
+	requests := map[string]struct {
+		head   int
+		pieces []string
+	}{
+		"at once":     {0, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}},
+		"pieces":      {1, []string{"POST / HTT", "P/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "ab", "cd"}},
+		"with body":   {0, []string{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd"}},
+		"in chunks":   {0, []string{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nab", "cd\r\n0\r\n\r\n"}},
+		"by its ends": {2, []string{"G", "ET / HTTP/1.1\r\nHost: h\r\n\r", "\n"}},
 	}
 	connections := map[string]func(w *closingWorld){
 		"new":    func(*closingWorld) {},
@@ -168,37 +188,54 @@
 		"used":   func(w *closingWorld) { w.use() },
 	}
 	for way, closer := range closers {
-		for name, pieces := range requests {
+		for name, request := range requests {
 			for connection, prepare := range connections {
-				for held := range pieces {
-					t.Run(fmt.Sprintf("%s/%s/%s/piece %d", way, name, connection, held), func(t *testing.T) {
+				for held := range request.pieces {
+					test := fmt.Sprintf("%s/%s/%s/piece %d", way, name, connection, held)
+					t.Run(test, func(t *testing.T) {
 						t.Parallel()
 						w := newClosingWorld(t, 1)
 						prepare(w)
-						for _, piece := range pieces[:held] {
-							reads := w.conn.reads.Load()
-							w.send(piece)
-							w.g.Eventually(w.conn.reads.Load).Should(BeNumerically(">", reads))
-						}
-						w.conn.pauseAfter.Store(w.sent + int64(len(pieces[held])))
-						w.send(pieces[held])
-						<-w.conn.paused
-						w.run(closer)
-						closes := w.conn.closes.Load()
-						close(w.conn.resume)
-						for _, piece := range pieces[held+1:] {
-							w.send(piece)
-						}
-						if w.answered() {
-							w.g.Expect(w.passedOn.Load()).To(BeEquivalentTo(1))
-						} else {
-							// The server's goroutine closes the connection at its end.
-							w.g.Eventually(w.conn.closes.Load, "5s").Should(BeNumerically(">", closes))
-							w.g.Expect(w.passedOn.Load()).To(BeZero(), "passed on without an answer")
-						}
+						w.closeDuring(request.pieces, held, closer)
+					})
+					if held != request.head {
+						continue
+					}
+					t.Run(test+" handed on", func(t *testing.T) {
+						t.Parallel()
+						w := newClosingWorld(t, 1)
+						prepare(w)
+						w.conn.handedOn.Store(true)
+						w.closeDuring(request.pieces, held, closer)
 					})
 				}
 			}
 		}
 	}
 }
+
+// closeDuring sends a request in pieces, and runs a closer while the server is held at one of them. Then either the
+// request is answered, or the handler didn't get the whole of it.
+func (w *closingWorld) closeDuring(pieces []string, held int, closer func(*closingWorld)) {
+	for _, piece := range pieces[:held] {
+		reads := w.conn.reads.Load()
+		w.send(piece)
+		w.g.Eventually(w.conn.reads.Load).Should(BeNumerically(">", reads))
+	}
+	w.conn.pauseAfter.Store(w.sent + int64(len(pieces[held])))
+	w.send(pieces[held])
+	<-w.conn.paused
+	w.run(closer)
+	closes := w.conn.closes.Load()
+	close(w.conn.resume)
+	for _, piece := range pieces[held+1:] {
+		w.send(piece)
+	}
+	if w.answered() {
+		w.g.Expect(w.passedOn.Load()).To(BeEquivalentTo(1))
+		return
+	}
+	// The server's goroutine closes the connection at its end.
+	w.g.Eventually(w.conn.closes.Load, "5s").Should(BeNumerically(">", closes))
+	w.g.Expect(w.passedOn.Load()).To(BeZero(), "passed on without an answer")
+}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -50,7 +50,7 @@
 	g.Eventually(func() int {
 		s.connections.mu.Lock()
 		defer s.connections.mu.Unlock()
-		return len(s.connections.conns)
+		return len(s.connections.open)
 	}).Should(Equal(count))
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,7 +60,7 @@
 	Connections prometheus.Counter
 	// ConnectionsLimited counts connections to this process that were closed since there were too many.
 	ConnectionsLimited prometheus.Counter
-	// LateRequests counts requests that were read on connections which this process closes, by the reason.
+	// LateRequests counts requests that were dropped since this process was closing their connections, by the reason.
 	LateRequests *prometheus.CounterVec
 	// Moves counts generations that were to be moved to another engine, by result.
 	Moves *prometheus.CounterVec
@@ -123,7 +123,7 @@
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
-	m.LateRequests = counters("late_requests_total", "Requests that were read on connections which this process closes, by the reason.", "reason")
+	m.LateRequests = counters("late_requests_total", "Requests that were dropped since this process was closing their connections, by the reason.", "reason")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
 	m.RefusedMoves = counters("move_refusals_total", "Copies of generations that were refused, by cause.", "cause")
