httpserver: a connection on which part of a request has arrived is not idle

Callers whose request arrives in pieces had their connection closed in the middle of its head when the entry stopped or needed room, and can't know that it wasn't read.

Cause: a connection counted as idle until net/http had parsed the whole head. Change: bytes make a connection 'receiving', which is not closed by a drain or for room until its client has been silent for a second (as new connections).

--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -137,6 +137,17 @@
 	w.passedOn.Store(0)
 }
 
+// endGrace ends the time in which the connection isn't idle since its client may go on.
+func (w *closingWorld) endGrace() {
+	all := w.server.connections
+	accepted(w.g, w.server, 1)
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	for c := range all.open {
+		c.since = c.since.Add(-2 * receiveGrace)
+	}
+}
+
 // closers are the ways in which a server closes a connection that its goroutine may be reading from.
 var closers = map[string]func(w *closingWorld){
 	"drain": func(w *closingWorld) { _ = w.server.Drain(w.t.Context()) },
@@ -184,7 +195,7 @@
 	}
 	connections := map[string]func(w *closingWorld){
 		"new":    func(*closingWorld) {},
-		"silent": func(*closingWorld) { time.Sleep(newConnGrace + drainPoll) },
+		"silent": func(w *closingWorld) { w.endGrace() },
 		"used":   func(w *closingWorld) { w.use() },
 	}
 	for way, closer := range closers {
@@ -225,6 +236,9 @@
 	w.conn.pauseAfter.Store(w.sent + int64(len(pieces[held])))
 	w.send(pieces[held])
 	<-w.conn.paused
+	if w.conn.handedOn.Load() {
+		w.endGrace()
+	}
 	w.run(closer)
 	closes := w.conn.closes.Load()
 	close(w.conn.resume)
@@ -239,3 +253,17 @@
 	w.g.Eventually(w.conn.closes.Load, "5s").Should(BeNumerically(">", closes))
 	w.g.Expect(w.passedOn.Load()).To(BeZero(), "passed on without an answer")
 }
+
+// TestARequestOfWhichPartHasArrivedIsServedDuringADrain guards against connections that are closed in the middle
+// of a request's head.
+func TestARequestOfWhichPartHasArrivedIsServedDuringADrain(t *testing.T) {
+	w := newClosingWorld(t, 0)
+	w.use()
+	reads := w.conn.reads.Load()
+	w.send("GET / HTTP/1.1\r\nHo")
+	w.g.Eventually(w.conn.reads.Load).Should(BeNumerically(">", reads))
+	w.run(closers["drain"])
+	w.send("st: h\r\n\r\n")
+	w.g.Expect(w.answered()).To(BeTrue())
+	w.g.Eventually(w.conn.closed, "5s").Should(BeClosed())
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -9,11 +9,12 @@
 )
 
 // When the limit of connections is reached, a new one takes the place of the one that has been idle longest,
-// or is closed if none is idle. A connection on which no request has arrived yet counts as idle once its
-// client has had some time to send one.
+// or is closed if none is idle. A connection that is new, or of whose next request a part has arrived, counts as
+// idle once its client has been silent for some time.
 
-// newConnGrace is how long a new connection isn't idle although no request has arrived.
-const newConnGrace = time.Second
+// receiveGrace is how long a connection isn't idle after it was opened, or after a part of a request's head has
+// arrived.
+const receiveGrace = time.Second
 
 // CloseReason tells why a server closes a connection.
 type CloseReason string
@@ -30,18 +31,20 @@
 
 // conn is a connection of a server.
 //
-//	[idle] --whole head--> [active] --response written--> [idle]
-//	   |                      |
-//	   +----> [closing] <-----+ (with the server only)
+//	[idle] --bytes--> [receiving] --whole head--> [active] --response written--> [idle]
+//	   |                |  \--receiveGrace--> [idle]  |
+//	   +----------------+------> [closing] <----------+ (with the server only)
 //
 // A closing connection hands on neither bytes nor requests: see connections.
 type conn struct {
 	net.Conn
 	all *connections
 
-	// All below are guarded by all.mu. state is as http.Server has reported it last, and since is when it did.
-	state http.ConnState
-	since time.Time
+	// All below are guarded by all.mu. state is as http.Server has reported it last, and since is when it did, or
+	// when the last bytes have arrived.
+	state     http.ConnState
+	receiving bool
+	since     time.Time
 	// closing is why the server closes the connection; empty if it doesn't.
 	closing CloseReason
 }
@@ -49,7 +52,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.all.closing(c) != "" {
+	if n > 0 && !c.all.received(c, time.Now()) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -68,8 +71,8 @@
 	switch {
 	case c.state == http.StateActive:
 		return false
-	case c.state == http.StateNew:
-		return now.Sub(c.since) > newConnGrace
+	case c.state == http.StateNew || c.receiving:
+		return now.Sub(c.since) > receiveGrace
 	default:
 		return true
 	}
@@ -161,6 +164,19 @@
 	}
 }
 
+// received records that bytes have arrived, and reports whether they may be used.
+func (l *connections) received(c *conn, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closing != "" {
+		return false
+	}
+	if c.state != http.StateActive {
+		c.receiving, c.since = true, now
+	}
+	return true
+}
+
 // changed is http.Server.ConnState.
 func (l *connections) changed(nc net.Conn, state http.ConnState) {
 	c := connOf(nc)
@@ -181,7 +197,7 @@
 		l.choose(c, CloseDrain)
 		return true
 	default:
-		c.state, c.since = state, now
+		c.state, c.since, c.receiving = state, now, false
 	}
 	return false
 }
--- a/internal/httpserver/connections_test.go
+++ b/internal/httpserver/connections_test.go
@@ -41,7 +41,7 @@
 	g.Expect(w.closing(idle)).To(Equal(CloseLimit))
 	last := w.connect()
 	g.Expect(w.closing(last)).To(Equal(CloseLimit), "the others are in use")
-	w.now = w.now.Add(newConnGrace + time.Millisecond)
+	w.now = w.now.Add(receiveGrace + time.Millisecond)
 	w.connect()
 	g.Expect([]CloseReason{w.closing(next), w.closing(another)}).To(ConsistOf(CloseLimit, CloseReason("")), "nothing has arrived on them")
 	g.Expect(w.closing(active)).To(BeEmpty())
@@ -60,3 +60,21 @@
 	g.Expect(w.closing(c)).To(Equal(CloseDrain))
 	g.Expect(c.state).To(Equal(http.StateIdle))
 }
+
+// TestAConnectionIsReceivingUntilItsClientFallsSilent guards against heads that are cut in the middle, and
+// against silent clients that hold a place.
+func TestAConnectionIsReceivingUntilItsClientFallsSilent(t *testing.T) {
+	g := NewWithT(t)
+	w := &connectionsWorld{newConnections(0, nil), time.Now()}
+	c := w.connect()
+	w.update(c, http.StateActive, w.now)
+	w.update(c, http.StateIdle, w.now)
+	for range 3 {
+		w.now = w.now.Add(receiveGrace)
+		g.Expect(w.received(c, w.now)).To(BeTrue())
+		w.now = w.now.Add(receiveGrace)
+		g.Expect(w.drain(w.now)).To(BeTrue())
+	}
+	g.Expect(w.drain(w.now.Add(time.Millisecond))).To(BeFalse())
+	g.Expect(w.received(c, w.now)).To(BeFalse())
+}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -103,7 +103,7 @@
 	c := dial(g, address)
 	defer c.Close()
 	accepted(g, s, 1)
-	ctx, cancel := context.WithTimeout(t.Context(), 4*newConnGrace)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*receiveGrace)
 	defer cancel()
 	g.Expect(s.Drain(ctx)).To(Succeed())
 }
