metrics: connections_limited_total is shown

Operators never saw connections_limited_total, which docs/OPERATIONS.md names: it was counted and not registered. TestEveryMetricIsRegistered fails without the change and passes with it.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -139,7 +139,7 @@
 	m.Delegated = counters("delegated_requests_total", "Requests delegated to peers (out) or by them (in), by outcome.", "direction", "outcome")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.ConnectionsLimited, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,10 +1,12 @@
 package metrics_test
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
@@ -30,3 +32,17 @@
 	}
 	t.Fatal("no histogram of the ratio")
 }
+
+// TestEveryMetricIsRegistered guards against metrics that are counted and never shown.
+func TestEveryMetricIsRegistered(t *testing.T) {
+	g := NewWithT(t)
+	m := metrics.New()
+	for field, value := range reflect.ValueOf(m).Elem().Fields() {
+		if !field.IsExported() {
+			continue
+		}
+		if c, ok := value.Interface().(prometheus.Collector); ok && value.Interface() != any(m.Registry) {
+			g.Expect(m.Registry.Register(c)).To(BeAssignableToTypeOf(prometheus.AlreadyRegisteredError{}), field.Name)
+		}
+	}
+}
