--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -31,7 +31,11 @@
 }
 
 func (g *gateway) callUntil(done chan struct{}, r *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{}, Timeout: callerTimeout}
+	transport := &http.Transport{}
+	if g.w.drawn.stops {
+		transport.DialContext = dialPiecewise(r.Uint64())
+	}
+	client := &http.Client{Transport: transport, Timeout: callerTimeout}
 	defer client.CloseIdleConnections()
 	for {
 		select {
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,6 +23,38 @@
 	lossSlack = 200 * time.Millisecond
 )
 
+// maxPiecePause is the longest pause between two pieces of a request.
+const maxPiecePause = 120 * time.Millisecond
+
+// piecewise is a connection of a caller that writes requests in pieces.
+type piecewise struct {
+	net.Conn
+	rand *rand.Rand
+}
+
+// Write implements net.Conn.
+func (c piecewise) Write(b []byte) (int, error) {
+	first, err := c.Conn.Write(b[:c.rand.IntN(len(b))])
+	if err != nil {
+		return first, err
+	}
+	time.Sleep(time.Duration(c.rand.Int64N(int64(maxPiecePause))))
+	rest, err := c.Conn.Write(b[first:])
+	return first + rest, err
+}
+
+// dialPiecewise opens connections on which requests are written in pieces.
+func dialPiecewise(seed uint64) func(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialed atomic.Uint64
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return piecewise{nc, rand.New(rand.NewPCG(seed, dialed.Add(1)))}, nil
+	}
+}
+
 // stopsUnderLoad stops a gateway that holds more requests than engines run.
 var stopsUnderLoad = step{"planned stop under load", planned, func(w *world, r *rand.Rand) { w.stopUnderLoad(pick(r, w.gateways), r) }}
 
