httpserver: what has been read on a connection is served when it ends

Callers whose request the entry had just taken off its socket still lost their connection when the entry stopped or needed room: the request was no longer passed on, but had no answer either, and a request that may not be repeated couldn't be tried again.

Cause: a connection was closed from outside the goroutine that reads it.

Change: a drain and the limit interrupt the reads of a connection by a deadline, and its own goroutine closes it; bytes, or a whole head, that it had read before keep the connection open for their answer. A drain waits for these ends. Only the end of the server closes connections from outside, and drops what it meets. A byte that http.Server reads before it reports the end of a response belongs to the next request. The reason of closings is gone from the metric, as only one is left.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -128,9 +128,9 @@
 	}}), nil
 }
 
-// onLateRequest logs a request that was dropped since this process closes its connection.
-func (e *Entry) onLateRequest(r *http.Request, why httpserver.CloseReason) {
-	e.log.Warn("request dropped on a closing connection", "path", r.URL.Path, "reason", why)
+// onLateRequest logs a request that was dropped at the end of the process.
+func (e *Entry) onLateRequest(r *http.Request) {
+	e.log.Warn("request dropped on a closed connection", "path", r.URL.Path)
 }
 
 // stop ends the entry: unready, serve what the balancer still sends, let all
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -116,22 +116,16 @@
 			ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 		MaxConnections:     connections,
-		OnConnectionClosed: g.onConnectionClosed,
+		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
 		OnLateRequest:      g.onLateRequest,
 		OnEnd:              func(err error) { g.log.Error("listener ended", "address", address, "error", err) },
 	}), nil
 }
 
-func (g *Gateway) onConnectionClosed(why httpserver.CloseReason) {
-	if why == httpserver.CloseLimit {
-		g.metrics.ConnectionsLimited.Inc()
-	}
-}
-
-// onLateRequest counts and logs a request that was dropped since this process closes its connection.
-func (g *Gateway) onLateRequest(r *http.Request, why httpserver.CloseReason) {
-	g.metrics.LateRequests.WithLabelValues(string(why)).Inc()
-	g.log.Warn("request dropped on a closing connection", "request", r.Header.Get(platform.HeaderRequestID), "reason", why)
+// onLateRequest counts and logs a request that was dropped at the end of the process.
+func (g *Gateway) onLateRequest(r *http.Request) {
+	g.metrics.LateRequests.Inc()
+	g.log.Warn("request dropped on a closed connection", "request", r.Header.Get(platform.HeaderRequestID))
 }
 
 func (g *Gateway) metricsHandler() http.Handler {
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -40,7 +40,7 @@
 	pauseAfter             atomic.Int64
 	handedOn               atomic.Bool
 	total                  atomic.Int64
-	pausing                sync.Once
+	pausing                atomic.Bool
 	reads, closes          atomic.Int64
 	paused, resume, closed chan struct{}
 	closing                sync.Once
@@ -66,10 +66,10 @@
 	if at := c.pauseAfter.Load(); at == 0 || c.total.Load() < at {
 		return
 	}
-	c.pausing.Do(func() {
+	if c.pausing.CompareAndSwap(false, true) {
 		close(c.paused)
 		<-c.resume
-	})
+	}
 }
 
 func (c *pausingConn) Close() error {
@@ -180,7 +180,7 @@
 }
 
 // TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped guards against requests that are passed on
-// although their connection is being closed.
+// although their connection is being closed. Only the end of the server drops them.
 func TestRequestsReadWhileTheirConnectionIsClosedAreAnsweredOrDropped(t *testing.T) {
 	// head is the index of the piece that completes the head.
 	requests := map[string]struct {
@@ -207,7 +207,8 @@
 						t.Parallel()
 						w := newClosingWorld(t, 1)
 						prepare(w)
-						w.closeDuring(request.pieces, held, closer)
+						answered := w.closeDuring(request.pieces, held, closer)
+						w.g.Expect(answered || way == "close").To(BeTrue(), "dropped")
 					})
 					if held != request.head {
 						continue
@@ -217,7 +218,8 @@
 						w := newClosingWorld(t, 1)
 						prepare(w)
 						w.conn.handedOn.Store(true)
-						w.closeDuring(request.pieces, held, closer)
+						answered := w.closeDuring(request.pieces, held, closer)
+						w.g.Expect(answered || way == "close").To(BeTrue(), "dropped")
 					})
 				}
 			}
@@ -227,7 +229,7 @@
 
 // closeDuring sends a request in pieces, and runs a closer while the server is held at one of them. Then either the
 // request is answered, or the handler didn't get the whole of it.
-func (w *closingWorld) closeDuring(pieces []string, held int, closer func(*closingWorld)) {
+func (w *closingWorld) closeDuring(pieces []string, held int, closer func(*closingWorld)) (answered bool) {
 	for _, piece := range pieces[:held] {
 		reads := w.conn.reads.Load()
 		w.send(piece)
@@ -247,11 +249,12 @@
 	}
 	if w.answered() {
 		w.g.Expect(w.passedOn.Load()).To(BeEquivalentTo(1))
-		return
+		return true
 	}
 	// The server's goroutine closes the connection at its end.
 	w.g.Eventually(w.conn.closes.Load, "5s").Should(BeNumerically(">", closes))
 	w.g.Expect(w.passedOn.Load()).To(BeZero(), "passed on without an answer")
+	return false
 }
 
 // TestARequestOfWhichPartHasArrivedIsServedDuringADrain guards against connections that are closed in the middle
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -2,8 +2,11 @@
 
 import (
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,41 +19,45 @@
 // arrived.
 const receiveGrace = time.Second
 
-// CloseReason tells why a server closes a connection.
-type CloseReason string
+// phase is how far a server has closed a connection.
+type phase int
 
-// The reasons.
 const (
-	// CloseLimit makes room for another connection.
-	CloseLimit CloseReason = "limit"
-	// CloseDrain closes a connection without a request during a drain.
-	CloseDrain CloseReason = "drain"
-	// CloseServer closes a connection with the server.
-	CloseServer CloseReason = "server"
+	serving phase = iota
+	// ending connections have their reads interrupted. The goroutine that reads them closes them, unless it has read
+	// something before.
+	ending
+	// closed connections hand on neither bytes nor requests.
+	closed
 )
 
 // conn is a connection of a server.
 //
 //	[idle] --bytes--> [receiving] --whole head--> [active] --response written--> [idle]
-//	   |                |  \--receiveGrace--> [idle]  |
-//	   +----------------+------> [closing] <----------+ (with the server only)
 //
-// A closing connection hands on neither bytes nor requests: see connections.
+// It is idle again if its client falls silent while receiving, for receiveGrace. A connection that is idle may become
+// ending; bytes, or a whole head, that its goroutine had read before make it serving again.
 type conn struct {
 	net.Conn
 	all *connections
 
 	// All below are guarded by all.mu. state is as http.Server has reported it last, and since is when it did, or
 	// when the last bytes have arrived.
-	state     http.ConnState
+	state http.ConnState
+	since time.Time
+	// receiving says that bytes have arrived since the last write, or the last whole head. http.Server may read the
+	// first byte of a request before it reports the end of the one before.
 	receiving bool
-	since     time.Time
-	// closing is why the server closes the connection; empty if it doesn't.
-	closing CloseReason
+	phase     phase
+	// readDeadline is the one that http.Server has set.
+	readDeadline time.Time
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.all.phase(c) != serving {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.all.received(c, time.Now()) {
 		return 0, net.ErrClosed
@@ -58,6 +65,21 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.all.writes(c)
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.all.mu.Lock()
+	c.readDeadline = t
+	c.all.mu.Unlock()
+	// It may replace that of an ending connection, which the next Read looks for.
+	return c.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite is called by http.Server before it closes a connection with unread bytes.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -80,21 +102,23 @@
 
 // connections are the open connections of one server. It is safe for concurrent use.
 //
-// Requests are read and connections closed by different goroutines. Both first change the state of the connection
-// under mu: one that is being closed passes on no request, and one with a request is not closed.
+// Requests are read and connections closed by different goroutines, and http.Server calls a connection idle until it
+// has parsed a whole head. So all decide under mu: a connection with a request is not closed before its response has
+// been written, and a request is handled only on a connection that stays open.
 type connections struct {
 	max     int
-	onClose func(CloseReason)
+	onLimit func()
 
 	mu       sync.Mutex
 	open     map[*conn]bool
+	ending   int
 	draining bool
 }
 
-// newConnections returns the connections of a server that may have max of them; zero is unlimited. onClose is
-// called for each that the server closes; it may be nil.
-func newConnections(max int, onClose func(CloseReason)) *connections {
-	return &connections{max: max, onClose: onClose, open: map[*conn]bool{}}
+// newConnections returns the connections of a server that may have max of them; zero is unlimited. onLimit is
+// called for each that is closed since there are too many; it may be nil.
+func newConnections(max int, onLimit func()) *connections {
+	return &connections{max: max, onLimit: onLimit, open: map[*conn]bool{}}
 }
 
 // listener adds the connections that it accepts.
@@ -122,116 +146,125 @@
 	return c.(*conn)
 }
 
-// add adds a connection, and closes one if there are too many.
+// add adds a connection, and ends one if there are too many.
 func (l *connections) add(c *conn, now time.Time) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	c.state, c.since = http.StateNew, now
 	l.open[c] = true
-	var victim *conn
-	if l.max > 0 && len(l.open) > l.max {
-		victim = l.longestIdle(now)
-		if victim == nil {
-			victim = c
-		}
-		l.choose(victim, CloseLimit)
+	if l.max == 0 || len(l.open)-l.ending <= l.max {
+		return
 	}
-	l.mu.Unlock()
-	if victim != nil {
-		l.close(victim)
+	victim := l.longestIdle(now)
+	if victim == nil {
+		victim = c
+	}
+	l.end(victim)
+	if l.onLimit != nil {
+		l.onLimit()
 	}
 }
 
 func (l *connections) longestIdle(now time.Time) (longest *conn) {
 	for c := range l.open {
-		if c.idle(now) && (longest == nil || c.since.Before(longest.since)) {
+		if c.phase == serving && c.idle(now) && (longest == nil || c.since.Before(longest.since)) {
 			longest = c
 		}
 	}
 	return longest
 }
 
-// choose marks a connection for closing. The caller holds mu, and calls close after it.
-func (l *connections) choose(c *conn, why CloseReason) {
-	c.closing = why
-	delete(l.open, c)
+// end begins to close a connection. The caller holds mu.
+func (l *connections) end(c *conn) {
+	c.phase = ending
+	l.ending++
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// close closes a connection that was chosen. The goroutine of its server notices.
-func (l *connections) close(c *conn) {
-	_ = c.Conn.Close()
-	if l.onClose != nil {
-		l.onClose(c.closing)
-	}
+// resume keeps an ending connection open, as a request has been read on it. The caller holds mu.
+func (l *connections) resume(c *conn) {
+	c.phase = serving
+	l.ending--
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 // received records that bytes have arrived, and reports whether they may be used.
 func (l *connections) received(c *conn, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.closing != "" {
+	switch c.phase {
+	case closed:
 		return false
+	case ending:
+		l.resume(c)
 	}
+	c.receiving = true
 	if c.state != http.StateActive {
-		c.receiving, c.since = true, now
+		c.since = now
 	}
 	return true
 }
 
+// writes records that a part of a response is written.
+func (l *connections) writes(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.receiving = false
+}
+
 // changed is http.Server.ConnState.
 func (l *connections) changed(nc net.Conn, state http.ConnState) {
-	c := connOf(nc)
-	if l.update(c, state, time.Now()) {
-		l.close(c)
-	}
+	l.update(connOf(nc), state, time.Now())
 }
 
-// update records a state, and reports whether the connection must be closed.
-func (l *connections) update(c *conn, state http.ConnState, now time.Time) (closes bool) {
+func (l *connections) update(c *conn, state http.ConnState, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case state == http.StateClosed || state == http.StateHijacked:
-		delete(l.open, c)
-	case c.closing != "" || state == http.StateNew:
-	case state == http.StateIdle && l.draining:
-		l.choose(c, CloseDrain)
-		return true
-	default:
-		c.state, c.since, c.receiving = state, now, false
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		l.remove(c)
+	case http.StateActive, http.StateIdle:
+		if c.phase == closed {
+			return
+		}
+		if c.phase == ending {
+			l.resume(c)
+		}
+		c.state, c.since = state, now
+		if state == http.StateActive {
+			c.receiving = false
+		} else if l.draining && c.idle(now) {
+			l.end(c)
+		}
+	}
+}
+
+func (l *connections) remove(c *conn) {
+	delete(l.open, c)
+	if c.phase == ending {
+		l.ending--
 	}
-	return false
+	c.phase = closed
 }
 
-// closing returns why the connection of a request is being closed; empty if it isn't.
-func (l *connections) closing(c *conn) CloseReason {
+func (l *connections) phase(c *conn) phase {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return c.closing
+	return c.phase
 }
 
-// drain closes the connections that are idle, from now on also those that become idle, and reports whether any
-// others are left.
+// drain ends the connections that are idle, from now on also those that become idle, and reports whether any
+// are left.
 func (l *connections) drain(now time.Time) (left bool) {
-	return l.closeAll(CloseDrain, func(c *conn) bool { return c.idle(now) })
-}
-
-// closeAll closes the connections that match, and reports whether any others are left.
-func (l *connections) closeAll(why CloseReason, match func(*conn) bool) (left bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.draining = true
-	var chosen []*conn
 	for c := range l.open {
-		if match(c) {
-			l.choose(c, why)
-			chosen = append(chosen, c)
+		if c.phase == serving && c.idle(now) {
+			l.end(c)
 		}
 	}
-	left = len(l.open) > 0
-	l.mu.Unlock()
-	for _, c := range chosen {
-		l.close(c)
-	}
-	return left
+	return len(l.open) > 0
 }
 
 func (l *connections) isDraining() bool {
@@ -239,3 +272,17 @@
 	defer l.mu.Unlock()
 	return l.draining
 }
+
+// close closes all connections.
+func (l *connections) close() {
+	l.mu.Lock()
+	l.draining = true
+	open := slices.Collect(maps.Keys(l.open))
+	for _, c := range open {
+		l.remove(c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		_ = c.Conn.Close()
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -23,11 +23,11 @@
 	TLS *tls.Config
 	// MaxConnections bounds the open connections; zero is unlimited.
 	MaxConnections int
-	// OnConnectionClosed, if set, is called for each connection that the server closes by itself.
-	OnConnectionClosed func(CloseReason)
-	// OnLateRequest, if set, is called for each request that was read on a connection which is being closed. The
-	// handler doesn't get it.
-	OnLateRequest func(*http.Request, CloseReason)
+	// OnConnectionClosed, if set, is called for each connection that is closed since there are too many.
+	OnConnectionClosed func()
+	// OnLateRequest, if set, is called for each request that was read when its connection had been closed with the
+	// server. The handler doesn't get it.
+	OnLateRequest func(*http.Request)
 	// OnEnd is called if the listener ends by an error.
 	OnEnd func(error)
 }
@@ -62,13 +62,13 @@
 	return s
 }
 
-// admit drops the requests of connections that are being closed.
+// admit drops the requests of connections that have been closed with the server.
 func (s *Server) admit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*conn)
-		if why := s.connections.closing(c); why != "" {
+		if s.connections.phase(c) == closed {
 			if s.cfg.OnLateRequest != nil {
-				s.cfg.OnLateRequest(r, why)
+				s.cfg.OnLateRequest(r)
 			}
 			panic(http.ErrAbortHandler)
 		}
@@ -98,7 +98,7 @@
 // Close closes all connections. Requests that it cuts were begun before; no other begins after it.
 func (s *Server) Close() error {
 	_ = s.listener.Close()
-	s.connections.closeAll(CloseServer, func(*conn) bool { return true })
+	s.connections.close()
 	return s.cfg.HTTP.Close()
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,8 +60,8 @@
 	Connections prometheus.Counter
 	// ConnectionsLimited counts connections to this process that were closed since there were too many.
 	ConnectionsLimited prometheus.Counter
-	// LateRequests counts requests that were dropped since this process was closing their connections, by the reason.
-	LateRequests *prometheus.CounterVec
+	// LateRequests counts requests that were dropped since they were read at the end of the process.
+	LateRequests prometheus.Counter
 	// Moves counts generations that were to be moved to another engine, by result.
 	Moves *prometheus.CounterVec
 	// RefusedMoves counts the first copies of generations that were not made, by cause.
@@ -123,7 +123,7 @@
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
-	m.LateRequests = counters("late_requests_total", "Requests that were dropped since this process was closing their connections, by the reason.", "reason")
+	m.LateRequests = counter("late_requests_total", "Requests that were dropped since they were read at the end of the process.")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
 	m.RefusedMoves = counters("move_refusals_total", "Copies of generations that were refused, by cause.", "cause")
