drain: a request that arrives after Abort isn't sent any more

Cause: the filter ended such a request by context.AfterFunc. On a context that has ended already that starts a goroutine; the request went on with a context that was still open until the goroutine ran.

Change: the filter looks whether the process has ended before it passes a request on.

It doesn't depend on timing now: the context ends in the goroutine of the request.

--- a/internal/filters/drain/drain.go
+++ b/internal/filters/drain/drain.go
@@ -15,6 +15,10 @@
 		defer cancel(nil)
 		detach := context.AfterFunc(open, func() { cancel(context.Cause(open)) })
 		defer detach()
+		if open.Err() != nil {
+			// AfterFunc cancels in another goroutine.
+			cancel(context.Cause(open))
+		}
 		next.ServeHTTP(&responseWriter{ResponseWriter: w, detach: detach, closing: closing}, r.WithContext(ctx))
 	})
 }
