shutdown: no response begins of a request that the stop has ended

What callers saw: a stream, or an answer of more than 4 MB, whose first part came from the server in the moment of Abort got its head (200) and then a closed connection. The request had been passed on and had no whole answer.

Cause: two parts decided alone. The end of `open` closed the connection to the server; the response's begin only tried to detach the request, and went on if it came too late. The rest of the response could not come any more.

Change: package shutdown decides once for each request whether its response has begun or the process has ended it. What passes a response on before it is complete asks BeginResponse first (relay's streams and large answers, those of delegated requests, native streams, followers of tickets' runs) and fails with `stopping` if the request has ended. Complete answers are still written.

Evidence: the tests end the requests from within the Read that brings the first part. Before, a stream and a large answer broke off (`unexpected EOF` after 200), a delegated stream ended Incomplete, and a follower had written its head. Now the callers get 504, and nothing is written before it. Not forced in a test: native streams and requests with tickets that are forwarded to their owner, which ask in the same way.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
@@ -105,6 +106,9 @@
 	for {
 		v := l.snapshot(offset)
 		if v.started && !headerSent {
+			if !v.closed && !shutdown.BeginResponse(ctx) {
+				return callerGone()
+			}
 			sink.Header(v.status, v.contentType)
 			headerSent = true
 		}
--- /dev/null
+++ b/internal/answer/answer_test.go
@@ -0,0 +1,26 @@
+package answer
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+)
+
+// TestAnIncompleteAnswerDoesNotBeginOnceTheRequestHasEnded guards against answers that begin and are cut.
+func TestAnIncompleteAnswerDoesNotBeginOnceTheRequestHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	open, end := context.WithCancelCause(t.Context())
+	ctx, release := shutdown.Abortable(t.Context(), open)
+	defer release()
+	log := NewLog()
+	log.Header(200, "application/json")
+	end(shutdown.ErrStopping)
+	caller := httptest.NewRecorder()
+	g.Expect(log.Follow(ctx, respond.NewWriter(caller))).NotTo(BeNil())
+	g.Expect(caller.Header()).To(BeEmpty(), "nothing was written")
+}
--- a/internal/filters/drain/drain.go
+++ b/internal/filters/drain/drain.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 )
 
 // New returns the filter. When open ends, so do the contexts of the requests whose response has not
@@ -11,22 +13,17 @@
 // their connections.
 func New(next http.Handler, open context.Context, closing func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancelCause(r.Context())
-		defer cancel(nil)
-		detach := context.AfterFunc(open, func() { cancel(context.Cause(open)) })
-		defer detach()
-		if open.Err() != nil {
-			// AfterFunc cancels in another goroutine.
-			cancel(context.Cause(open))
-		}
-		next.ServeHTTP(&responseWriter{ResponseWriter: w, detach: detach, closing: closing}, r.WithContext(ctx))
+		ctx, release := shutdown.Abortable(r.Context(), open)
+		defer release()
+		begin := func() { shutdown.BeginResponse(ctx) }
+		next.ServeHTTP(&responseWriter{ResponseWriter: w, begin: begin, closing: closing}, r.WithContext(ctx))
 	})
 }
 
 // responseWriter detaches the request from the end of the process when its response begins.
 type responseWriter struct {
 	http.ResponseWriter
-	detach  func() bool
+	begin   func()
 	closing func() bool
 	begun   bool
 }
@@ -36,22 +33,22 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
-	w.begin()
+	w.beginResponse()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(b []byte) (int, error) {
-	w.begin()
+	w.beginResponse()
 	return w.ResponseWriter.Write(b)
 }
 
-func (w *responseWriter) begin() {
+func (w *responseWriter) beginResponse() {
 	if w.begun {
 		return
 	}
 	w.begun = true
-	w.detach()
+	w.begin()
 	if w.closing() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bridgehoist/bridgehoist/internal/clock"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 )
@@ -11,6 +12,9 @@
 	g.pool.Dial = wrap(g.pool.Dial)
 }
 
+// Abort ends the requests whose response has not begun.
+func (g *Gateway) Abort() { g.abort(shutdown.ErrStopping) }
+
 // Members returns the VMs of the live peers.
 func (g *Gateway) Members() (vms []string) {
 	g.beliefs.WithView(func(v *membership.View) {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +13,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/gateway"
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -124,3 +128,49 @@
 	w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
 	w.g.Expect(a.closes).To(BeTrue())
 }
+
+// tappedConn calls tap with what it has read before Read returns it.
+type tappedConn struct {
+	net.Conn
+	tap func(read []byte)
+}
+
+func (c *tappedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tap(p[:n])
+	return n, err
+}
+
+// TestNoResponseBeginsOfARequestThatHasEnded guards against responses that begin as the stop ends their requests,
+// and are cut.
+func TestNoResponseBeginsOfARequestThatHasEnded(t *testing.T) {
+	// heldBytes is the largest answer that is held until it is complete.
+	const heldBytes = 4 << 20
+	for path, begins := range map[string]func(body []byte) bool{
+		"/stream/x": func(body []byte) bool { return bytes.Contains(body, []byte("-1\n\n")) },
+		"/plain/x":  func(body []byte) bool { return len(body) > heldBytes },
+	} {
+		t.Run(path, func(t *testing.T) {
+			w := newWorld(t)
+			w.serve("desk-1", "desk", 0, largeAnswer("length", false))
+			w.endpoint("engine-1", "engine").Every = longWork
+			w.prepare = func(_ *entry, gw *gateway.Gateway) {
+				gw.DialEndpoints(func(d upstream.Dialer) upstream.Dialer {
+					return func(ctx context.Context, address string) (net.Conn, error) {
+						c, err := d(ctx, address)
+						var answer []byte
+						return &tappedConn{c, func(read []byte) {
+							answer = append(answer, read...)
+							if _, body, _ := bytes.Cut(answer, []byte("\r\n\r\n")); begins(body) {
+								gw.Abort()
+							}
+						}}, err
+					}
+				})
+			}
+			e := w.start(w.settings("vm-1")).waitReady()
+			a := e.call("r1", http.MethodPost, path, streamHeaders)
+			w.g.Expect(a.status, a.err).To(Equal(http.StatusGatewayTimeout))
+		})
+	}
+}
--- a/internal/native/generate.go
+++ b/internal/native/generate.go
@@ -16,6 +16,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
@@ -35,12 +36,14 @@
 	resumes int
 	last    time.Time
 	gone    bool
+	// mayBegin reports whether the answer may begin.
+	mayBegin func() bool
 }
 
 // generate runs a request at an engine, resuming the same generation whenever
 // the link is lost.
 func (p *Performer) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Result {
-	g := &generation{p: p, j: j, sink: sink, grant: grant, last: clock.Now()}
+	g := &generation{p: p, j: j, sink: sink, grant: grant, last: clock.Now(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
 	sent := g.last
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
@@ -158,6 +161,9 @@
 		return true
 	}
 	if g.asm.Released() == 0 {
+		if !g.mayBegin() {
+			return false
+		}
 		g.sink.Header(200, httpapi.ContentEvents)
 	}
 	g.asm.Release(c.Generation, c.Index)
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -232,7 +232,7 @@
 		return delegationError(err, connected.Load(), false)
 	}
 	defer stream.Close()
-	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve()}
+	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
 	defer relay.memory.Release()
 	for stream.Receive() {
 		message.next()
@@ -253,6 +253,8 @@
 	// plain is the body of a response that isn't a stream, passed on when it is complete or too large.
 	plain  []byte
 	memory *membudget.Reservation
+	// mayBegin reports whether a response that isn't complete may begin.
+	mayBegin func() bool
 	// started is set once a part of the response has been passed on.
 	started bool
 }
@@ -288,6 +290,9 @@
 // pass passes on a part of the response.
 func (r *delegatedResponse) pass(data []byte) (done bool, failure *outcome.Error) {
 	if !r.started {
+		if !r.mayBegin() {
+			return true, outcome.MayHaveRunf(outcome.CodeStopping, "the entry is stopping")
+		}
 		r.started = true
 		r.sink.Start(int(r.head.GetStatus()), decodeHeaders(r.head.GetHeaders()), -1)
 	}
--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -12,6 +12,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -66,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	relay := &responseRelay{sink: sink}
+	relay := &responseRelay{sink: sink, mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
 	for range maxAttachments {
 		if done, final := c.attach(ctx, address, j, relay); done {
 			j.OwnerAnswered = true
@@ -139,6 +140,8 @@
 // same bytes from the start on each stream, so those already forwarded are skipped.
 type responseRelay struct {
 	sink job.Sink
+	// mayBegin reports whether the response may begin.
+	mayBegin func() bool
 	// connected reports whether the owner has sent any message.
 	connected  bool
 	headerSent bool
@@ -187,6 +190,9 @@
 	}
 	if h := msg.GetHeader(); h != nil {
 		if !r.headerSent {
+			if !r.mayBegin() {
+				return false
+			}
 			r.sink.Header(int(h.GetStatus()), h.GetContentType())
 			r.headerSent = true
 		}
--- a/internal/peering/withdraw_test.go
+++ b/internal/peering/withdraw_test.go
@@ -1,7 +1,9 @@
 package peering
 
 import (
+	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -71,3 +73,45 @@
 		})
 	}
 }
+
+// tappedConn calls tap with what it has read before Read returns it.
+type tappedConn struct {
+	net.Conn
+	tap func(read []byte)
+}
+
+func (c *tappedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tap(p[:n])
+	return n, err
+}
+
+// TestNoDelegatedResponseBeginsOfARequestThatHasEnded guards against responses that begin as the stop ends their
+// requests, and are cut.
+func TestNoDelegatedResponseBeginsOfARequestThatHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	server := serveDelegated(t, func(_ string, w http.ResponseWriter, r *http.Request) *outcome.Error {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\n\n"))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		return outcome.New(outcome.Incomplete, outcome.CodeStopping, "stopping")
+	})
+	open, end := context.WithCancelCause(t.Context())
+	ctx, release := shutdown.Abortable(t.Context(), open)
+	defer release()
+	d := NewDelegator("a", func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := tcpconn.Dialer(time.Second)(ctx, network, address)
+		return &tappedConn{c, func(read []byte) {
+			if bytes.Contains(read, []byte("id: 1")) {
+				end(shutdown.ErrStopping)
+			}
+		}}, err
+	}, nil)
+	caller := httptest.NewRecorder()
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(caller))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun))
+	g.Expect(caller.Body.String()).To(BeEmpty())
+}
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -13,6 +13,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -25,6 +26,8 @@
 	sink    job.HeaderSink
 	grant   dispatch.Grant
 	session *Session
+	// mayBegin reports whether the answer may begin.
+	mayBegin func() bool
 	// sent is when the request went to the endpoint where it runs.
 	sent time.Time
 	// state outlasts this attempt, since another one may go on with the answer.
@@ -49,6 +52,7 @@
 	p := &pass{
 		f: f, j: j, sink: sink, grant: grant, state: &j.Delivered,
 		session:  &Session{job: j, at: grant.Endpoint},
+		mayBegin: func() bool { return shutdown.BeginResponse(ctx) },
 		sent:     start,
 		perEvent: f.cfg.TokensPerEvent(j.Row.Target),
 		read:     read,
@@ -230,7 +234,9 @@
 		return nil
 	}
 	p.arrived(nil)
-	p.start(resp)
+	if err := p.start(resp); err != nil {
+		return err
+	}
 	before := p.events
 	p.events += count
 	_, numbered := p.state.Events.LastID()
@@ -274,11 +280,16 @@
 	}
 }
 
-func (p *pass) start(resp *upstream.Response) {
-	if !p.state.HeaderSent {
-		p.state.HeaderSent = true
-		p.sink.Start(resp.Status, resp.Header, resp.Length)
+func (p *pass) start(resp *upstream.Response) error {
+	if p.state.HeaderSent {
+		return nil
 	}
+	if !p.mayBegin() {
+		return shutdown.ErrStopping
+	}
+	p.state.HeaderSent = true
+	p.sink.Start(resp.Status, resp.Header, resp.Length)
+	return nil
 }
 
 // errNoRest says that nothing came of the rest of a stream.
@@ -294,6 +305,5 @@
 	if p.state.HeaderSent && p.state.Events.AwaitingContinuation() {
 		return errNoRest
 	}
-	p.start(resp)
-	return nil
+	return p.start(resp)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -153,9 +154,9 @@
 }
 
 // broken tells of a run that broke off. An error of a connection that was closed here says
-// nothing of the endpoint: the caller has left, or its time is up.
+// nothing of the endpoint: the caller has left, its time is up, or the entry is stopping.
 func (f *Forwarder) broken(j *job.Job, at fleet.Endpoint, sent time.Time, failure *attempt.Failure) {
-	closedHere := failure.Kind == retry.CallerGone || errors.Is(failure.Err, net.ErrClosed)
+	closedHere := failure.Kind == retry.CallerGone || errors.Is(failure.Err, net.ErrClosed) || errors.Is(failure.Err, shutdown.ErrStopping)
 	switch {
 	case closedHere && f.cfg.OnLeft != nil:
 		f.cfg.OnLeft(j, at, sent)
@@ -237,7 +238,7 @@
 	body, err := memory.ReadAll(resp, maxWholeBytes)
 	if errors.Is(err, membudget.ErrTooLarge) || errors.Is(err, membudget.ErrExhausted) {
 		j.Timings.RecordProgress(j.ArrivedAt, start)
-		return passLarge(j, sink, resp, body, memory)
+		return passLarge(ctx, j, sink, resp, body, memory)
 	}
 	if err != nil {
 		return attempt.Result{Failure: &attempt.Failure{Kind: retry.LinkLost, Err: err}}
@@ -256,10 +257,13 @@
 }
 
 // passLarge passes on an answer that begins with body and goes on in resp.
-func passLarge(j *job.Job, sink job.HeaderSink, resp *upstream.Response, body []byte, memory *membudget.Reservation) attempt.Result {
+func passLarge(ctx context.Context, j *job.Job, sink job.HeaderSink, resp *upstream.Response, body []byte, memory *membudget.Reservation) attempt.Result {
 	failed := func(kind retry.Failure, err error) attempt.Result {
 		return attempt.Result{Begun: true, Failure: &attempt.Failure{Kind: kind, Err: err}}
 	}
+	if !shutdown.BeginResponse(ctx) {
+		return attempt.Result{Failure: &attempt.Failure{Kind: retry.LinkLost, Err: shutdown.ErrStopping}}
+	}
 	j.Delivered.HeaderSent = true
 	sink.Start(resp.Status, resp.Header, resp.Length)
 	if sink.Data(body) != nil {
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,38 @@
 	return Schedule{Abort: closing.Add(-min(maxAnswerTime, grace/maxMarginShare)), Close: closing}
 }
 
+type beginKey struct{}
+
+// Abortable returns a context that ends with open, and with its cause, unless BeginResponse was called on it
+// before. release must be called when the request has ended.
+func Abortable(ctx, open context.Context) (abortable context.Context, release func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	abort := func() { cancel(context.Cause(open)) }
+	detach := context.AfterFunc(open, abort)
+	if open.Err() != nil {
+		// AfterFunc calls abort in another goroutine.
+		abort()
+	}
+	begin := sync.OnceValue(func() bool {
+		if detach() {
+			return true
+		}
+		abort()
+		return false
+	})
+	return context.WithValue(ctx, beginKey{}, begin), func() {
+		detach()
+		cancel(nil)
+	}
+}
+
+// BeginResponse reports whether the response to a request may begin. If so, the end of the process doesn't end the
+// request from now on. If not, it has ended the request, and a response that isn't complete yet would be cut.
+func BeginResponse(ctx context.Context) bool {
+	begin, ok := ctx.Value(beginKey{}).(func() bool)
+	return !ok || begin()
+}
+
 // Code returns the code of a request whose context has ended.
 func Code(ctx context.Context) outcome.Code {
 	switch {
