gateway: a planned stop awaits the responses to delegated requests

What callers can see (by reasoning; not observed in a run of the whole): a request was delegated to a peer that was stopping; the peer's server answered, and the caller got 502, or a cut stream, since the peer closed the connection to the delegating entry within the response.

Cause: the token that awaitDelegated waits for was given back when the request had run. A response that is held until it is complete (up to 4 MB) and the message with the outcome were written after that. Then only 100 ms were left for them, plus the farewell to the peers; the link of the smallest VM (10 Mbit/s) takes 3 s for 4 MB.

Change: the peer service asks whether it may serve a delegated request, and tells when its response is written. The token is held until then.

Evidence: a writer blocks with the first byte of the response; the request must not be released by then. The interface is new, so that the test can't run on the code before; with the release where it was, when the handler returns, it fails (`Expected channel to be open`). Not forced over a gateway: here the kernel takes 4 MB at once.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -163,18 +163,27 @@
 	return d
 }
 
-// serveDelegated serves a request of a peer like one of a caller.
-func (g *Gateway) serveDelegated(callers http.Handler, from string, w http.ResponseWriter, r *http.Request) (err *outcome.Error) {
-	defer func() { g.countDelegated("in", err) }()
+// admitDelegated decides whether a request of a peer is served.
+func (g *Gateway) admitDelegated() (release func(), refusal *outcome.Error) {
+	defer func() {
+		if refusal != nil {
+			g.countDelegated("in", refusal)
+		}
+	}()
 	if g.stopping.Load() {
-		return outcome.NotRunf(outcome.CodeStopping, "the entry is stopping")
+		return nil, outcome.NotRunf(outcome.CodeStopping, "the entry is stopping")
 	}
 	select {
 	case g.delegated <- struct{}{}:
-		defer func() { <-g.delegated }()
+		return func() { <-g.delegated }, nil
 	default:
-		return outcome.NotRunf(outcome.CodeEntryBusy, "the entry serves %d requests of peers already", cap(g.delegated)).WithRetryAfter(retryAfterDelegated)
+		return nil, outcome.NotRunf(outcome.CodeEntryBusy, "the entry serves %d requests of peers already", cap(g.delegated)).WithRetryAfter(retryAfterDelegated)
 	}
+}
+
+// serveDelegated serves a request of a peer like one of a caller.
+func (g *Gateway) serveDelegated(callers http.Handler, from string, w http.ResponseWriter, r *http.Request) (err *outcome.Error) {
+	defer func() { g.countDelegated("in", err) }()
 	d := &delegation{from: from}
 	serveAbortable(callers, w, r.WithContext(context.WithValue(r.Context(), delegationKey{}, d)))
 	if d.job.Outcome == outcome.Complete {
@@ -193,7 +202,7 @@
 	h.ServeHTTP(w, r)
 }
 
-// awaitDelegated waits until the requests that peers have delegated have ended, or ctx has.
+// awaitDelegated waits until the responses to the requests that peers have delegated are written, or ctx ends.
 func (g *Gateway) awaitDelegated(ctx context.Context) {
 	for range cap(g.delegated) {
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 	peers      *peering.Client
 	peersHTTP  *http.Client
 	delegator  *peering.Delegator
-	// delegated holds a token for each open request that a peer has delegated to this entry.
+	// delegated holds a token for each request that a peer has delegated to this entry, until its response is written.
 	delegated chan struct{}
 	refusals  delegationRefusals
 	traffic   *peering.Traffic
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -70,6 +70,7 @@
 		exchange.ServeDelegated(func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
 			return g.serveDelegated(callers, from, w, r)
 		})
+		exchange.AdmitDelegated(g.admitDelegated)
 		g.beliefs.AcceptDelegated()
 	}
 	s := &servers{}
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -77,11 +77,24 @@
 // ServeDelegated makes the server accept delegated requests. It must be called before Handler.
 func (s *Server) ServeDelegated(h DelegateHandler) { s.delegated = h }
 
+// AdmitDelegated sets what decides whether a delegated request is served. release is called once its response has
+// been written. It must be called before Handler.
+func (s *Server) AdmitDelegated(admit func() (release func(), refusal *outcome.Error)) {
+	s.admit = admit
+}
+
 // Delegate implements peerv1connect.PeerServiceHandler.
 func (s *Server) Delegate(ctx context.Context, req *connect.Request[peerv1.DelegateRequest], stream *connect.ServerStream[peerv1.DelegateResponse]) error {
 	if s.delegated == nil {
 		return connect.NewError(connect.CodeUnimplemented, errors.New("this entry accepts no delegated requests"))
 	}
+	if s.admit != nil {
+		release, refusal := s.admit()
+		if refusal != nil {
+			return sendFinal(stream, refusal)
+		}
+		defer release()
+	}
 	msg := req.Msg
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -95,6 +108,10 @@
 	if failure == nil {
 		w.Flush()
 	}
+	return sendFinal(stream, failure)
+}
+
+func sendFinal(stream *connect.ServerStream[peerv1.DelegateResponse], failure *outcome.Error) error {
 	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
 }
 
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -143,3 +144,47 @@
 	g.Expect(err).To(BeNil())
 	g.Expect(w.Header().Get("Latin")).To(Equal(value))
 }
+
+// gatedWriter writes nothing until its gate is open.
+type gatedWriter struct {
+	http.ResponseWriter
+	http.Flusher
+	writing chan<- struct{}
+	gate    <-chan struct{}
+}
+
+func (w gatedWriter) Write(p []byte) (int, error) {
+	w.writing <- struct{}{}
+	<-w.gate
+	return w.ResponseWriter.Write(p)
+}
+
+// TestADelegatedRequestIsReleasedOnceItsResponseIsWritten guards against stops that cut a response that is being written.
+func TestADelegatedRequestIsReleasedOnceItsResponseIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t, "b")
+	s := NewServer(p.state, p.store, nil, nil, &Traffic{})
+	s.ServeDelegated(func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
+		_, _ = w.Write([]byte("reply"))
+		return nil
+	})
+	released := make(chan struct{})
+	s.AdmitDelegated(func() (func(), *outcome.Error) { return func() { close(released) }, nil })
+	writing, gate := make(chan struct{}, 100), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Handler("").ServeHTTP(gatedWriter{w, w.(http.Flusher), writing, gate}, r)
+	}))
+	t.Cleanup(server.Close)
+	open := sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(open)
+	done := make(chan *outcome.Error, 1)
+	go func() {
+		_, err := delegateTo(server.Listener.Addr().String())
+		done <- err
+	}()
+	<-writing
+	g.Expect(released).NotTo(BeClosed())
+	open()
+	g.Expect(<-done).To(BeNil())
+	g.Eventually(released, "5s").Should(BeClosed())
+}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -52,6 +52,8 @@
 	largeDocs    largeDocuments
 	// delegated serves delegated requests; nil if none are accepted.
 	delegated DelegateHandler
+	// admit decides whether a delegated request is served; nil if all are.
+	admit func() (release func(), refusal *outcome.Error)
 	// delegations are the delegated requests that are being served.
 	delegations delegations
 	// memory bounds what is held of calls; nil is unlimited.
