engineclient: a request without a body isn't repeated on a kept connection

What callers can see (by reasoning; not observed in a run of the whole): on the own interface a request with a ticket ran twice. Another entry had forwarded it (GET, no body) to the owner of its ticket; the service closed the kept connection on which it had read the request.

Cause: http.Transport sends a request again if its kept connection ends before the first byte of the response, provided that it can: the method is GET, HEAD, OPTIONS or TRACE and there is no body. Bodies are given to it so that they can be read once, but a missing one (the peers' message decodes an empty one to nil) was left out.

Change: calls of services always have a body that can be read once, an empty one if need be.

Evidence: TestNoSilentRepeat also plays GET without a body. Before, the service got the second request twice (3 requests instead of 2). An empty body adds nothing to a GET; for POST it was sent so already for requests that were read here.

--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -259,6 +259,10 @@
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
 	}
+	if body == nil {
+		// The HTTP client repeats requests without a body on its own.
+		body = []byte{}
+	}
 	resp, f := c.send(ctx, e, method, path, body, header)
 	if f != nil {
 		return nil, f
