upstream: looking at a kept connection doesn't renew it

What callers can see (by reasoning; not observed in a run of the whole): a request on a kept connection got no answer (502) because the endpoint closed it as idle.

Cause: a connection is not used any more half a second before the end of the time for which its endpoint keeps it, and after 8 s. That age began anew when Look, which asks whether an endpoint's process is there, took a connection and put it back without a request. The endpoint's time had gone on.

Change: the age begins when an answer ends or the connection comes up, not when it is put back.

Evidence: a request, 5 s (counted as a suspension, without waiting), a look, 5 s, a request. Before, both requests went over one connection that had been idle for 10 s. Now the second gets a new one.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
@@ -24,7 +25,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// lastUsed is when the last answer ended.
+	// lastUsed is when the last answer ended, or the connection came up.
 	lastUsed time.Time
 	// keep is how long the endpoint keeps it without use; zero if it didn't say.
 	keep time.Duration
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc}
+	c := &conn{Conn: nc, lastUsed: clock.Now()}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -162,7 +162,6 @@
 		c.Close()
 		return
 	}
-	c.lastUsed = clock.Now()
 	p.idle[life] = append(p.idle[life], c)
 }
 
@@ -437,5 +436,6 @@
 		r.conn.Close()
 		return
 	}
+	r.conn.lastUsed = clock.Now()
 	r.pool.put(r.life, r.conn)
 }
--- a/internal/upstream/tries_test.go
+++ b/internal/upstream/tries_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -152,3 +153,30 @@
 	_, conns := p.seen()
 	g.Expect(conns).To(Equal(3))
 }
+
+// TestALookDoesNotRenewAConnection guards against requests on connections that their endpoints close as idle.
+func TestALookDoesNotRenewAConnection(t *testing.T) {
+	g := NewWithT(t)
+	var suspended atomic.Int64
+	t.Cleanup(clock.SetSource(func() (time.Duration, error) { return time.Duration(suspended.Load()), nil }))
+	g.Expect(clock.Sample()).To(Succeed())
+	wait := func(d time.Duration) {
+		suspended.Add(int64(d))
+		g.Expect(clock.Sample()).To(Succeed())
+	}
+	peer := listen(t, func(c net.Conn, next func() string) {
+		for id := next(); id != ""; id = next() {
+			_, _ = io.WriteString(c, answer(id, "ok"))
+		}
+	})
+	pool := newPool()
+	_, err := do(pool, peer.endpoint, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	wait(5 * time.Second)
+	g.Expect(pool.Look(t.Context(), peer.endpoint)).To(Equal(upstream.Listening))
+	wait(5 * time.Second)
+	_, err = do(pool, peer.endpoint, "2")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, conns := peer.seen()
+	g.Expect(conns).To(Equal(2))
+}
