peering: a response that crosses its withdrawal is passed on

Cause: at Abort the entry asks the peer to end the request (Withdraw). If the peer has just ended it, it answers that there is no such request. The entry then cancelled the call at once, and with it the response.

Evidence: the response is held back in the delegating entry's Read until the withdrawal's connection is closed, 20 times. Which of the peer's two answers comes doesn't matter now: it waits after both.

--- a/internal/peering/withdraw.go
+++ b/internal/peering/withdraw.go
@@ -24,7 +24,9 @@
 func withdraw(call context.Context, client peerv1connect.PeerServiceClient, id uint64) {
 	call, cancel := context.WithTimeout(call, withdrawTimeout)
 	defer cancel()
-	if _, err := client.Withdraw(call, connect.NewRequest(&peerv1.WithdrawRequest{DelegationId: id})); err == nil {
+	_, err := client.Withdraw(call, connect.NewRequest(&peerv1.WithdrawRequest{DelegationId: id}))
+	// A request that the peer doesn't have may have ended, with its response on the way.
+	if err == nil || connect.CodeOf(err) == connect.CodeNotFound {
 		<-call.Done()
 	}
 }
--- a/internal/peering/withdraw_test.go
+++ b/internal/peering/withdraw_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,3 +116,45 @@
 	g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun))
 	g.Expect(caller.Body.String()).To(BeEmpty())
 }
+
+// closeNotifier calls onClose when the connection is closed.
+type closeNotifier struct {
+	net.Conn
+	onClose func()
+}
+
+func (c *closeNotifier) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
+// TestAResponseThatCrossesItsWithdrawalIsPassedOn guards against responses that are dropped although they are complete.
+func TestAResponseThatCrossesItsWithdrawalIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	for range 20 {
+		responded, withdrawn := make(chan struct{}), make(chan struct{})
+		server := serveDelegated(t, func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
+			_, _ = w.Write([]byte("reply"))
+			return nil
+		})
+		openWithdrawn := sync.OnceFunc(func() { close(withdrawn) })
+		dials := 0
+		d := NewDelegator("a", func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := tcpconn.Dialer(time.Second)(ctx, network, address)
+			if dials++; dials > 1 {
+				return &closeNotifier{c, openWithdrawn}, err
+			}
+			responded := sync.OnceFunc(func() { close(responded) })
+			return &tappedConn{c, func([]byte) { responded(); <-withdrawn }}, err
+		}, nil)
+		ctx, stop := context.WithCancelCause(t.Context())
+		go func() {
+			<-responded
+			stop(shutdown.ErrStopping)
+		}()
+		caller := httptest.NewRecorder()
+		j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+		g.Expect(d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(caller))).To(BeNil())
+		g.Expect(caller.Body.String()).To(Equal("reply"))
+	}
+}
