body: a refused body holds no memory while its rest is read

Cause: the reservation was given back when the request had ended; what it stood for was no longer used.

Change: it is given back before the refusal is written.

Evidence: a caller stalls within a body for which there is no room, and reads its 503.

--- a/internal/filters/body/body.go
+++ b/internal/filters/body/body.go
@@ -32,6 +32,7 @@
 		defer held.Release()
 		data, err := read(w, r, held, limit, timeout)
 		if err != nil {
+			held.Release()
 			refuse(w, r, refusal(r.Context(), err, limit), limit)
 			return
 		}
--- a/internal/filters/body/body_test.go
+++ b/internal/filters/body/body_test.go
@@ -83,3 +83,21 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	g.Eventually(memory.Used).Should(BeZero())
 }
+
+// TestARefusedBodyHoldsNoMemory guards against refusals of other bodies while the rest of a refused one is awaited.
+func TestARefusedBodyHoldsNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	const size = 4 << 20
+	reached := 0
+	memory := membudget.New(size / 2)
+	s := serveWithin(t, &reached, size, memory)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(memory.Used()).To(BeZero())
+}
