peering: a call for which there is no memory is refused though its caller stalls

Cause: the rest of such a message is read before the refusal, without a limit of time, and with the memory held.

Change: the memory is given back first, and the rest is read for 500 ms at most. net/http resets the deadline before the next request on the connection.

Evidence: a caller announces 4 MB, sends 2 MB to a peer with 1 MB of room, and stalls. Before, no response had come after 20 s (`i/o timeout`, the limit of the test); now the refusal comes, and no memory is held.

--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -24,23 +25,32 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := memory.Reserve()
 		defer held.Release()
-		r.Body = readCloser{exhaustedReader{held.CountReader(r.Body, maxMessageBytes), r.Body}, r.Body}
+		body := r.Body
+		rest := func() {
+			held.Release()
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+			_, _ = io.CopyN(io.Discard, body, maxMessageBytes)
+		}
+		r.Body = readCloser{exhaustedReader{held.CountReader(body, maxMessageBytes), rest}, body}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// restTimeout bounds the time to read the rest of a body for which there is no memory.
+const restTimeout = 500 * time.Millisecond
+
 // exhaustedReader tells the other side that there is no memory. It reads the rest of the body first: a
 // connection that is closed with unread bytes is reset, and the response may be lost.
 type exhaustedReader struct {
 	io.Reader
-	body io.Reader
+	discardRest func()
 }
 
 // Read implements io.Reader.
 func (r exhaustedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if errors.Is(err, membudget.ErrExhausted) {
-		_, _ = io.CopyN(io.Discard, r.body, maxMessageBytes)
+		r.discardRest()
 	}
 	if errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrTooLarge) {
 		err = connect.NewError(connect.CodeResourceExhausted, err)
--- a/internal/peering/memory_test.go
+++ b/internal/peering/memory_test.go
@@ -1,9 +1,11 @@
 package peering
 
 import (
+	"bufio"
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +18,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/job"
@@ -188,3 +191,27 @@
 
 // Read implements io.Reader.
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestACallWithoutRoomThatStallsIsRefused guards against memory that is held for as long as a peer sends nothing.
+func TestACallWithoutRoomThatStallsIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t, "b")
+	s := NewServer(p.state, p.store, nil, nil, &Traffic{})
+	memory := membudget.New(peerBudget)
+	s.LimitMemory(memory)
+	s.ServeDelegated(func(string, http.ResponseWriter, *http.Request) *outcome.Error { return nil })
+	server := httptest.NewServer(s.Handler(""))
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	const size = 4 * peerBudget
+	message := binary.BigEndian.AppendUint32([]byte{0}, size)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/connect+proto\r\nContent-Length: %d\r\n\r\n%s%s",
+		peerv1connect.PeerServiceDelegateProcedure, len(message)+size, message, make([]byte, 2*peerBudget))
+	g.Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Expect(memory.Used()).To(BeZero())
+}
