upstream: a request whose context has ended isn't sent on a kept connection

Cause: the end of the context closes the connection from another goroutine. On a new connection the dial fails first; on a kept one the request was written before that goroutine ran.

Change: Do looks at the context before it takes a connection.

Evidence: 20 requests with an ended context, each on a kept connection. Before, the first failed with LinkLost, as it had been sent; now each fails with NotSent and the endpoint sees none.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -193,6 +193,9 @@
 		return nil, &attempt.Failure{Kind: retry.NotSent, Paused: true, Err: err}
 	}
 	for {
+		if ctx.Err() != nil {
+			return nil, &attempt.Failure{Kind: retry.NotSent, Err: context.Cause(ctx)}
+		}
 		c := p.take(e.Instance(), func(c *conn) bool { return c.mayCarry(r.ID) })
 		kept := c != nil
 		if !kept {
