--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -77,11 +77,24 @@
 // ServeDelegated makes the server accept delegated requests. It must be called before Handler.
 func (s *Server) ServeDelegated(h DelegateHandler) { s.delegated = h }
 
+// AdmitDelegated sets what decides whether a delegated request is served. release is called once its response has
+// been written. It must be called before Handler.
+func (s *Server) AdmitDelegated(admit func() (release func(), refusal *outcome.Error)) {
+	s.admit = admit
+}
+
 // Delegate implements peerv1connect.PeerServiceHandler.
 func (s *Server) Delegate(ctx context.Context, req *connect.Request[peerv1.DelegateRequest], stream *connect.ServerStream[peerv1.DelegateResponse]) error {
 	if s.delegated == nil {
 		return connect.NewError(connect.CodeUnimplemented, errors.New("this entry accepts no delegated requests"))
 	}
+	if s.admit != nil {
+		release, refusal := s.admit()
+		if refusal != nil {
+			return sendFinal(stream, refusal)
+		}
+		defer release()
+	}
 	msg := req.Msg
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -95,6 +108,10 @@
 	if failure == nil {
 		w.Flush()
 	}
+	return sendFinal(stream, failure)
+}
+
+func sendFinal(stream *connect.ServerStream[peerv1.DelegateResponse], failure *outcome.Error) error {
 	return stream.Send(&peerv1.DelegateResponse{Part: &peerv1.DelegateResponse_Final{Final: claims.EncodeFinal(failure)}})
 }
 
@@ -232,7 +249,7 @@
 		return delegationError(err, connected.Load(), false)
 	}
 	defer stream.Close()
-	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve()}
+	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
 	defer relay.memory.Release()
 	for stream.Receive() {
 		message.next()
@@ -253,6 +270,8 @@
 	// plain is the body of a response that isn't a stream, passed on when it is complete or too large.
 	plain  []byte
 	memory *membudget.Reservation
+	// mayBegin reports whether a response that isn't complete may begin.
+	mayBegin func() bool
 	// started is set once a part of the response has been passed on.
 	started bool
 }
@@ -288,6 +307,9 @@
 // pass passes on a part of the response.
 func (r *delegatedResponse) pass(data []byte) (done bool, failure *outcome.Error) {
 	if !r.started {
+		if !r.mayBegin() {
+			return true, outcome.MayHaveRunf(outcome.CodeStopping, "the entry is stopping")
+		}
 		r.started = true
 		r.sink.Start(int(r.head.GetStatus()), decodeHeaders(r.head.GetHeaders()), -1)
 	}
--- a/internal/peering/withdraw_test.go
+++ b/internal/peering/withdraw_test.go
@@ -1,10 +1,13 @@
 package peering
 
 import (
+	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +74,87 @@
 		})
 	}
 }
+
+// tappedConn calls tap with what it has read before Read returns it.
+type tappedConn struct {
+	net.Conn
+	tap func(read []byte)
+}
+
+func (c *tappedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tap(p[:n])
+	return n, err
+}
+
+// TestNoDelegatedResponseBeginsOfARequestThatHasEnded guards against responses that begin as the stop ends their
+// requests, and are cut.
+func TestNoDelegatedResponseBeginsOfARequestThatHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	server := serveDelegated(t, func(_ string, w http.ResponseWriter, r *http.Request) *outcome.Error {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\n\n"))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		return outcome.New(outcome.Incomplete, outcome.CodeStopping, "stopping")
+	})
+	open, end := context.WithCancelCause(t.Context())
+	ctx, release := shutdown.Abortable(t.Context(), open)
+	defer release()
+	d := NewDelegator("a", func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := tcpconn.Dialer(time.Second)(ctx, network, address)
+		return &tappedConn{c, func(read []byte) {
+			if bytes.Contains(read, []byte("id: 1")) {
+				end(shutdown.ErrStopping)
+			}
+		}}, err
+	}, nil)
+	caller := httptest.NewRecorder()
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(caller))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun))
+	g.Expect(caller.Body.String()).To(BeEmpty())
+}
+
+// closeNotifier calls onClose when the connection is closed.
+type closeNotifier struct {
+	net.Conn
+	onClose func()
+}
+
+func (c *closeNotifier) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
+// TestAResponseThatCrossesItsWithdrawalIsPassedOn guards against responses that are dropped although they are complete.
+func TestAResponseThatCrossesItsWithdrawalIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	for range 20 {
+		responded, withdrawn := make(chan struct{}), make(chan struct{})
+		server := serveDelegated(t, func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
+			_, _ = w.Write([]byte("reply"))
+			return nil
+		})
+		openWithdrawn := sync.OnceFunc(func() { close(withdrawn) })
+		dials := 0
+		d := NewDelegator("a", func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := tcpconn.Dialer(time.Second)(ctx, network, address)
+			if dials++; dials > 1 {
+				return &closeNotifier{c, openWithdrawn}, err
+			}
+			responded := sync.OnceFunc(func() { close(responded) })
+			return &tappedConn{c, func([]byte) { responded(); <-withdrawn }}, err
+		}, nil)
+		ctx, stop := context.WithCancelCause(t.Context())
+		go func() {
+			<-responded
+			stop(shutdown.ErrStopping)
+		}()
+		caller := httptest.NewRecorder()
+		j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+		g.Expect(d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(caller))).To(BeNil())
+		g.Expect(caller.Body.String()).To(Equal("reply"))
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -162,7 +162,6 @@
 		c.Close()
 		return
 	}
-	c.lastUsed = clock.Now()
 	p.idle[life] = append(p.idle[life], c)
 }
 
@@ -194,6 +193,9 @@
 		return nil, &attempt.Failure{Kind: retry.NotSent, Paused: true, Err: err}
 	}
 	for {
+		if ctx.Err() != nil {
+			return nil, &attempt.Failure{Kind: retry.NotSent, Err: context.Cause(ctx)}
+		}
 		c := p.take(e.Instance(), func(c *conn) bool { return c.mayCarry(r.ID) })
 		kept := c != nil
 		if !kept {
@@ -437,5 +439,6 @@
 		r.conn.Close()
 		return
 	}
+	r.conn.lastUsed = clock.Now()
 	r.pool.put(r.life, r.conn)
 }
