upstream: a head that is cut off is a lost link, whatever byte it ends at

Seen by callers: a request that ends each endpoint while that writes the head of its answer was never held back. 34 engines ended under one such request (23 of them later than 1 s after the third; 3 allowed), 38 endpoints of a plain service under another (26).

Cause: net/http reads a line that the end of the connection cuts off as a whole line. Where that made no sense ("HTTP/1.1 20", "Content-Le") the failure was one of the protocol, and only lost links are looked into. Which of the two it was depended on the byte. A caller that left meanwhile counted as nonsense of the endpoint in the same way.

Change: a connection that ends while a head is read is the failure, whatever was made of the last line. What is malformed on an open connection stays an error of the protocol.

Measured: the cases 'within the head' of TestARequestThatCrashesEndpoints failed before with the figures above; now 3 endpoints end, none of them later. TestAHeadCutAtAnyByteIsALostLink failed before from the first byte on.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -263,6 +263,8 @@
 		"one endpoint back at once":              {standin.BeforeHead, "/plain/x", "desk", 2, 60 * time.Millisecond, true, often, 7, false},
 		"two entries, fronted, new ids":          {standin.BeforeHead, "/stream/x", "engine", 2, 100 * time.Millisecond, false, seldom, 7, true},
 		"two entries, fronted, the same ids":     {standin.AfterHead, "/stream/x", "engine", 2, 100 * time.Millisecond, true, seldom, 7, true},
+		"two entries, within the head":           {standin.WithinHead, "/stream/x", "engine", 2, 500 * time.Millisecond, false, seldom, 7, false},
+		"one entry, within the head of a plain":  {standin.WithinHead, "/plain/x", "desk", 1, 500 * time.Millisecond, false, seldom, 7, false},
 		"three entries, many tries":              {standin.AfterHead, "/stream/x", "engine", 3, 300 * time.Millisecond, true, often, 7, false},
 		"two entries, an idempotent request":     {standin.BeforeHead, "/safe/x", "desk", 2, 500 * time.Millisecond, true, seldom, 7, false},
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,9 +32,11 @@
 	// has carried one without an ID; see mayCarry.
 	carried   map[uint64]bool
 	anonymous bool
-	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come.
+	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headErr
+	// is the error that the connection ended with meanwhile.
 	headLimited bool
 	headLeft    int
+	headErr     error
 }
 
 // Dialer opens a TCP connection.
@@ -88,7 +90,9 @@
 
 // limitHead limits what is read until unlimitHead: a head of so many bytes, and the part of the body that
 // is read ahead.
-func (c *conn) limitHead(bytes int) { c.headLimited, c.headLeft = true, bytes+readBufferBytes }
+func (c *conn) limitHead(bytes int) {
+	c.headLimited, c.headLeft, c.headErr = true, bytes+readBufferBytes, nil
+}
 
 func (c *conn) unlimitHead() { c.headLimited = false }
 
@@ -102,6 +106,9 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if err != nil {
+		c.headErr = err
+	}
 	return n, err
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -345,8 +345,12 @@
 		return nil, err
 	}
 	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil && c.headErr != nil {
+		// The end of the connection leaves a line that is cut off, which is reported as a malformed one.
+		return nil, errors.Wrap(c.headErr, "in the head of an answer")
+	}
 	if err != nil {
-		return nil, notAnAnswer(err)
+		return nil, errors.Wrap(errNotAnAnswer, err.Error())
 	}
 	fields := 0
 	for _, values := range hr.Header {
@@ -371,19 +375,6 @@
 	}
 }
 
-// notAnAnswer tells bytes that make no sense from a connection that ended.
-func notAnAnswer(err error) error {
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || isNetwork(err) {
-		return err
-	}
-	return errors.Wrap(errNotAnAnswer, err.Error())
-}
-
-func isNetwork(err error) bool {
-	var n interface{ Timeout() bool }
-	return errors.As(err, &n)
-}
-
 // keepAlive reads for how long an endpoint keeps an idle connection.
 func keepAlive(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/upstream/tries_test.go
+++ b/internal/upstream/tries_test.go
@@ -137,6 +137,39 @@
 	}
 }
 
+// TestAHeadCutAtAnyByteIsALostLink guards against an endpoint that ended within its head and counts as one that
+// answered nonsense.
+func TestAHeadCutAtAnyByteIsALostLink(t *testing.T) {
+	const informational = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	for name, head := range map[string]string{
+		"plain":               "HTTP/1.1 200 OK\r\nOf: a\r\nFolded: x\r\n y\r\nContent-Length: 12\r\n\r\n",
+		"bare LF":             "HTTP/1.1 200 OK\nOf: a\nContent-Length: 12\n\n",
+		"after informational": informational + "HTTP/1.1 200 OK\r\nOf: a\r\nContent-Length: 12\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				g := NewWithT(t)
+				var end atomic.Int64
+				p := listen(t, func(c net.Conn, next func() string) {
+					next()
+					_, _ = io.WriteString(c, head[:end.Load()])
+					if reset {
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				for at := range len(head) {
+					end.Store(int64(at))
+					ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+					_, f := newPool().Do(ctx, p.endpoint, request("a"), upstream.Sending{})
+					cancel()
+					g.Expect(f).NotTo(BeNil(), "%q", head[:at])
+					g.Expect(f.Kind).To(Equal(retry.LinkLost), "%q: %v", head[:at], f.Err)
+				}
+			})
+		}
+	}
+}
+
 // TestConnectionsCarryABoundedNumberOfRequests guards against the memory of the IDs that they have carried.
 func TestConnectionsCarryABoundedNumberOfRequests(t *testing.T) {
 	g := NewWithT(t)
