relay: a stream without a length that ends before its first event has broken off

Seen by callers: a 200 with a signature and no event, framed as whole, from an engine that closed its connection right behind the head of a stream which has neither a length nor chunks.

Cause: such a stream was taken for broken only if it ended inside an event. Without any event there is no part of one.

Change: its end counts as the answer's only once an event has come. Before, the attempt fails as one whose link was lost: a stream that may be resumed is sent again, any other gets 504. A resumed stream of which nothing is left gets the same if it has no length, as that can't be told from a broken one; with a length or chunks it is still answered without events. Plain answers without a length stay whole wherever their connection ends, as HTTP has it (RFC 9112, 8).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,6 +75,24 @@
 	w.g.Expect(w.ledger.Of("r1")).To(HaveLen(1), "it isn't run again")
 }
 
+// TestAStreamThatEndsBeforeItsFirstEventIsNotWhole guards against an engine that ended behind its head, and whose
+// stream, which has neither a length nor chunks, is passed on as a whole one without events.
+func TestAStreamThatEndsBeforeItsFirstEventIsNotWhole(t *testing.T) {
+	for name, tc := range map[string]struct{ path, last string }{
+		"once": {"/stream/x", ""}, "resumable": {"/resumable/x", ""}, "resumed": {"/resumable/x", "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.wrapped("engine-1", unframed(func(next http.Handler) http.Handler { return next })).Events = 0
+			a := w.start(w.settings("vm-1")).waitReady().streamAfter("r1", tc.path, tc.last)
+			w.g.Expect(a.status, a.err).To(Equal(http.StatusGatewayTimeout))
+			if tc.path == "/stream/x" {
+				w.g.Expect(w.ledger.Of("r1")).To(HaveLen(1), "it isn't run again")
+			}
+		})
+	}
+}
+
 // TestGenerationsLeaveWithTheirEngine: a stream whose engine announces its leaving
 // goes on elsewhere, each event once and in order.
 func TestGenerationsLeaveWithTheirEngine(t *testing.T) {
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -284,6 +284,9 @@
 // errNoRest says that nothing came of the rest of a stream.
 var errNoRest = errors.New("the rest of the stream is missing")
 
+// errNoEvents says that a connection ended between the head of a stream and its first event.
+var errNoEvents = errors.New("a stream without a length ended before its first event")
+
 // end checks that a stream ended between two events, and that there was a rest if the
 // caller has a part. What was broken off or stopped had not ended: at least one event was
 // still to come, so that an answer without one is not the rest, though it ends well.
@@ -291,6 +294,9 @@
 	if p.state.Events.HasPartial() {
 		return io.ErrUnexpectedEOF
 	}
+	if !resp.Framed && !p.state.HeaderSent {
+		return errNoEvents
+	}
 	if p.state.HeaderSent && p.state.Events.AwaitingContinuation() {
 		return errNoRest
 	}
