upstream: an HTTP/1.0 answer with a coded body isn't read

Seen by callers: a 200 with a signature whose body held the sizes of the chunks, framed as whole; cut off anywhere, it was a part of that, also framed as whole.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, which doesn't have it, and reads the body to the end of the connection.

Change: such an answer is an error of the protocol, as RFC 9112 (6.1) has its framing taken for faulty. Answers of HTTP/1.0 with a length, or with neither, are read as before; one whose head is larger than the read buffer (8 KB) counts as coded.

Measured: TestAnHTTP10AnswerInChunksIsNotRead failed before in the four cases that are to be refused.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"regexp"
 	"syscall"
 	"time"
 
@@ -96,6 +97,31 @@
 
 func (c *conn) unlimitHead() { c.headLimited = false }
 
+// headEnd is the end of a head, and codingField the name of the field that tells how a body is coded.
+var (
+	headEnd     = regexp.MustCompile(`\n\r?\n`)
+	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
+)
+
+// codedHTTP10 reports whether the next answer is one of HTTP/1.0 whose body is coded. That version has no such
+// codings: net/http ignores the field and takes the coded bytes for the body. A head that doesn't fit into the
+// buffer counts as one with the field.
+func (c *conn) codedHTTP10() bool {
+	const version = "HTTP/1.0"
+	for {
+		head, _ := c.reader.Peek(c.reader.Buffered())
+		if n := min(len(head), len(version)); string(head[:n]) != version[:n] {
+			return false
+		}
+		if end := headEnd.FindIndex(head); end != nil {
+			return codingField.Match(head[:end[1]])
+		}
+		if _, err := c.reader.Peek(len(head) + 1); err != nil {
+			return errors.Is(err, bufio.ErrBufferFull)
+		}
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.headLimited {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -344,6 +344,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	if c.codedHTTP10() {
+		return nil, errors.Wrap(errNotAnAnswer, "an answer of HTTP/1.0 with a coded body")
+	}
 	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	if err != nil && c.headErr != nil {
 		// The end of the connection leaves a line that is cut off, which is reported as a malformed one.
--- a/internal/upstream/tries_test.go
+++ b/internal/upstream/tries_test.go
@@ -3,16 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
@@ -170,6 +173,41 @@
 	}
 }
 
+// TestAnHTTP10AnswerInChunksIsNotRead guards against the sizes of chunks in a body that callers take for whole.
+func TestAnHTTP10AnswerInChunksIsNotRead(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		parts []string
+		want  string
+	}{
+		"in chunks":         {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\ntransfer-encoding: chunked\r\n\r\n" + chunks}, ""},
+		"byte by byte":      {strings.Split("HTTP/1.0 200 OK\nOf: a\nTransfer-Encoding : chunked\n\n"+chunks, ""), ""},
+		"after another":     {[]string{"HTTP/1.1 200 OK\r\nOf: b\r\nContent-Length: 0\r\n\r\nHTTP/1.0 200 OK\r\nOf: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, ""},
+		"a head of 8 KB":    {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\nX: " + strings.Repeat("x", 8<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, ""},
+		"with a length":     {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\nContent-Length: 4\r\n\r\nbody"}, "body"},
+		"without a length":  {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\n\r\nbody\nTransfer-Encoding: chunked\n"}, "body\nTransfer-Encoding: chunked\n"},
+		"HTTP/1.1 in parts": {[]string{"HTTP/1.", "1 200 OK\r\nOf: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, "body"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := listen(t, func(c net.Conn, next func() string) {
+				next()
+				for _, part := range tc.parts {
+					_, _ = io.WriteString(c, part)
+				}
+			})
+			got, err := do(newPool(), p.endpoint, "a")
+			if tc.want != "" {
+				g.Expect(got, err).To(Equal(tc.want))
+				return
+			}
+			var f *attempt.Failure
+			g.Expect(errors.As(err, &f)).To(BeTrue(), "%q, %v", got, err)
+			g.Expect(f.Kind).To(Equal(retry.ProtocolError))
+		})
+	}
+}
+
 // TestConnectionsCarryABoundedNumberOfRequests guards against the memory of the IDs that they have carried.
 func TestConnectionsCarryABoundedNumberOfRequests(t *testing.T) {
 	g := NewWithT(t)
