--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -477,5 +477,9 @@
 mutant "own answer: two calls on a connection" internal/upstream/conn.go 's/^\t\treturn !c.anonymous$/\t\treturn true/' "./internal/upstream -run LateAnswerToACall"
 mutant "own answer: connections are never used up" internal/upstream/conn.go 's/return len(c.carried) >= maxCarried/return false/' "./internal/upstream -run BoundedNumber"
 mutant "own answer: answers without an ID are taken" internal/upstream/pool.go 's/if a.RequestID != r.ID \&\& a.RequestID == "" \&\& !c.anonymous {/if false {/; s/^\t\tif a.RequestID != r.ID {$/\t\tif a.RequestID != "" \&\& a.RequestID != r.ID {/' "./internal/upstream -run WithoutAnID"
+mutant "cut answers: a cut head as a malformed one" internal/upstream/pool.go 's/if err != nil \&\& c.headErr != nil {/if false {/' ./internal/upstream
+mutant "cut answers: codings of HTTP/1.0 ignored" internal/upstream/pool.go 's/if c.codedHTTP10() {/if false {/' ./internal/upstream
+mutant "cut answers: streams without events" internal/relay/pass.go 's/if !resp.Framed \&\& !p.state.HeaderSent {/if false {/' "./internal/gateway -run TestAStreamThatEnds"
+mutant "cut answers: delegated parts" internal/peering/delegation.go 's/^\tcase started:$/\tcase false:/' "./internal/peering -run TestAResponseOfAPeerCut"
 
 exit $green
