engineclient: a call without a body isn't sent again by the HTTP client

Seen by callers: on our own interface a GET without a body to a service whose requests may run once ran twice, if it came through an entry other than the ticket's owner and a kept connection to the service broke before a byte of the reply.

Cause: net/http sends requests of some methods again on its own unless they have a body that can't be read twice. Calls get such a body, but one that another entry passes on without a body has none: an empty field of the peer protocol is read as none.

Change: calls always have a body, if need be an empty one.

Measured: the case 'without a body' of TestNoSilentRepeat failed before, with 3 requests at the service where 2 were made.

--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -255,6 +255,10 @@
 
 // Call makes one call of a plain service.
 func (c *Client) Call(ctx context.Context, e fleet.Endpoint, requestID, method, path, contentType string, body []byte) (*Reply, *attempt.Failure) {
+	if body == nil {
+		// Without one the HTTP client sends some methods again on its own.
+		body = []byte{}
+	}
 	header := http.Header{engineapi.HeaderRequestID: {requestID}}
 	if contentType != "" {
 		header.Set("Content-Type", contentType)
--- a/internal/engineclient/engineclient_test.go
+++ b/internal/engineclient/engineclient_test.go
@@ -35,21 +35,32 @@
 // TestNoSilentRepeat: the HTTP client must not send a request again on its own
 // when a kept connection breaks after the request was written.
 func TestNoSilentRepeat(t *testing.T) {
-	g := NewWithT(t)
-	var served atomic.Int32
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if served.Add(1) > 1 {
-			panic(http.ErrAbortHandler)
-		}
-		w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
-	}))
-	defer s.Close()
-	c := New(nil)
-	_, f := c.Call(context.Background(), endpoint(s), "1", http.MethodPost, "/", "", []byte("x"))
-	g.Expect(f).To(BeNil())
-	_, f = c.Call(context.Background(), endpoint(s), "2", http.MethodPost, "/", "", []byte("x"))
-	g.Expect(f.Kind).To(Equal(retry.LinkLost))
-	g.Expect(served.Load()).To(BeEquivalentTo(2))
+	for name, tc := range map[string]struct {
+		method string
+		body   []byte
+	}{
+		"with a body":       {http.MethodPost, []byte("x")},
+		"with an empty one": {http.MethodGet, []byte{}},
+		"without a body":    {http.MethodGet, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var served atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if served.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+			}))
+			defer s.Close()
+			c := New(nil)
+			_, f := c.Call(context.Background(), endpoint(s), "1", tc.method, "/", "", tc.body)
+			g.Expect(f).To(BeNil())
+			_, f = c.Call(context.Background(), endpoint(s), "2", tc.method, "/", "", tc.body)
+			g.Expect(f.Kind).To(Equal(retry.LinkLost))
+			g.Expect(served.Load()).To(BeEquivalentTo(2))
+		})
+	}
 }
 
 func TestFailuresByKind(t *testing.T) {
