--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"regexp"
 	"syscall"
 	"time"
 
@@ -33,9 +34,11 @@
 	// has carried one without an ID; see mayCarry.
 	carried   map[uint64]bool
 	anonymous bool
-	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come.
+	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headErr
+	// is the error that the connection ended with meanwhile.
 	headLimited bool
 	headLeft    int
+	headErr     error
 }
 
 // Dialer opens a TCP connection.
@@ -89,10 +92,37 @@
 
 // limitHead limits what is read until unlimitHead: a head of so many bytes, and the part of the body that
 // is read ahead.
-func (c *conn) limitHead(bytes int) { c.headLimited, c.headLeft = true, bytes+readBufferBytes }
+func (c *conn) limitHead(bytes int) {
+	c.headLimited, c.headLeft, c.headErr = true, bytes+readBufferBytes, nil
+}
 
 func (c *conn) unlimitHead() { c.headLimited = false }
 
+// headEnd is the end of a head, and codingField the name of the field that tells how a body is coded.
+var (
+	headEnd     = regexp.MustCompile(`\n\r?\n`)
+	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
+)
+
+// codedHTTP10 reports whether the next answer is one of HTTP/1.0 whose body is coded. That version has no such
+// codings: net/http ignores the field and takes the coded bytes for the body. A head that doesn't fit into the
+// buffer counts as one with the field.
+func (c *conn) codedHTTP10() bool {
+	const version = "HTTP/1.0"
+	for {
+		head, _ := c.reader.Peek(c.reader.Buffered())
+		if n := min(len(head), len(version)); string(head[:n]) != version[:n] {
+			return false
+		}
+		if end := headEnd.FindIndex(head); end != nil {
+			return codingField.Match(head[:end[1]])
+		}
+		if _, err := c.reader.Peek(len(head) + 1); err != nil {
+			return errors.Is(err, bufio.ErrBufferFull)
+		}
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.headLimited {
@@ -103,6 +133,9 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if err != nil {
+		c.headErr = err
+	}
 	return n, err
 }
 
--- a/internal/upstream/tries_test.go
+++ b/internal/upstream/tries_test.go
@@ -3,16 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
@@ -138,6 +141,74 @@
 	}
 }
 
+// TestAHeadCutAtAnyByteIsALostLink guards against an endpoint that ended within its head and counts as one that
+// answered nonsense.
+func TestAHeadCutAtAnyByteIsALostLink(t *testing.T) {
+	const informational = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	for name, head := range map[string]string{
+		"plain":               "HTTP/1.1 200 OK\r\nOf: a\r\nFolded: x\r\n y\r\nContent-Length: 12\r\n\r\n",
+		"bare LF":             "HTTP/1.1 200 OK\nOf: a\nContent-Length: 12\n\n",
+		"after informational": informational + "HTTP/1.1 200 OK\r\nOf: a\r\nContent-Length: 12\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				g := NewWithT(t)
+				var end atomic.Int64
+				p := listen(t, func(c net.Conn, next func() string) {
+					next()
+					_, _ = io.WriteString(c, head[:end.Load()])
+					if reset {
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				for at := range len(head) {
+					end.Store(int64(at))
+					ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+					_, f := newPool().Do(ctx, p.endpoint, request("a"), upstream.Sending{})
+					cancel()
+					g.Expect(f).NotTo(BeNil(), "%q", head[:at])
+					g.Expect(f.Kind).To(Equal(retry.LinkLost), "%q: %v", head[:at], f.Err)
+				}
+			})
+		}
+	}
+}
+
+// TestAnHTTP10AnswerInChunksIsNotRead guards against the sizes of chunks in a body that callers take for whole.
+func TestAnHTTP10AnswerInChunksIsNotRead(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		parts []string
+		want  string
+	}{
+		"in chunks":         {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\ntransfer-encoding: chunked\r\n\r\n" + chunks}, ""},
+		"byte by byte":      {strings.Split("HTTP/1.0 200 OK\nOf: a\nTransfer-Encoding : chunked\n\n"+chunks, ""), ""},
+		"after another":     {[]string{"HTTP/1.1 200 OK\r\nOf: b\r\nContent-Length: 0\r\n\r\nHTTP/1.0 200 OK\r\nOf: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, ""},
+		"a head of 8 KB":    {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\nX: " + strings.Repeat("x", 8<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, ""},
+		"with a length":     {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\nContent-Length: 4\r\n\r\nbody"}, "body"},
+		"without a length":  {[]string{"HTTP/1.0 200 OK\r\nOf: a\r\n\r\nbody\nTransfer-Encoding: chunked\n"}, "body\nTransfer-Encoding: chunked\n"},
+		"HTTP/1.1 in parts": {[]string{"HTTP/1.", "1 200 OK\r\nOf: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks}, "body"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := listen(t, func(c net.Conn, next func() string) {
+				next()
+				for _, part := range tc.parts {
+					_, _ = io.WriteString(c, part)
+				}
+			})
+			got, err := do(newPool(), p.endpoint, "a")
+			if tc.want != "" {
+				g.Expect(got, err).To(Equal(tc.want))
+				return
+			}
+			var f *attempt.Failure
+			g.Expect(errors.As(err, &f)).To(BeTrue(), "%q, %v", got, err)
+			g.Expect(f.Kind).To(Equal(retry.ProtocolError))
+		})
+	}
+}
+
 // TestConnectionsCarryABoundedNumberOfRequests guards against the memory of the IDs that they have carried.
 func TestConnectionsCarryABoundedNumberOfRequests(t *testing.T) {
 	g := NewWithT(t)
