httpserver: a connection that is accepted while a drain ends passes on no request

Callers whose connection was accepted as the listener closed could have their request passed on and then their connection closed without an answer.

Cause: http.Server gets a connection some system calls after the kernel has accepted it. Drain closes the listener and ends once it knows of no connection in use; one that is added after that was served as usual, and cut by Close. The same held between the two steps of Close. Change: a connection that is added once a drain looks at the connections is closed unread. Those that are added before, the drain sees.

--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -122,13 +122,18 @@
 	return c.(*conn)
 }
 
-// add adds a connection, and closes one if there are too many.
+// add adds a connection, and closes one if there are too many. It closes one that comes during a drain: the drain may
+// have found no other.
 func (l *connections) add(c *conn, now time.Time) {
 	l.mu.Lock()
 	c.state, c.since = http.StateNew, now
 	l.open[c] = true
 	var victim *conn
-	if l.max > 0 && len(l.open) > l.max {
+	switch {
+	case l.draining:
+		victim = c
+		l.choose(c, CloseDrain)
+	case l.max > 0 && len(l.open) > l.max:
 		victim = l.longestIdle(now)
 		if victim == nil {
 			victim = c
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -463,6 +463,7 @@
 mutant "closing: bytes are handed on" internal/httpserver/connections.go 's/if n > 0 \&\& !c.all.received(c, time.Now()) {/if n > 0 \&\& !c.all.received(c, time.Now()) \&\& false {/' "./internal/httpserver -run WhileTheirConnection"
 mutant "closing: heads are cut in the middle" internal/httpserver/connections.go 's/case c.state == http.StateNew || c.receiving:/case c.state == http.StateNew:/' "./internal/httpserver -run OfWhichPart|UntilItsClient"
 mutant "closing: requests reopen connections" internal/httpserver/connections.go 's/^\tcase c.closing != "" || state == http.StateNew:$/\tcase state == http.StateNew:/' "./internal/httpserver -run AdmitNoRequest"
+mutant "closing: drains miss what is being accepted" internal/httpserver/connections.go 's/^\tcase l.draining:$/\tcase false:/' "./internal/httpserver -run WhileADrainEnds"
 mutant "closing: connections with requests are closed" internal/httpserver/connections.go 's/^\tcase c.state == http.StateActive:$/\tcase false:/' "./internal/httpserver -run WhileTheirConnection|DuringADrain|IdleLongest"
 mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
 mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
