upstream: a request that has ended isn't sent on an open connection

What callers saw: a request whose context ended (Abort, caller gone, time up) while its connection to a server was opened or taken was still sent, and cut at once. At Abort its caller got 504, which promises nothing, in place of 503, and the server ran it for nobody.

Cause: the pool leaves the closing of the connection to context.AfterFunc, which runs in another goroutine: on a context that has ended the request was written before it closed the connection. The runner looks at the context earlier, before a connection is opened. Change: the pool looks at the context before it writes. A request that is not written counts as not sent. A context that ends between the look and the write is as before.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -220,6 +220,9 @@
 		c.Close()
 		return nil, &attempt.Failure{Kind: kind, Err: err}
 	}
+	if ctx.Err() != nil {
+		return fail(retry.NotSent, context.Cause(ctx))
+	}
 	sent := clock.Now()
 	written, err := p.write(c, r, s)
 	if err != nil {
