delegation: a request that has ended isn't delegated

What callers saw: a request that waited at a peer when its entry reached Abort could be sent to the next peer after it had been withdrawn from the first, and run there for nobody; its caller could get 504 in place of 503.

Cause: the end of a request is left to context.AfterFunc, which runs in another goroutine; on a context that has ended the call was made and withdrawn at the same time. And the answer to the withdrawal counted as the peer's own refusal, after which the next peer is asked. Change: an ended request is not delegated; the outcome of a request that has ended is final.

--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -89,7 +89,7 @@
 			err.Code = shutdown.Code(ctx)
 		}
 		g.countDelegated("out", err)
-		if err == nil || err.Outcome != outcome.NotRun || !ownRefusals[err.Code] {
+		if err == nil || err.Outcome != outcome.NotRun || !ownRefusals[err.Code] || ctx.Err() != nil {
 			j.Delegate = peer.VM
 			return true, err
 		}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -124,3 +124,15 @@
 	w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
 	w.g.Expect(a.closes).To(BeTrue())
 }
+
+// TestRequestsWithdrawnAtAStopAreNotDelegatedAgain guards against requests that another peer gets once they have ended.
+func TestRequestsWithdrawnAtAStopAreNotDelegatedAgain(t *testing.T) {
+	d := newDelegationWorldWithGrace(t, 2, 2*time.Second)
+	d.awaitServed()
+	d.desk.Work = longWork
+	wait := d.cut.callAll(40)
+	d.g.Eventually(func() int { return len(d.ledger.Runs()) }, eventually).Should(BeNumerically(">=", 8))
+	d.cut.stop()
+	d.expectAnswered(wait())
+	d.g.Expect(d.logs.with("delegation refused", "vm=vm-cut", "code=stopping")).To(BeEmpty())
+}
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -209,6 +209,9 @@
 // If ctx ends because the entry is about to stop, the peer is asked for the outcome, and the call ends
 // withdrawTimeout later at the latest.
 func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
+	if ctx.Err() != nil {
+		return shutdown.NotRun(ctx)
+	}
 	var connected atomic.Bool
 	// The call outlasts ctx, whose end is handled below.
 	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
--- /dev/null
+++ b/internal/peering/ended_test.go
@@ -0,0 +1,40 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
+	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/membership"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+)
+
+// TestARequestThatHasEndedIsNotDelegated guards against requests that a peer runs and that are withdrawn at once.
+func TestARequestThatHasEndedIsNotDelegated(t *testing.T) {
+	g := NewWithT(t)
+	var served atomic.Int64
+	server := serveDelegated(t, func(string, http.ResponseWriter, *http.Request) *outcome.Error {
+		served.Add(1)
+		return outcome.Stopping()
+	})
+	d := NewDelegator("a", tcpconn.Dialer(time.Second), nil)
+	ctx, end := context.WithCancelCause(t.Context())
+	end(shutdown.ErrStopping)
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	for range 20 {
+		err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+		g.Expect(err).NotTo(BeNil())
+		g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+		g.Expect(err.Code).To(Equal(outcome.CodeStopping))
+	}
+	g.Expect(served.Load()).To(BeZero())
+}
