--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -146,12 +146,17 @@
 	return c.(*conn)
 }
 
-// add adds a connection, and ends one if there are too many.
+// add adds a connection, and ends one if there are too many. It ends one that comes during a drain: the drain may
+// have found no other.
 func (l *connections) add(c *conn, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.state, c.since = http.StateNew, now
 	l.open[c] = true
+	if l.draining {
+		l.end(c)
+		return
+	}
 	if l.max == 0 || len(l.open)-l.ending <= l.max {
 		return
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -469,6 +469,7 @@
 mutant "closing: early bytes are forgotten" internal/httpserver/connections.go 's/} else if l.draining \&\& c.idle(now) {/} else if l.draining {/' "./internal/httpserver -run AByteThatComes"
 mutant "closing: writes don't count" internal/httpserver/connections.go 's/^\tc.all.writes(c)$//' "./internal/httpserver -run AByteThatComes|DuringADrain|HoldUp"
 mutant "closing: a drain doesn't wait" internal/httpserver/connections.go 's/return len(l.open) > 0/return len(l.open) > l.ending/' "./internal/httpserver"
+mutant "closing: drains miss what is being accepted" internal/httpserver/connections.go '/^func (l \*connections) add/,/^}/s/if l.draining {/if false {/' "./internal/httpserver -run WhileADrainEnds"
 mutant "closing: connections with requests are closed" internal/httpserver/connections.go 's/^\tcase c.state == http.StateActive:$/\tcase false:/' "./internal/httpserver -run WhileTheirConnection|DuringADrain|IdleLongest"
 mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
 mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
