--- a/pkg/jsontext/jsontext.go
+++ b/pkg/jsontext/jsontext.go
@@ -14,3 +14,30 @@
 	}
 	return len(data)
 }
+
+// Prune replaces the lists and objects at a depth greater than maxDepth by null; the outermost value
+// is at depth 1.
+func Prune(data []byte, maxDepth int) []byte {
+	out := make([]byte, 0, len(data))
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		length := 1
+		switch data[i] {
+		case '"':
+			length = StringLen(data[i:])
+		case '{', '[':
+			if depth++; depth == maxDepth+1 {
+				out = append(out, "null"...)
+			}
+		case '}', ']':
+			if depth--; depth >= maxDepth {
+				continue
+			}
+		}
+		if depth <= maxDepth {
+			out = append(out, data[i:i+length]...)
+		}
+		i += length - 1
+	}
+	return out
+}
