--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -58,7 +58,7 @@
 	}
 	g.life++
 	g.restarting = false
-	cmd := exec.Command(gatewayBinary, "-drain-delay", "300ms")
+	cmd := exec.Command(gatewayBinary, append([]string{"-drain-delay", "300ms"}, g.w.flags...)...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file, "SOAK_SUSPENDED="+g.suspendedFile())
 	out, err := os.OpenFile(g.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -48,6 +48,8 @@
 	rand  *rand.Rand
 	begun time.Time
 	dir   string
+	// flags are those of all gateways, besides the usual ones.
+	flags []string
 
 	store      *standin.Store
 	storeProxy *proxy
@@ -104,12 +106,17 @@
 }
 
 func newWorld(t *testing.T, s seed) *world {
+	return newWorldOver(t, s, func(store http.Handler) http.Handler { return store })
+}
+
+// newWorldOver is newWorld with a wrapper of the store and flags of the gateways.
+func newWorldOver(t *testing.T, s seed, wrap func(http.Handler) http.Handler, flags ...string) *world {
 	w := &world{
-		t: t, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
+		t: t, flags: flags, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
 		crashed: map[string][]time.Time{}, withPart: map[string]string{}, throttling: map[*standin.Endpoint]bool{}, written: written{values: map[string][]byte{}},
 	}
-	server := httptest.NewServer(w.store.Handler())
+	server := httptest.NewServer(wrap(w.store.Handler()))
 	t.Cleanup(server.Close)
 	w.trap.start(t)
 	w.storeProxy = w.proxied(strings.TrimPrefix(server.URL, "http://"))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,6 +149,8 @@
 mutant "records: any state used" platform/endpoints.go 's/^\tcase stateReady:$/\tcase stateReady, "live", "starting":/' ./platform
 mutant "records: fields given twice" platform/object.go 's/o.twice\[name\] = true/o.twice[name] = false/' ./platform
 mutant "records: too deep for the registry" platform/endpoints.go 's/slices.Concat(\[\]byte("\[\["), record, \[\]byte("\]\]"))/slices.Concat(record)/' ./platform
+mutant "records: long ones kept whole" platform/endpoints.go 's/if len(out) <= maxBadBytes || out\[0\] != .{. {/if true {/' ./platform
+mutant "records: long ones read by no field" platform/endpoints.go 's/ || len(out) <= maxKeptBytes \&\& namesEndpoint(out)//' ./platform
 mutant "store: a value too deep costs the list" platform/store.go 's/if err != nil \&\& strings.HasSuffix(err.Error(), "exceeded max depth") {/if false {/' ./platform
 mutant "records: hidden starts used" pkg/fleet/registry.go 's/ \&\& known\[e.Targets\[0\]\] > missing\[e.Targets\[0\]\]/ \&\& known[e.Targets[0]] < 0/' ./platform
 mutant "records: told with each list" platform/published.go 's/if p.told\[b.ID\] != now {/if true {/' ./platform
