peers: a value that no message has room for doesn't stop the exchange

Callers saw: nothing yet; found by reading for what a peer hands on. Once the encoded list of servers has more than 8 MB (from some 12,000 odd entries of the largest kept size on; what comes by watches has no bound), each answer and each push that holds it is refused by the peer as a whole, with the records of the entries, the limits, the leaves and the configuration in it, for as long as the list is that large. Cause: the bound is one of messages, and the value was put into them whatever its size. Change: a value of more than 6 MB is left out of messages. Changes to the list are sent as before, they are small; an entry without any list reads the store.

--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -60,6 +60,8 @@
 	return encoded
 }
 
+// encodeDocuments omits values that no message has room for: the peer would refuse the message
+// with everything else in it. It reads these values from the platform instead.
 func encodeDocuments(now time.Time, values []published.Value) []*peerv1.Document {
 	docs := make([]*peerv1.Document, 0, len(values))
 	for _, v := range values {
@@ -68,7 +70,9 @@
 		if v.Content == nil {
 			d.Base, d.Content, d.Sum = uint64(v.Base), v.Changes, v.ContentHash
 		}
-		docs = append(docs, d)
+		if len(d.GetContent()) <= maxDocumentBytes {
+			docs = append(docs, d)
+		}
 	}
 	return docs
 }
--- a/internal/peering/exchange_test.go
+++ b/internal/peering/exchange_test.go
@@ -15,6 +15,7 @@
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/quarantine"
@@ -54,7 +55,7 @@
 func newPeer(tb testing.TB, vm string) *testPeer {
 	p := &testPeer{
 		state: newTestState(vm, "hall"),
-		store: published.New(published.Config{ParseTable: parseAnyTable}, func(published.Event) {}, nil),
+		store: published.New(published.Config{ParseTable: parseAnyTable, ParseFleet: parseAnyFleet}, func(published.Event) {}, func(*fleet.List, time.Time) {}),
 	}
 	var records []*peerv1.NodeRecord
 	for i := range largeDataCenterSize {
@@ -75,6 +76,8 @@
 
 func parseAnyTable([]byte) (*table.Table, error) { return &table.Table{}, nil }
 
+func parseAnyFleet([]byte) (*fleet.List, error) { return &fleet.List{}, nil }
+
 // exchangeWith runs one exchange with another entry and resets the recorded encodings before.
 func (p *testPeer) exchangeWith(g *WithT, other *testPeer) {
 	p.requestEncodings, p.responseEncodings = nil, nil
@@ -113,6 +116,26 @@
 	}
 }
 
+// TestAValueTooLargeForAMessageDoesNotStopTheExchange: the records and the other value still pass.
+func TestAValueTooLargeForAMessageDoesNotStopTheExchange(t *testing.T) {
+	for _, holder := range []string{"server", "client"} {
+		g := NewWithT(t)
+		a, b := newPeer(t, "a"), newPeer(t, "b")
+		from, to := b, a
+		if holder == "client" {
+			from, to = a, b
+		}
+		from.store.OfferFromPeer(time.Now(), published.Value{Name: published.Fleet, Revision: 1, Content: make([]byte, maxMessageBytes)}, "test")
+		from.store.OfferFromPeer(time.Now(), published.Value{Name: published.Table, Revision: 1, Content: []byte("small")}, "test")
+		from.state.Merge(time.Now(), []*peerv1.NodeRecord{{Vm: "new", DataCenter: "hall", Version: 1, Incarnation: []byte("new")}})
+		a.exchangeWith(g, b)
+		_, ok := to.store.Get(published.Table)
+		g.Expect(ok).To(BeTrue(), holder)
+		to.state.WithView(func(v *membership.View) { _, ok = v.Find(time.Now(), "new") })
+		g.Expect(ok).To(BeTrue(), holder)
+	}
+}
+
 // BenchmarkExchange runs one exchange of two entries with 59 peers, both ends in one process:
 // 303 to 329 us and 77 KB with compressed responses, 162 to 184 us and 23 KB without.
 func BenchmarkExchange(b *testing.B) {
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -34,8 +34,10 @@
 	// maxMessageBytes bounds a message from a peer. It has room for two published values and the
 	// records of a few hundred nodes.
 	maxMessageBytes = 8 << 20
-	tokenHeader     = "Authorization"
-	tokenPrefix     = "Bearer "
+	// maxDocumentBytes bounds one published value in a message, and leaves room for the rest.
+	maxDocumentBytes = maxMessageBytes - 2<<20
+	tokenHeader      = "Authorization"
+	tokenPrefix      = "Bearer "
 )
 
 // MakeJob creates a job from a request that a peer forwarded, with the route from this entry's own
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -152,6 +152,7 @@
 mutant "records: long ones kept whole" platform/endpoints.go 's/if len(out) <= maxBadBytes || out\[0\] != .{. {/if true {/' ./platform
 mutant "records: long ones read by no field" platform/endpoints.go 's/ || len(out) <= maxKeptBytes \&\& namesEndpoint(out)//' ./platform
 mutant "store: a value too deep costs the list" platform/store.go 's/if err != nil \&\& strings.HasSuffix(err.Error(), "exceeded max depth") {/if false {/' ./platform
+mutant "peers: a value too large costs the exchange" internal/peering/convert.go 's/if len(d.GetContent()) <= maxDocumentBytes {/if true {/' "./internal/peering -run TooLargeForAMessage"
 mutant "records: hidden starts used" pkg/fleet/registry.go 's/ \&\& known\[e.Targets\[0\]\] > missing\[e.Targets\[0\]\]/ \&\& known[e.Targets[0]] < 0/' ./platform
 mutant "records: told with each list" platform/published.go 's/if p.told\[b.ID\] != now {/if true {/' ./platform
 mutant "records: bad ones held" pkg/fleet/retention.go 's/^\t\tdelete(r.latest, b.ID)$//' ./pkg/fleet
