upstream: a Keep-Alive whose seconds overflow no longer ends each connection

Measured: TestAKeepAliveThatOverflowsKeepsTheConnection failed before (2 connections for 2 requests) and passes now.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -391,13 +391,16 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if n, err := strconv.Atoi(value); err == nil {
-			return time.Duration(n) * time.Second
+		if n, err := strconv.Atoi(value); err == nil && n > 0 {
+			return time.Duration(min(n, maxKeepSeconds)) * time.Second
 		}
 	}
 	return 0
 }
 
+// maxKeepSeconds bounds what an endpoint says of that, so that it is in range as a time.
+const maxKeepSeconds = 24 * 60 * 60
+
 // Read reads the body. It returns io.EOF only at the end of a whole body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -123,6 +124,26 @@
 	g.Expect(conns).To(Equal(1))
 }
 
+// TestAKeepAliveThatOverflowsKeepsTheConnection: 18446744074 s in nanoseconds are a third of a second more than 2^64.
+func TestAKeepAliveThatOverflowsKeepsTheConnection(t *testing.T) {
+	for _, timeout := range []string{"18446744074", "9223372036854775807", "-1", "1e400", strings.Repeat("9", 1000), "NaN", ""} {
+		p := listen(t, func(c net.Conn, next func() string) {
+			for id := next(); id != ""; id = next() {
+				_, _ = io.WriteString(c, strings.Replace(answer(id, "a"), "Of:", "Keep-Alive: timeout="+timeout+"\r\nOf:", 1))
+			}
+		})
+		pool := newPool()
+		g := NewWithT(t)
+		for _, id := range []string{"1", "2"} {
+			body, err := do(pool, p.endpoint, id)
+			g.Expect(err).NotTo(HaveOccurred(), timeout)
+			g.Expect(body).To(Equal("a"), timeout)
+		}
+		_, conns := p.seen()
+		g.Expect(conns).To(Equal(1), timeout)
+	}
+}
+
 func TestASurplusAnswerIsNotTakenForTheNext(t *testing.T) {
 	g := NewWithT(t)
 	p := listen(t, func(c net.Conn, next func() string) {
