backpressure: a limit past all bounds is shared like any other

Callers saw: nothing yet. A peer's record may hold a limit of up to 1.8e308 a second, though no entry of this version writes more than a million: with one beyond some 6e18, no entry would send anything to the server that named it. Cause: the number of sharers was converted from it out of range, where the result also depends on the processor, and adding to it wrapped round to a negative one. Change: it is bounded by the number of entries before the conversion. Measured: TestALimitPastAllBoundsIsShared failed before (on arm64) and passes now.

--- a/pkg/backpressure/reports_test.go
+++ b/pkg/backpressure/reports_test.go
@@ -42,6 +42,19 @@
 	g.Expect(apply(backpressure.Limit{}, true, 5*time.Second, 6*time.Second)).To(BeTrue())
 }
 
+// TestALimitPastAllBoundsIsShared guards against a number of sharers that overflows.
+func TestALimitPastAllBoundsIsShared(t *testing.T) {
+	g := NewWithT(t)
+	s := backpressure.New()
+	s.SetRank(backpressure.Rank{DataCenter: "dc", Entries: map[string]int{"dc": 3}})
+	r, ok := backpressure.NewLimitReport(instance, limited(1e300), true, start, start)
+	g.Expect(ok).To(BeTrue())
+	s.Apply(start, r, backpressure.FromSameDataCenter)
+	e := fleet.Endpoint{ID: instance.Endpoint, Incarnation: instance.Incarnation, DataCenter: "dc"}
+	s.Accepts(start, e)
+	g.Expect(s.Accepts(start.Add(time.Second), e)).To(BeTrue())
+}
+
 // TestChangeCountsRequestsSent: a Change counts the requests sent under the previous limit, so that
 // the log shows whether that limit was kept.
 func TestChangeCountsRequestsSent(t *testing.T) {
--- a/pkg/backpressure/share.go
+++ b/pkg/backpressure/share.go
@@ -71,7 +71,8 @@
 // shareOf returns this entry's share of an endpoint's limit.
 func (s *Set) shareOf(e fleet.Endpoint, l Limit) share {
 	rate := effectiveRate(l)
-	sharers := min(s.rank.EntryCount(), int(sharersPerSecond*rate)+extraSharers)
+	entries := s.rank.EntryCount()
+	sharers := min(entries, int(min(sharersPerSecond*rate, float64(entries)))+extraSharers)
 	if s.rank.forEndpoint(e) >= sharers {
 		return share{}
 	}
