--- a/internal/soak/odd_entries_test.go
+++ b/internal/soak/odd_entries_test.go
@@ -147,6 +147,9 @@
 				for _, e := range odd {
 					o.store.Delete(platform.EndpointPrefix + e.ID)
 				}
+				o.rawMu.Lock()
+				defer o.rawMu.Unlock()
+				clear(o.raw)
 			}()
 			o.write(odd)
 			o.endpoint(service[0] + "-0")
