soak: bad records have ids that a server may have

What was seen: nothing; found by reading. The ids of the other writer's records held blanks, which no id in a header may, so that each record was refused for its id alone and what is wrong with its value was never met by a process. Change: what is wrong is escaped in the id, so that the value decides.

--- a/internal/soak/records_test.go
+++ b/internal/soak/records_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -54,7 +55,7 @@
 	bad := standin.BadRecords(pick(r, []string{"engine", "desk"}), w.trap.address)
 	for range 1 + r.IntN(mostBad) {
 		one := pick(r, bad)
-		key := platform.EndpointPrefix + "bad " + one.Wrong
+		key := platform.EndpointPrefix + "bad-" + url.QueryEscape(one.Wrong)
 		if r.IntN(5) == 0 {
 			w.store.Delete(key)
 			continue
