--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -54,7 +54,7 @@
 mutant "revision: adopted whatever its order" pkg/register/register.go 's/if rev <= r.highest {/if false {/' "$P ./pkg/register"
 mutant "orders: planned against a newer number" pkg/fencing/fencing.go 's/if r.Fencing > uint64(snapshot.Revision) || converged/if converged/' ./pkg/fencing
 stop="./internal/e2e -run TestPlannedStop"
-mutant "planned stop: open requests cut" internal/entry/lifecycle.go 's/err := s.callers.Shutdown(drain)/err := s.callers.Close()/' "$stop"
+mutant "planned stop: open requests cut" internal/entry/lifecycle.go 's/err := s.callers.Drain(drain)/err := s.callers.Close()/' "$stop"
 mutant "planned stop: tickets not handed over" internal/entry/lifecycle.go 's/^\te.handOver(drain)$/\t_ = e.handOver/' "$stop"
 mutant "silent connections: replaced one by one" internal/peering/client.go 's/if reused {/if false {/' "./internal/peering -run TestOneTimeout"
 dg="./internal/gateway -run Delegated|AnotherPeer"
@@ -459,6 +459,17 @@
 mutant "shutdown: bodies aren't ended" internal/filters/body/body.go 's/context.AfterFunc(r.Context(), func() { .* })/context.AfterFunc(r.Context(), func() {})/' "./internal/gateway -run BodyArrives"
 mutant "shutdown: responses don't close" internal/filters/drain/drain.go 's/if w.closing() {/if false {/' "./internal/gateway -run ResponsesOfAStopping"
 mutant "shutdown: requests that arrive late are dropped" internal/httpserver/server.go 's/^\t_ = s.listener.Close()$/\treturn s.http.Shutdown(ctx)/' "./internal/httpserver -run Arrive"
+mutant "closing: late requests aren't ended" internal/shutdown/shutdown.go 's/if open.Err() != nil {/if false {/' ./internal/filters/drain
+mutant "closing: responses begin after the end" internal/shutdown/shutdown.go 's/if detach() {/if detach() || true {/' "./internal/gateway -run NoResponseBegins"
+mutant "closing: delegated responses begin after the end" internal/peering/delegation.go 's/if !r.mayBegin() {/if false {/' "./internal/peering -run NoDelegatedResponse"
+mutant "closing: incomplete answers are followed after the end" internal/answer/answer.go 's/ \&\& !shutdown.BeginResponse(ctx) {/ \&\& shutdown.BeginResponse(ctx) \&\& false {/' ./internal/answer
+mutant "closing: delegated requests are released before their responses" internal/peering/delegation.go 's/^\t\tdefer release()$/\t\trelease()/' "./internal/peering -run ReleasedOnce"
+mutant "closing: responses that cross a withdrawal are dropped" internal/peering/withdraw.go 's/ || connect.CodeOf(err) == connect.CodeNotFound {/ {/' "./internal/peering -run CrossesIts"
+mutant "closing: requests that have ended are sent" internal/upstream/pool.go 's/^\t\tif ctx.Err() != nil {$/\t\tif false {/' "./internal/upstream -run NothingIsSent"
+mutant "closing: looks renew connections" internal/upstream/pool.go 's/^\tp.idle\[life\] = append/\tc.lastUsed = clock.Now()\n&/' "./internal/upstream -run ALookDoesNot"
+mutant "closing: requests without a body are repeated" internal/engineclient/engineclient.go 's/if body == nil {/if false {/' "./internal/engineclient -run NoSilent"
+mutant "memory: refused bodies hold theirs" internal/filters/body/body.go 's/^\t\t\theld.Release()$//' "./internal/filters/body -run HoldsNoMemory"
+mutant "memory: refused calls wait for ever" internal/peering/memory.go 's/^\t\t\t_ = http.NewResponseController(w).SetReadDeadline(.*$//' "./internal/peering -run WithoutRoomThat"
 mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
 mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
 mutant "memory: idle connections aren't swept" internal/upstream/pool.go 's/^\t\tp.sweep()$//' "./internal/upstream -run IdleConnection"
