--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -477,6 +477,17 @@
 mutant "closing: a drain doesn't wait" internal/httpserver/connections.go 's/return len(l.open) > 0/return len(l.open) > l.ending/' "./internal/httpserver"
 mutant "closing: drains miss what is being accepted" internal/httpserver/connections.go '/^func (l \*connections) add/,/^}/s/if l.draining {/if false {/' "./internal/httpserver -run WhileADrainEnds"
 mutant "closing: connections with requests are closed" internal/httpserver/connections.go 's/^\tcase c.state == http.StateActive:$/\tcase false:/' "./internal/httpserver -run WhileTheirConnection|DuringADrain|IdleLongest"
+mutant "closing: late requests aren't ended" internal/shutdown/shutdown.go 's/if open.Err() != nil {/if false {/' ./internal/filters/drain
+mutant "closing: responses begin after the end" internal/shutdown/shutdown.go 's/if detach() {/if detach() || true {/' "./internal/gateway -run NoResponseBegins"
+mutant "closing: delegated responses begin after the end" internal/peering/delegation.go 's/if !r.mayBegin() {/if false {/' "./internal/peering -run NoDelegatedResponse"
+mutant "closing: incomplete answers are followed after the end" internal/answer/answer.go 's/ \&\& !shutdown.BeginResponse(ctx) {/ \&\& shutdown.BeginResponse(ctx) \&\& false {/' ./internal/answer
+mutant "closing: delegated requests are released before their responses" internal/peering/delegation.go 's/^\t\tdefer release()$/\t\trelease()/' "./internal/peering -run ReleasedOnce"
+mutant "closing: responses that cross a withdrawal are dropped" internal/peering/withdraw.go 's/ || connect.CodeOf(err) == connect.CodeNotFound {/ {/' "./internal/peering -run CrossesIts"
+mutant "closing: requests that have ended are sent" internal/upstream/pool.go 's/if ctx.Err() != nil {$/if false {/' "./internal/upstream -run NothingIsSent"
+mutant "closing: looks renew connections" internal/upstream/pool.go 's/^\tp.idle\[life\] = append/\tc.lastUsed = clock.Now()\n&/' "./internal/upstream -run ALookDoesNot"
+mutant "closing: requests without a body are repeated" internal/engineclient/engineclient.go 's/if body == nil {/if false {/' "./internal/engineclient -run NoSilent"
+mutant "memory: refused bodies hold theirs" internal/filters/body/body.go 's/^\t\t\theld.Release()$//' "./internal/filters/body -run HoldsNoMemory"
+mutant "memory: refused calls wait for ever" internal/peering/memory.go 's/^\t\t\t_ = http.NewResponseController(w).SetReadDeadline(.*$//' "./internal/peering -run WithoutRoomThat"
 mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
 mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
 mutant "memory: idle connections aren't swept" internal/upstream/pool.go 's/^\t\tp.sweep()$//' "./internal/upstream -run IdleConnection"
