--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -480,6 +480,7 @@
 mutant "cut answers: a cut head as a malformed one" internal/upstream/pool.go 's/if err != nil \&\& c.headErr != nil {/if false {/' ./internal/upstream
 mutant "cut answers: codings of HTTP/1.0 ignored" internal/upstream/pool.go 's/if c.codedHTTP10() {/if false {/' ./internal/upstream
 mutant "cut answers: streams without events" internal/relay/pass.go 's/if !resp.Framed \&\& !p.state.HeaderSent {/if false {/' "./internal/gateway -run TestAStreamThatEnds"
+mutant "cut answers: calls without a body" internal/engineclient/engineclient.go 's/^\tif body == nil {$/\tif false {/' ./internal/engineclient
 mutant "cut answers: delegated parts" internal/peering/delegation.go 's/^\tcase started:$/\tcase false:/' "./internal/peering -run TestAResponseOfAPeerCut"
 
 exit $green
