respond: a stream whose end comes late is whole

What callers saw: a stream, or a large answer in chunks, whose server took longer than -unread-timeout (5 s) between its last bytes and its end arrived without its end (`unexpected EOF`), although the caller had read all of it at once.

Cause: each part sets a write deadline on the caller's connection. The end of a body in chunks is written by net/http when the handler returns, under the deadline of the last part, which had passed; the write failed, and the connection was closed. Change: the caller gets the time once more when an answer ends well.

--- a/internal/filters/respond/respond.go
+++ b/internal/filters/respond/respond.go
@@ -105,6 +105,8 @@
 	}
 	if err == nil {
 		j.Outcome = outcome.Complete
+		// The end of a body in chunks is written when the handler returns.
+		s.allow()
 		return
 	}
 	if j.Ticket != "" && !j.OwnerAnswered {
