delegation: a request that ends before a peer has it isn't sent

What callers saw: a request that its entry delegated as the stop came to Abort could still be sent to the peer, and run there, after the entry had asked the peer to end it; its caller got 504 in place of 503.

Cause: at Abort the entry withdraws the request, and only then ends its own call. While the connection to the peer was being opened there was nothing to withdraw; the call went on meanwhile, and the request was sent once it was up. Change: a call without a connection is ended at once. Its outcome is NotRun. Result: the test ends the request within the dial.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -206,8 +206,8 @@
 // response when it is complete. header is that of the request. The error is the outcome of a request
 // that failed. It is NotRun only if the peer can't have begun to serve the request, or says so.
 //
-// If ctx ends because the entry is about to stop, the peer is asked for the outcome, and the call ends
-// withdrawTimeout later at the latest.
+// If ctx ends because the entry is about to stop, a request that the peer may have is withdrawn: the peer is asked for
+// the outcome, and the call ends withdrawTimeout later at the latest.
 func (d *Delegator) Delegate(ctx context.Context, to membership.Contact, j *job.Job, header http.Header, sink job.HeaderSink) *outcome.Error {
 	if ctx.Err() != nil {
 		return shutdown.NotRun(ctx)
@@ -222,7 +222,7 @@
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), decompressWithin(d.memory))
 	id := rand.Uint64()
 	stop := context.AfterFunc(ctx, func() {
-		if context.Cause(ctx) == shutdown.ErrStopping {
+		if connected.Load() && context.Cause(ctx) == shutdown.ErrStopping {
 			withdraw(call, client, id)
 		}
 		cancel(context.Cause(ctx))
--- a/internal/peering/ended_test.go
+++ b/internal/peering/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -38,3 +39,32 @@
 	}
 	g.Expect(served.Load()).To(BeZero())
 }
+
+// TestARequestThatEndsBeforeItIsSentIsNotDelegated guards against requests that are sent to a peer while they are
+// withdrawn from it.
+func TestARequestThatEndsBeforeItIsSentIsNotDelegated(t *testing.T) {
+	g := NewWithT(t)
+	served := make(chan struct{}, 1)
+	server := serveDelegated(t, func(string, http.ResponseWriter, *http.Request) *outcome.Error {
+		served <- struct{}{}
+		return outcome.Stopping()
+	})
+	ctx, end := context.WithCancelCause(t.Context())
+	var dials atomic.Int64
+	d := NewDelegator("a", func(call context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			end(shutdown.ErrStopping)
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+			return tcpconn.Dialer(time.Second)(call, network, address)
+		case <-call.Done():
+			return nil, call.Err()
+		}
+	}, nil)
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+	g.Expect(served).NotTo(Receive())
+}
