peering: the memory of a call that is refused stays reserved while its rest is read

But what has been read of the message is still held by the reader of the call until that ends. Change: the reservation ends with the call, as before; the limit of time stays, which ends the stall.

--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -27,7 +27,6 @@
 		defer held.Release()
 		body := r.Body
 		rest := func() {
-			held.Release()
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
 			_, _ = io.CopyN(io.Discard, body, maxMessageBytes)
 		}
