--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -32,3 +32,22 @@
 	requests, _ := p.seen()
 	g.Expect(requests).NotTo(ContainElement("ended"))
 }
+
+// TestARequestThatEndsWhileItsConnectionOpensIsNotSent guards against the same on new connections.
+func TestARequestThatEndsWhileItsConnectionOpensIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	p := listen(t, func(_ net.Conn, next func() string) { next() })
+	for range 100 {
+		pool := newPool()
+		ctx, cancel := context.WithCancel(t.Context())
+		dial := pool.Dial
+		pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := dial(ctx, address)
+			cancel()
+			return c, err
+		}
+		_, f := pool.Do(ctx, p.endpoint, request("ended"), upstream.Sending{Endpoint: p.endpoint.ID})
+		g.Expect(f).NotTo(BeNil())
+		g.Expect(f.Kind).To(Equal(retry.NotSent))
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -491,7 +491,7 @@
 mutant "ended: delegated" internal/peering/delegation.go '/^func (d \*Delegator) Delegate/,/^}/s/if ctx.Err() != nil {/if false {/' "./internal/peering -run HasEndedIsNotDelegated"
 mutant "ended: sent while it is withdrawn" internal/peering/delegation.go 's/if connected.Load() \&\& context.Cause/if context.Cause/' "./internal/peering -run EndsBeforeItIsSent"
 mutant "ended: delegated to the next peer" internal/gateway/delegation.go 's/ || !ownRefusals\[err.Code\] || ctx.Err() != nil {/ || !ownRefusals[err.Code] {/' "./internal/gateway -run WithdrawnAtAStop"
-mutant "ended: sent on an open connection" internal/upstream/pool.go '/^func (p \*Pool) exchange/,/^}/s/if ctx.Err() != nil {/if false {/' "./internal/upstream -run HasEndedIsNotSent"
+mutant "ended: sent on an open connection" internal/upstream/pool.go '/^func (p \*Pool) exchange/,/^}/s/if ctx.Err() != nil {/if false {/' "./internal/upstream -run WhileItsConnectionOpens"
 mutant "unread: the end has no time" internal/filters/respond/respond.go 's/^\t\ts.allow()$//' "./internal/gateway -run EndComesLate"
 mutant "memory: heads unbounded" internal/upstream/conn.go 's/if !c.headLimited {/if true {/' "./internal/upstream -run WithoutEnd"
 mutant "memory: fields unbounded" internal/upstream/pool.go 's/if fields > maxHeadFields {/if false {/' "./internal/upstream -run ManyFields"
