answer: a follower that the stop ends is told so

A caller whose request with a ticket was being run when the entry stopped got 'caller_gone: the caller has gone', though it was connected and waiting, and the log said the same.

Cause: whatever ended the wait for an answer was taken for the caller's leaving. Change: the code is that of what has ended the request: the stop, the end of its time, or the caller. Result: TestAnIncompleteAnswerDoesNotBeginOnceTheRequestHasEnded, which asks for the code now, failed before (caller_gone) and passes; internal/entry and internal/proof green.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -107,14 +107,14 @@
 		v := l.snapshot(offset)
 		if v.started && !headerSent {
 			if !v.closed && !shutdown.BeginResponse(ctx) {
-				return callerGone()
+				return unfollowed(ctx)
 			}
 			sink.Header(v.status, v.contentType)
 			headerSent = true
 		}
 		if len(v.data) > 0 {
 			if err := sink.Data(v.data); err != nil {
-				return callerGone()
+				return unfollowed(ctx)
 			}
 			sink.Flush()
 			offset += len(v.data)
@@ -125,11 +125,12 @@
 		select {
 		case <-v.changed:
 		case <-ctx.Done():
-			return callerGone()
+			return unfollowed(ctx)
 		}
 	}
 }
 
-func callerGone() *outcome.Error {
-	return outcome.MayHaveRunf(outcome.CodeCallerGone, "the caller has gone; the run goes on")
+// unfollowed is the outcome for a caller that the rest of the answer doesn't reach.
+func unfollowed(ctx context.Context) *outcome.Error {
+	return outcome.MayHaveRunf(shutdown.Code(ctx), "the answer is no longer passed on; the run goes on")
 }
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
 // TestAnIncompleteAnswerDoesNotBeginOnceTheRequestHasEnded guards against answers that begin and are cut.
@@ -21,6 +22,9 @@
 	log.Header(200, "application/json")
 	end(shutdown.ErrStopping)
 	caller := httptest.NewRecorder()
-	g.Expect(log.Follow(ctx, respond.NewWriter(caller))).NotTo(BeNil())
+	err := log.Follow(ctx, respond.NewWriter(caller))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun))
+	g.Expect(err.Code).To(Equal(outcome.CodeStopping))
 	g.Expect(caller.Header()).To(BeEmpty(), "nothing was written")
 }
