peering, drain: tests of ended requests force the order that breaks them

A dial waited 100 ms for its call to end, and would be red by itself on a machine that is slower than that; two other tests relied on the goroutine of context.AfterFunc coming late. Now the dial waits for the withdrawal or for the end of its call, whichever comes; an ended request must not dial at all; and the filter's test lets no other goroutine run before the handler has looked.

--- a/internal/filters/drain/drain_test.go
+++ b/internal/filters/drain/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -14,6 +15,8 @@
 // TestARequestThatArrivesAfterTheEndHasEnded guards against requests that are sent although the process ends.
 func TestARequestThatArrivesAfterTheEndHasEnded(t *testing.T) {
 	g := NewWithT(t)
+	// No other goroutine runs until the handler has looked.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	open, end := context.WithCancelCause(context.Background())
 	end(shutdown.ErrStopping)
 	filter := New(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/peering/ended_test.go
+++ b/internal/peering/ended_test.go
@@ -27,7 +27,11 @@
 		served.Add(1)
 		return outcome.Stopping()
 	})
-	d := NewDelegator("a", tcpconn.Dialer(time.Second), nil)
+	var dials atomic.Int64
+	d := NewDelegator("a", func(call context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		return tcpconn.Dialer(time.Second)(call, network, address)
+	}, nil)
 	ctx, end := context.WithCancelCause(t.Context())
 	end(shutdown.ErrStopping)
 	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
@@ -37,6 +41,7 @@
 		g.Expect(err.Outcome).To(Equal(outcome.NotRun))
 		g.Expect(err.Code).To(Equal(outcome.CodeStopping))
 	}
+	g.Expect(dials.Load()).To(BeZero())
 	g.Expect(served.Load()).To(BeZero())
 }
 
@@ -51,12 +56,15 @@
 	})
 	ctx, end := context.WithCancelCause(t.Context())
 	var dials atomic.Int64
+	withdrawn := make(chan struct{})
 	d := NewDelegator("a", func(call context.Context, network, address string) (net.Conn, error) {
-		if dials.Add(1) == 1 {
-			end(shutdown.ErrStopping)
+		if dials.Add(1) > 1 {
+			close(withdrawn)
+			return tcpconn.Dialer(time.Second)(call, network, address)
 		}
+		end(shutdown.ErrStopping)
 		select {
-		case <-time.After(100 * time.Millisecond):
+		case <-withdrawn:
 			return tcpconn.Dialer(time.Second)(call, network, address)
 		case <-call.Done():
 			return nil, call.Err()
@@ -66,5 +74,6 @@
 	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
 	g.Expect(err).NotTo(BeNil())
 	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+	g.Expect(dials.Load()).To(BeEquivalentTo(1), "nothing is withdrawn")
 	g.Expect(served).NotTo(Receive())
 }
