httpserver, drain: one writer tells when a response begins

The filter drain and httpserver had the same wrapper of a ResponseWriter, and they differed in small things: the filter's let a flush begin a response unseen and took an informational head for its begin, httpserver's hid the errors of a flush. Now BeforeResponse serves both, with the stricter of each.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -72,7 +72,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(&responseWriter{ResponseWriter: w, closes: s.connections.isDraining}, r)
+		next.ServeHTTP(BeforeResponse(w, func() { CloseAfter(w, s.connections.isDraining()) }), r)
 	})
 }
 
@@ -101,43 +101,3 @@
 	s.connections.close()
 	return s.cfg.HTTP.Close()
 }
-
-// responseWriter asks clients to close connections during a drain.
-type responseWriter struct {
-	http.ResponseWriter
-	closes func() bool
-	begun  bool
-}
-
-// Unwrap serves http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) {
-	if status >= http.StatusOK {
-		w.begin()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *responseWriter) Write(b []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(b)
-}
-
-// Flush implements http.Flusher.
-func (w *responseWriter) Flush() {
-	w.begin()
-	_ = http.NewResponseController(w.ResponseWriter).Flush()
-}
-
-func (w *responseWriter) begin() {
-	if w.begun {
-		return
-	}
-	w.begun = true
-	if w.closes() {
-		w.Header().Set("Connection", "close")
-	}
-}
