--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -50,3 +50,21 @@
 	}
 	return failed
 }
+
+// Peek looks for a byte that has arrived on a connection without waiting. n is 0 if the other side has closed it, and
+// the error is EAGAIN if nothing has arrived.
+func Peek(c syscall.Conn) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, failed = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return n, failed
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -153,23 +153,12 @@
 // longer used, for the time that a request is under way.
 const keepMargin = 500 * time.Millisecond
 
-// silent looks into the receive buffer without waiting: nothing is there on a
-// connection that is open and idle.
+// silent reports whether nothing has arrived, neither bytes nor an end.
 func (c *conn) silent() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	_, err := tcpconn.Peek(sc)
+	return errors.Is(err, unix.EAGAIN)
 }
