httpserver: a pipelined request doesn't cut the response before it

Callers that send a request before the response to the last one has ended, or bytes behind a body, lost the end of a long response: net/http closes the connection behind the last response with the next request unread, and the kernel then resets the connection, with what is under way to the caller. This came with each response that has Connection: close, so with each one of a stop, and at a drain also with responses that began before it. Now a connection on which a response has been written and bytes lie unread is half-closed, and closed when the caller closes it, a second later at most. During a drain a request that has arrived behind a response which began before is served. What is closed before a response has begun, or while it is idle, is closed at once as before, with what lies unread.

--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -270,3 +270,76 @@
 	w.g.Expect(w.answered()).To(BeTrue())
 	w.g.Eventually(w.conn.closed, "5s").Should(BeClosed())
 }
+
+// halfClosingListener tells when the sending side of a connection is closed.
+type halfClosingListener struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func (l halfClosingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &halfClosingConn{TCPConn: nc.(*net.TCPConn), closed: sync.OnceFunc(func() { close(l.closed) })}, nil
+}
+
+type halfClosingConn struct {
+	*net.TCPConn
+	closed func()
+}
+
+func (c *halfClosingConn) CloseWrite() error {
+	defer c.closed()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *halfClosingConn) Close() error {
+	defer c.closed()
+	return c.TCPConn.Close()
+}
+
+// TestAPipelinedRequestDoesNotCutTheResponseBeforeIt guards against responses whose end is lost, as their connection
+// is closed with unread bytes during a drain.
+func TestAPipelinedRequestDoesNotCutTheResponseBeforeIt(t *testing.T) {
+	const size = 1 << 20
+	for name, begunBefore := range map[string]bool{"begun in the drain": false, "begun before": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := halfClosingListener{freeport.Listen(t), make(chan struct{})}
+			entered, release := make(chan struct{}, 2), make(chan struct{})
+			s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if begunBefore {
+					_ = http.NewResponseController(w).Flush()
+				}
+				entered <- struct{}{}
+				<-release
+				_, _ = w.Write(make([]byte, size))
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			request(g, c)
+			<-entered
+			request(g, c)
+			go func() { _ = s.Drain(t.Context()) }()
+			g.Eventually(s.connections.isDraining).Should(BeTrue())
+			close(release)
+			answers := bufio.NewReader(c)
+			responses := 1
+			if begunBefore {
+				responses = 2
+			} else {
+				<-l.closed
+			}
+			for range responses {
+				resp, err := http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				n, err := io.Copy(io.Discard, resp.Body)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(n).To(BeEquivalentTo(size))
+			}
+		})
+	}
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -2,13 +2,17 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"maps"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
 // When the limit of connections is reached, a new one takes the place of the one that has been idle longest,
@@ -19,6 +23,9 @@
 // arrived.
 const receiveGrace = time.Second
 
+// lingerTimeout bounds the wait for a client that has sent more requests to read the last response.
+const lingerTimeout = time.Second
+
 // phase is how far a server has closed a connection.
 type phase int
 
@@ -48,7 +55,9 @@
 	// receiving says that bytes have arrived since the last write, or the last whole head. http.Server may read the
 	// first byte of a request before it reports the end of the one before.
 	receiving bool
-	phase     phase
+	// answered says that a part of the response to the last request has been written.
+	answered bool
+	phase    phase
 	// readDeadline is the one that http.Server has set.
 	readDeadline time.Time
 }
@@ -88,6 +97,27 @@
 	return nil
 }
 
+// Close implements net.Conn. A client that has sent another request gets time to read the response before it: closing
+// a connection with unread bytes resets it, and what is under way to the client is lost.
+func (c *conn) Close() error {
+	if c.all.lingers(c) && c.unread() {
+		_ = c.CloseWrite()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// unread reports whether bytes have arrived that haven't been read.
+func (c *conn) unread() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, _ := tcpconn.Peek(sc)
+	return n > 0
+}
+
 // idle reports whether no request is being served or received, nor about to arrive.
 func (c *conn) idle(now time.Time) bool {
 	switch {
@@ -215,6 +245,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.receiving = false
+	c.answered = c.state == http.StateActive
+}
+
+// lingers reports whether the client may still be reading a response.
+func (l *connections) lingers(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.phase == serving && c.state == http.StateActive && c.answered
 }
 
 // changed is http.Server.ConnState.
@@ -237,9 +275,13 @@
 		}
 		c.state, c.since = state, now
 		if state == http.StateActive {
-			c.receiving = false
-		} else if l.draining && c.idle(now) {
-			l.end(c)
+			c.receiving, c.answered = false, false
+		} else if l.draining {
+			// The next request may have arrived before the end of the response.
+			c.receiving = c.receiving || c.unread()
+			if c.idle(now) {
+				l.end(c)
+			}
 		}
 	}
 }
