httpserver: a cut response doesn't appear complete to callers of HTTP/1.0

Callers of HTTP/1.0 (some proxies speak it by default) took a stream that the end of the process, an endpoint or a timeout had broken off for a whole one: it has no length, and its connection was closed in order. Seen with the real gateway: a stream of 600 events, SIGTERM and a grace period of 3 s gave such a caller a 200 of 10,755 bytes that ended well, and "unexpected EOF" to one of HTTP/1.1. Now the connection is reset if a request of HTTP/1.0 is aborted or cut.

--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -343,3 +343,37 @@
 		})
 	}
 }
+
+// TestACutResponseOfHTTP10DoesNotAppearComplete guards against clients that take the end of the connection for that of
+// the response.
+func TestACutResponseOfHTTP10DoesNotAppearComplete(t *testing.T) {
+	for name, end := range map[string]struct{ aborts, closes bool }{"whole": {}, "aborted": {aborts: true}, "end of the server": {closes: true}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := freeport.Listen(t)
+			release := make(chan struct{})
+			s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprint(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				<-release
+				if end.aborts {
+					panic(http.ErrAbortHandler)
+				}
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			fmt.Fprint(c, "GET / HTTP/1.0\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadFull(resp.Body, make([]byte, 4))
+			g.Expect(err).NotTo(HaveOccurred())
+			if end.closes {
+				_ = s.Close()
+			}
+			close(release)
+			_, err = io.ReadAll(resp.Body)
+			g.Expect(err != nil).To(Equal(end.aborts || end.closes), "%v", err)
+		})
+	}
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -57,7 +57,10 @@
 	receiving bool
 	// answered says that a part of the response to the last request has been written.
 	answered bool
-	phase    phase
+	// http10 says that the last request is one of HTTP/1.0, whose client may take the end of the connection for the end
+	// of the response. handled says that the handler has returned.
+	http10, handled bool
+	phase           phase
 	// readDeadline is the one that http.Server has set.
 	readDeadline time.Time
 }
@@ -100,7 +103,9 @@
 // Close implements net.Conn. A client that has sent another request gets time to read the response before it: closing
 // a connection with unread bytes resets it, and what is under way to the client is lost.
 func (c *conn) Close() error {
-	if c.all.lingers(c) && c.unread() {
+	if c.all.cuts(c) {
+		c.reset()
+	} else if c.all.lingers(c) && c.unread() {
 		_ = c.CloseWrite()
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, c.Conn)
@@ -108,6 +113,13 @@
 	return c.Conn.Close()
 }
 
+// reset lets Close reset the connection, so that a response that is cut doesn't appear complete.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // unread reports whether bytes have arrived that haven't been read.
 func (c *conn) unread() bool {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -248,6 +260,27 @@
 	c.answered = c.state == http.StateActive
 }
 
+// handles records that the handler gets a request.
+func (l *connections) handles(c *conn, http10 bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.http10, c.handled = http10, false
+}
+
+// returned records that the handler has returned.
+func (l *connections) returned(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.handled = true
+}
+
+// cuts reports whether closing a connection cuts a response whose client can't tell.
+func (l *connections) cuts(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.http10 && !c.handled
+}
+
 // lingers reports whether the client may still be reading a response.
 func (l *connections) lingers(c *conn) bool {
 	l.mu.Lock()
@@ -326,6 +359,9 @@
 	l.draining = true
 	open := slices.Collect(maps.Keys(l.open))
 	for _, c := range open {
+		if c.http10 && c.state == http.StateActive {
+			c.reset()
+		}
 		l.remove(c)
 	}
 	l.mu.Unlock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -72,7 +72,9 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		s.connections.handles(c, !r.ProtoAtLeast(1, 1))
 		next.ServeHTTP(BeforeResponse(w, func() { CloseAfter(w, s.connections.isDraining()) }), r)
+		s.connections.returned(c)
 	})
 }
 
