--- a/internal/soak/odd_entries_test.go
+++ b/internal/soak/odd_entries_test.go
@@ -66,7 +66,7 @@
 			o.raw[e.ID] = e.Raw
 			o.rawMu.Unlock()
 		}
-		o.store.Put(platform.EndpointPrefix+e.ID, e.Value)
+		o.store.Put(e.Key(), e.Value)
 	}
 }
 
@@ -145,7 +145,7 @@
 			o.store.Put(own, odd[0].Value)
 			defer func() {
 				for _, e := range odd {
-					o.store.Delete(platform.EndpointPrefix + e.ID)
+					o.store.Delete(e.Key())
 				}
 				o.rawMu.Lock()
 				defer o.rawMu.Unlock()
