reader: a registry that watches make too long for the peers' messages is listed anew

Cause: a list is bounded, but each watch added what it told, and nothing bounded the sum. Change: once the registry that a watch leads to exceeds what a message has room for, the list is read anew, which is bounded by leaving out odd records. Measured: go test ./internal/gateway -run TestOddEntriesThatCome (12 watches of 1,000 odd records each) failed before with a registry of 6,599,633 bytes, where 6,291,456 are allowed, and passes now with fewer than 10 lists. The new mutant turns it red.

--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/revision"
@@ -58,14 +59,15 @@
 	}
 	values, ok, err := r.apply(news)
 	if !ok {
-		// Others know of a restore since: these changes aren't of what is known by now.
+		// The changes aren't of what is known by now, or there are too many.
 		return r.list(ctx, r.source.List, true)
 	}
 	return values, err
 }
 
-// apply takes the answer to a watch; it can't if what is known by now is of another epoch. The
-// changes go into the encoded registry: decoding and encoding one takes many times as long.
+// apply takes the answer to a watch; it can't if what is known by now is of another epoch, or if the
+// registry became too long for a message of peers, while a list is bounded. The changes go into the
+// encoded registry: decoding and encoding one takes many times as long.
 func (r *reader) apply(news platform.News) (values []published.Value, ok bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -80,6 +82,10 @@
 		if err != nil {
 			return nil, true, err
 		}
+		if len(v.Content) > peering.MaxDocumentBytes {
+			r.since = 0
+			return nil, false, nil
+		}
 		values = append(values, v)
 	}
 	if news.Table != nil {
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/revision"
@@ -81,3 +84,36 @@
 	g.Expect(records).To(HaveLen(2))
 	g.Expect(records[0].ID).To(Equal("c"))
 }
+
+// TestOddEntriesThatComeByWatchesAreBounded guards against a registry that grows with each watch until no message of
+// peers has room for it.
+func TestOddEntriesThatComeByWatchesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.New()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	var held published.Value
+	r := newReader(platform.NewPublished(platform.NewStore(server.URL, func() {})), func() (published.Value, bool) { return held, held.Revision != 0 })
+	announce := func(id string) {
+		store.Put(platform.EndpointPrefix+id, standin.Record(&standin.Endpoint{ID: id, Address: "127.0.0.1:1"}, "desk", "dc", false))
+		values, err := r.Read(t.Context(), time.Millisecond)
+		g.Expect(err).NotTo(HaveOccurred())
+		held = values[0]
+		g.Expect(len(held.Content)).To(BeNumerically("<=", peering.MaxDocumentBytes))
+		list, err := platform.NewEndpointParser(func(fleet.Findings) {}).Parse(held.Content)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, listed := list.Endpoint(id)
+		g.Expect(listed).To(BeTrue(), id)
+		_, listed = list.Endpoint("first")
+		g.Expect(listed).To(BeTrue())
+	}
+	announce("first")
+	for batch := range 12 {
+		for i := range 1000 {
+			store.Put(fmt.Sprintf("%sodd-%d-%d", platform.EndpointPrefix, batch, i), []byte(`{"Service":"`+strings.Repeat("s", 600)+`"}`))
+		}
+		announce(fmt.Sprintf("zz-%d", batch))
+	}
+	lists, _ := store.Lists()
+	g.Expect(lists).To(BeNumerically("<", 10))
+}
--- a/internal/peering/convert.go
+++ b/internal/peering/convert.go
@@ -70,7 +70,7 @@
 		if v.Content == nil {
 			d.Base, d.Content, d.Sum = uint64(v.Base), v.Changes, v.ContentHash
 		}
-		if len(d.GetContent()) <= maxDocumentBytes {
+		if len(d.GetContent()) <= MaxDocumentBytes {
 			docs = append(docs, d)
 		}
 	}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -34,8 +34,8 @@
 	// maxMessageBytes bounds a message from a peer. It has room for two published values and the
 	// records of a few hundred nodes.
 	maxMessageBytes = 8 << 20
-	// maxDocumentBytes bounds one published value in a message, and leaves room for the rest.
-	maxDocumentBytes = maxMessageBytes - 2<<20
+	// MaxDocumentBytes bounds one published value in a message, and leaves room for the rest.
+	MaxDocumentBytes = maxMessageBytes - 2<<20
 	tokenHeader      = "Authorization"
 	tokenPrefix      = "Bearer "
 )
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -155,6 +155,7 @@
 mutant "peers: a value too large costs the exchange" internal/peering/convert.go 's/if len(d.GetContent()) <= maxDocumentBytes {/if true {/' "./internal/peering -run TooLargeForAMessage"
 mutant "store: odd records fill a list" platform/listing.go 's/odd > maxOddBytes {/false {/' "./platform -run TestAListOfTooMany"
 mutant "store: too many records refuse a list" platform/listing.go 's/if l.bytes > maxListBytes {$/if false {/' "./platform -run TestAListOfTooMany"
+mutant "store: what watches add isn't bounded" internal/gateway/reader.go 's/if len(v.Content) > peering.MaxDocumentBytes {/if len(v.Content) < -peering.MaxDocumentBytes {/' "./internal/gateway -run TestOddEntriesThatCome"
 mutant "store: long lists given up" platform/published.go 's/listTimeout = 15 \* time.Second/listTimeout = 1200 * time.Millisecond/' "./platform -run TestALongList"
 mutant "store: silent lists awaited" platform/store.go 's/timer := time.AfterFunc(silence, /timer := time.AfterFunc(time.Hour, /' "./platform -run TestALongList"
 mutant "records: hidden starts used" pkg/fleet/registry.go 's/ \&\& known\[e.Targets\[0\]\] > missing\[e.Targets\[0\]\]/ \&\& known[e.Targets[0]] < 0/' ./platform
