--- a/internal/soak/odd_entries_test.go
+++ b/internal/soak/odd_entries_test.go
@@ -99,18 +99,23 @@
 	return []string{fmt.Sprintf("watched%d", kind), fmt.Sprintf("listed%d", kind), fmt.Sprintf("corrected%d", kind)}
 }
 
-// configure publishes a configuration with a route for each service.
-func (o *oddWorld) configure(kinds int) {
-	c := standin.Configuration{Version: 2, Services: []string{"desk", unrouted}, Workspaces: map[string][]string{"w": {apiKey}}}
+// configure publishes a configuration with a route for each service, and returns it.
+func (o *oddWorld) configure(kinds int) standin.Configuration {
+	c := standin.Configuration{Version: 2, Engines: []string{"engine"}, Services: []string{"desk", unrouted}, Workspaces: map[string][]string{"w": {apiKey}}}
 	for k := range kinds {
 		c.Services = append(c.Services, services(k)...)
 	}
-	for _, name := range c.Services {
+	for _, name := range append(c.Services, c.Engines...) {
+		kind := standin.Safe
+		if name == "engine" {
+			kind = standin.Stream
+		}
 		if name != unrouted {
-			c.Routes = append(c.Routes, standin.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: standin.Safe, Target: name, Attempts: 1, Timeout: callerTimeout, Objective: callerTimeout})
+			c.Routes = append(c.Routes, standin.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Target: name, Attempts: 1, Timeout: callerTimeout, Objective: callerTimeout})
 		}
 	}
 	o.put(platform.ConfigurationKey, c.Encode())
+	return c
 }
 
 // live fails the test if a process that wasn't told to has ended.
@@ -167,3 +172,23 @@
 	stop()
 	o.trap.check(t)
 }
+
+// TestNoOddConfigurationEndsAProcessOrItsList: the list is followed after each, and requests are served.
+func TestNoOddConfigurationEndsAProcessOrItsList(t *testing.T) {
+	o := newOddWorld(t)
+	const kinds = 14
+	good := o.configure(kinds)
+	o.followed(t, "a good configuration", "desk")
+	stop := o.watchMemory()
+	for i, value := range standin.OddConfigurations(good) {
+		o.store.Put(platform.ConfigurationKey, value)
+		service := services(i % kinds)[i/kinds]
+		o.endpoint(service + "-0")
+		by := fmt.Sprintf("configuration %d, %.40q", i, value)
+		o.followed(t, by, service)
+		o.followed(t, by, "engine")
+		o.live(t)
+	}
+	stop()
+	o.trap.check(t)
+}
