--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -270,3 +270,110 @@
 	w.g.Expect(w.answered()).To(BeTrue())
 	w.g.Eventually(w.conn.closed, "5s").Should(BeClosed())
 }
+
+// halfClosingListener tells when the sending side of a connection is closed.
+type halfClosingListener struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func (l halfClosingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &halfClosingConn{TCPConn: nc.(*net.TCPConn), closed: sync.OnceFunc(func() { close(l.closed) })}, nil
+}
+
+type halfClosingConn struct {
+	*net.TCPConn
+	closed func()
+}
+
+func (c *halfClosingConn) CloseWrite() error {
+	defer c.closed()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *halfClosingConn) Close() error {
+	defer c.closed()
+	return c.TCPConn.Close()
+}
+
+// TestAPipelinedRequestDoesNotCutTheResponseBeforeIt guards against responses whose end is lost, as their connection
+// is closed with unread bytes during a drain.
+func TestAPipelinedRequestDoesNotCutTheResponseBeforeIt(t *testing.T) {
+	const size = 1 << 20
+	for name, begunBefore := range map[string]bool{"begun in the drain": false, "begun before": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := halfClosingListener{freeport.Listen(t), make(chan struct{})}
+			entered, release := make(chan struct{}, 2), make(chan struct{})
+			s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if begunBefore {
+					_ = http.NewResponseController(w).Flush()
+				}
+				entered <- struct{}{}
+				<-release
+				_, _ = w.Write(make([]byte, size))
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			request(g, c)
+			<-entered
+			request(g, c)
+			go func() { _ = s.Drain(t.Context()) }()
+			g.Eventually(s.connections.isDraining).Should(BeTrue())
+			close(release)
+			answers := bufio.NewReader(c)
+			responses := 1
+			if begunBefore {
+				responses = 2
+			} else {
+				<-l.closed
+			}
+			for range responses {
+				resp, err := http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				n, err := io.Copy(io.Discard, resp.Body)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(n).To(BeEquivalentTo(size))
+			}
+		})
+	}
+}
+
+// TestACutResponseOfHTTP10DoesNotAppearComplete guards against clients that take the end of the connection for that of
+// the response.
+func TestACutResponseOfHTTP10DoesNotAppearComplete(t *testing.T) {
+	for name, end := range map[string]struct{ aborts, closes bool }{"whole": {}, "aborted": {aborts: true}, "end of the server": {closes: true}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := freeport.Listen(t)
+			release := make(chan struct{})
+			s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprint(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				<-release
+				if end.aborts {
+					panic(http.ErrAbortHandler)
+				}
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			fmt.Fprint(c, "GET / HTTP/1.0\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadFull(resp.Body, make([]byte, 4))
+			g.Expect(err).NotTo(HaveOccurred())
+			if end.closes {
+				_ = s.Close()
+			}
+			close(release)
+			_, err = io.ReadAll(resp.Body)
+			g.Expect(err != nil).To(Equal(end.aborts || end.closes), "%v", err)
+		})
+	}
+}
