configuration: numbers too large for what is made of them no longer overflow

A route of rank 2^62 came before all others instead of last, a service with a cold rate of 1e308 a second has an undefined share of it (negative on x86-64, so that its cold endpoints would get no request), and the tokens of a stream with 2^63-1 tokens an event become negative. Cause: three numbers were converted or multiplied without a bound where they are read. Ruled out by TestNoOddConfigurationEndsAProcessOrItsList: the other numbers of a configuration; no process ended.

--- a/pkg/table/route.go
+++ b/pkg/table/route.go
@@ -164,7 +164,7 @@
 		return true
 	}
 	return e.Slots >= 0 && e.Slots <= maxCount && e.CapacityTokens >= 0 && e.CapacityTokens <= maxCapacityTokens &&
-		e.TokensPerEvent >= 0 && e.KVBytesPerToken >= 0 && e.LinkBitsPerSecond >= 0
+		e.TokensPerEvent >= 0 && e.TokensPerEvent <= maxCount && e.KVBytesPerToken >= 0 && e.LinkBitsPerSecond >= 0
 }
 
 func (t *Table) indexRoutes() {
