evacuation: impossible links make no negative copy times

Copies would seem to take no time. Cause: the numbers of a configuration are only checked to be above 0, and their quotient was converted unbounded. Change: a copy takes 24 hours at most.

--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -130,9 +130,16 @@
 	if crossDataCenter {
 		s *= l.CrossDataCenterFactor
 	}
+	if s >= maxCopyTime.Seconds() || math.IsNaN(s) {
+		return maxCopyTime
+	}
 	return l.Overhead + time.Duration(s*float64(time.Second))
 }
 
+// maxCopyTime is longer than any generation. It bounds the time of links for which operators name
+// impossible numbers.
+const maxCopyTime = 24 * time.Hour
+
 // Input is what a plan is computed from. Plans by entries with the same sources, runs and targets
 // are consistent: no two copies overlap on a link.
 type Input struct {
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -326,3 +327,12 @@
 		})
 	}
 }
+
+// TestImpossibleLinksMakeNoNegativeTimes guards against overflows, by which copies would take no time.
+func TestImpossibleLinksMakeNoNegativeTimes(t *testing.T) {
+	for _, l := range []evacuation.Link{
+		{BytesPerToken: 1e308, BytesPerSecond: 1}, {BytesPerToken: 1e10, BytesPerSecond: 1e-308}, {BytesPerToken: 1e308, BytesPerSecond: math.Inf(1)},
+	} {
+		NewWithT(t).Expect(l.CopyTime(1000, false)).To(Equal(24*time.Hour), "%+v", l)
+	}
+}
