e2e: odd fleet lists and tables for entries and a controller

TestNoOddListEndsAnEntryOrAController puts 49 odd values in place of the fleet list and of the table (depths, numbers, ports, types, duplicates, bytes that are no text), beside 14 values of 1 MB under other names. The good list that follows each is in force and requests are served. Such a list is one value of one writer: it is taken whole or not at all.

--- a/internal/e2e/more_test.go
+++ b/internal/e2e/more_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -22,6 +23,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
+	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/standin"
 	platformstandin "github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -191,3 +193,65 @@
 	_ = json.NewDecoder(resp.Body).Decode(&st)
 	return st
 }
+
+// oddLists are values of another writer in place of a fleet list, some of which are valid.
+func (c *cluster) oddLists(good string) []string {
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	odd := []string{
+		"", "null", "7", "1e400", "[]", "{", `"text"`, "\xff\xfe", "\x00", nested(10_001), strings.Repeat(`{"vms":`, 100_000), `{"endpoints":[null]}`,
+		`{"endpoints":[{"address":"` + strings.Repeat("x", 1<<19) + `"}]}`, good + good, `{"endpoints":[],"endpoints":` + good[1:],
+	}
+	for from, values := range map[string][]string{
+		`"capacity_tokens":16000`:       {"-1", "1e308", "1e400", "2147483648", "9223372036854775807", "9223372036854775808"},
+		`"max_running":64`:              {"-1", "0", "1e308", "4294967296", "9223372036854775807", "18446744073709551616"},
+		`"incarnation":1`:               {"-1", "0", "9223372036854775808", "18446744073709551615", "18446744073709551616"},
+		`"address":"` + c.service + `"`: {`""`, `"127.0.0.1"`, `"127.0.0.1:0"`, `"127.0.0.1:-1"`, `"127.0.0.1:65536"`, `"127.0.0.1:99999999999"`, `"127.0.0.1:x"`, `"localhost:1"`, `"[::1]:1"`, "null"},
+		`"id":"engine-0"`:               {`""`, `"\ud800"`, `"\u0000"`, `"desk"`, `"` + strings.Repeat("k", 1<<19) + `"`},
+		`"targets":["kiln-scribe"]`:     {nested(9_990), `["` + strings.Repeat("<", 1<<16) + `"]`},
+	} {
+		for _, value := range values {
+			odd = append(odd, strings.ReplaceAll(good, from, from[:strings.Index(from, ":")+1]+value))
+		}
+	}
+	return odd
+}
+
+// TestNoOddListEndsAnEntryOrAController: each good list that follows an odd one is in force, and requests are served.
+func TestNoOddListEndsAnEntryOrAController(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	operator := freeport.Address(t)
+	c.start("controller", "bridgehoist-controller", "-vm", c.entries[0].vm, "-data-center", "hall",
+		"-entry-peer", c.entries[0].peer, "-operator", operator, "-every", "20ms")
+	for i := range 14 {
+		c.control(c.platform, fmt.Sprintf("values/odd-%d", i), bytes.Repeat([]byte("x"), 1<<20))
+	}
+	list := func() []byte {
+		c.list.Endpoints[0].Incarnation++
+		data, err := json.Marshal(c.list)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	fleetRevision := func(i int) uint64 {
+		for _, v := range c.status(i).Values {
+			if v.Name == published.Fleet {
+				return v.Revision
+			}
+		}
+		return 0
+	}
+	good, err := json.Marshal(c.list)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	for n, odd := range c.oddLists(string(good)) {
+		c.control(c.platform, "values/fleet", []byte(odd))
+		c.publishTable(odd)
+		before := fleetRevision(0)
+		c.publishTable(tableText)
+		c.control(c.platform, "values/fleet", list())
+		for i := range c.entries {
+			c.g.Eventually(func() uint64 { return fleetRevision(i) }, patience, "10ms").Should(BeNumerically(">", before), "%d, %.40q", n, odd)
+			a := c.send(i, call{kind: "shift-report", prompt: prompt(fmt.Sprintf("%d at %d ", n, i), 5)})
+			c.g.Expect(a.status).To(Equal(http.StatusOK), "%d, %.40q: %+v", n, odd, a)
+		}
+	}
+	c.waitListening(operator)
+}
