platform, gateway: what a record may take of the registry, and endpoints whose records are all bad

FuzzRegistryBytes checks that the bound of a list counts at least what the registry encodes of a record, and TestARecordThatTurnsBadIsUsedNoMore that the last good record isn't used where none is left: a request gets 503 without being sent, and the endpoint is used as soon as its record is good again.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzReport -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzCaller -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzCopied -fuzztime $${FUZZTIME:-20s} ./platform
+	$(GO) test -run '^$$' -fuzz FuzzRegistryBytes -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzStoreAnswer -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzResume -fuzztime $${FUZZTIME:-20s} ./internal/filters/route
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -62,6 +62,16 @@
 	w.waitFleet(7)
 	w.g.Expect(e.usedBy("good", "/plain/", 40)).To(Equal(map[string]bool{"desk-2": true, "desk-3": true}))
 	w.g.Expect(left("desk-1")()).To(HaveLen(1), "told once")
+
+	// Without a good record there is no server: the last good one isn't used.
+	w.store.Put(platform.EndpointPrefix+"desk-2", []byte("null"))
+	w.store.Put(platform.EndpointPrefix+"desk-3", []byte("null"))
+	w.waitFleet(9)
+	w.g.Expect(e.call("none", http.MethodPost, "/plain/", map[string]string{platform.HeaderWait: "500"}).status).To(Equal(http.StatusServiceUnavailable))
+	w.g.Expect(w.ledger.Of("none")).To(BeEmpty())
+	w.announce(second, "desk", false)
+	w.waitFleet(10)
+	w.g.Expect(e.usedBy("again", "/plain/", 1)).To(Equal(map[string]bool{"desk-2": true}))
 }
 
 // TestAServiceThatIsNamedLater: an endpoint of a service that the configuration doesn't
