httpserver: a head that a stop or the limit cuts isn't answered with a 400

Callers whose head came in pieces, and stalled for a second, got "400 Bad Request" to a sound request when the entry stopped or needed room, and don't send such a request again. Since a drain and the limit interrupt reads and leave the closing to the goroutine that reads; bufio hands out the part of a line before the error as a line, and net/http answers it as malformed, on a connection that is still open. A ReadHeaderTimeout within a line has the same effect. Now the goroutine closes the connection in the read that is interrupted.

--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -139,13 +141,20 @@
 
 // endGrace ends the time in which the connection isn't idle since its client may go on.
 func (w *closingWorld) endGrace() {
-	all := w.server.connections
 	accepted(w.g, w.server, 1)
+	c := w.only()
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.since = c.since.Add(-2 * receiveGrace)
+}
+
+// only returns the one connection of the server.
+func (w *closingWorld) only() *conn {
+	all := w.server.connections
 	all.mu.Lock()
 	defer all.mu.Unlock()
-	for c := range all.open {
-		c.since = c.since.Add(-2 * receiveGrace)
-	}
+	w.g.Expect(all.open).To(HaveLen(1))
+	return slices.Collect(maps.Keys(all.open))[0]
 }
 
 // closers are the ways in which a server closes a connection that its goroutine may be reading from.
@@ -304,13 +313,22 @@
 // is closed with unread bytes during a drain.
 func TestAPipelinedRequestDoesNotCutTheResponseBeforeIt(t *testing.T) {
 	const size = 1 << 20
-	for name, begunBefore := range map[string]bool{"begun in the drain": false, "begun before": true} {
+	for name, tc := range map[string]struct {
+		begunBefore bool
+		// part of the next request comes with the first.
+		part      string
+		responses int
+	}{
+		"begun in the drain":        {false, "", 1},
+		"begun before":              {true, "", 2},
+		"begun before, in one read": {true, "GET / HT", 1},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			l := halfClosingListener{freeport.Listen(t), make(chan struct{})}
 			entered, release := make(chan struct{}, 2), make(chan struct{})
 			s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				if begunBefore {
+				if tc.begunBefore {
 					_ = http.NewResponseController(w).Flush()
 				}
 				entered <- struct{}{}
@@ -320,26 +338,27 @@
 			t.Cleanup(func() { _ = s.Close() })
 			c := dial(g, l.Addr().String())
 			defer c.Close()
-			request(g, c)
+			fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+tc.part)
 			<-entered
-			request(g, c)
+			if tc.part == "" {
+				request(g, c)
+			}
 			go func() { _ = s.Drain(t.Context()) }()
 			g.Eventually(s.connections.isDraining).Should(BeTrue())
 			close(release)
-			answers := bufio.NewReader(c)
-			responses := 1
-			if begunBefore {
-				responses = 2
-			} else {
+			if !tc.begunBefore {
 				<-l.closed
 			}
-			for range responses {
+			answers := bufio.NewReader(c)
+			for range tc.responses {
 				resp, err := http.ReadResponse(answers, nil)
 				g.Expect(err).NotTo(HaveOccurred())
 				n, err := io.Copy(io.Discard, resp.Body)
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(n).To(BeEquivalentTo(size))
 			}
+			rest, _ := io.ReadAll(answers)
+			g.Expect(string(rest)).To(BeEmpty())
 		})
 	}
 }
@@ -377,3 +396,33 @@
 		})
 	}
 }
+
+// TestAHeadThatIsCutIsNotAnswered guards against a 400 for a sound request: http.Server takes the part of a line before
+// an interrupted read for the whole of it.
+func TestAHeadThatIsCutIsNotAnswered(t *testing.T) {
+	for way, closer := range map[string]func(w *closingWorld){
+		"drain":          closers["drain"],
+		"limit":          closers["limit"],
+		"header timeout": func(w *closingWorld) { _ = w.only().SetReadDeadline(time.Unix(1, 0)) },
+	} {
+		for _, part := range []string{"GET / HT", "GET / HTTP/1.1\r\nHo"} {
+			t.Run(fmt.Sprintf("%s/%q", way, part), func(t *testing.T) {
+				w := newClosingWorld(t, 1)
+				w.send(part)
+				accepted(w.g, w.server, 1)
+				c := w.only()
+				w.g.Eventually(func() bool {
+					c.all.mu.Lock()
+					defer c.all.mu.Unlock()
+					return c.receiving
+				}).Should(BeTrue())
+				w.endGrace()
+				w.run(closer)
+				_ = w.client.SetReadDeadline(time.Now().Add(10 * time.Second))
+				got, err := io.ReadAll(w.client)
+				w.g.Expect(os.IsTimeout(err)).To(BeFalse(), "stays open")
+				w.g.Expect(string(got)).To(BeEmpty())
+			})
+		}
+	}
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
@@ -65,14 +67,20 @@
 	readDeadline time.Time
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+// Read implements net.Conn. It closes a connection that isn't to be read any more: http.Server may take the part of a
+// line before an interrupted read for the whole of it, and answer a sound request with a 400.
+func (c *conn) Read(p []byte) (n int, err error) {
 	if c.all.phase(c) != serving {
+		_ = c.Conn.Close()
 		return 0, os.ErrDeadlineExceeded
 	}
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.all.received(c, time.Now()) {
+	n, err = c.Conn.Read(p)
+	switch {
+	case n > 0 && !c.all.received(c, time.Now()):
+		_ = c.Conn.Close()
 		return 0, net.ErrClosed
+	case n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.all.active(c):
+		_ = c.Conn.Close()
 	}
 	return n, err
 }
@@ -327,6 +335,13 @@
 	c.phase = closed
 }
 
+// active reports whether a whole head has been read, and the response isn't complete.
+func (l *connections) active(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.state == http.StateActive
+}
+
 func (l *connections) phase(c *conn) phase {
 	l.mu.Lock()
 	defer l.mu.Unlock()
