peering: a request that arrives after its withdrawal isn't served

An entry that aborts withdraws the requests it has delegated. Withdraw and Delegate use different connections, so Withdraw could reach the peer first: it was answered NotFound, and the peer then passed the request on to an engine, for up to 300 ms until the delegating entry gave up; the caller got 504.

Cause: the peer forgot the ID of a withdrawn request that it didn't have yet.

Change: the peer remembers the last 1,024 such IDs (the default bound of requests open at one entry; 8 KB) and answers a request with one of them as stopping, not run. Only for this order of messages the caller gets 503 instead of 504.

Result: the new test holds the write of the request until the answer to Withdraw has been read.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -98,7 +98,11 @@
 	msg := req.Msg
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer s.delegations.add(msg.GetDelegationId(), cancel)()
+	remove, ok := s.delegations.add(msg.GetDelegationId(), cancel)
+	if !ok {
+		return sendFinal(stream, outcome.Stopping())
+	}
+	defer remove()
 	r, err := newDelegatedRequest(ctx, msg)
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
--- a/internal/peering/ended_test.go
+++ b/internal/peering/ended_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,3 +78,44 @@
 	g.Expect(dials.Load()).To(BeEquivalentTo(1), "nothing is withdrawn")
 	g.Expect(served).NotTo(Receive())
 }
+
+// writeHook calls before ahead of each Write.
+type writeHook struct {
+	net.Conn
+	before func()
+}
+
+func (c *writeHook) Write(p []byte) (int, error) {
+	c.before()
+	return c.Conn.Write(p)
+}
+
+// TestARequestThatArrivesAfterItsWithdrawalIsNotServed guards against requests that a peer passes on once they have
+// been withdrawn from it.
+func TestARequestThatArrivesAfterItsWithdrawalIsNotServed(t *testing.T) {
+	g := NewWithT(t)
+	var served atomic.Int64
+	server := serveDelegated(t, func(string, http.ResponseWriter, *http.Request) *outcome.Error {
+		served.Add(1)
+		return nil
+	})
+	ctx, end := context.WithCancelCause(t.Context())
+	var dials atomic.Int64
+	withdrawn := make(chan struct{})
+	d := NewDelegator("a", func(call context.Context, network, address string) (net.Conn, error) {
+		c, err := tcpconn.Dialer(time.Second)(call, network, address)
+		if dials.Add(1) > 1 {
+			return &closeNotifier{c, sync.OnceFunc(func() { close(withdrawn) })}, err
+		}
+		return &writeHook{c, func() {
+			end(shutdown.ErrStopping)
+			<-withdrawn
+		}}, err
+	}, nil)
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(served.Load()).To(BeZero())
+	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+	g.Expect(err.Code).To(Equal(outcome.CodeStopping))
+}
--- a/internal/peering/withdraw.go
+++ b/internal/peering/withdraw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,20 +40,32 @@
 	return connect.NewResponse(&peerv1.WithdrawResponse{}), nil
 }
 
+// maxWithdrawn bounds the withdrawn requests that are remembered. It is the default for the requests that are open at
+// once at the entry that withdraws them.
+const maxWithdrawn = 1024
+
 // delegations holds how to end the delegated requests that a server serves, by delegation ID. The zero
 // value is empty. It is safe for concurrent use.
 type delegations struct {
 	mu   sync.Mutex
 	ends map[uint64]context.CancelCauseFunc
+	// withdrawn are the last IDs that were withdrawn and not served then. Such a request has ended, or is still on
+	// its way, as each call has a connection of its own. next is the index of the oldest.
+	withdrawn [maxWithdrawn]uint64
+	next      int
 }
 
-// add adds a request until remove is called. ID zero is not added.
-func (d *delegations) add(id uint64, end context.CancelCauseFunc) (remove func()) {
+// add adds a request until remove is called, and reports whether it may be served: not if it was withdrawn before.
+// ID zero is not added.
+func (d *delegations) add(id uint64, end context.CancelCauseFunc) (remove func(), ok bool) {
 	if id == 0 {
-		return func() {}
+		return func() {}, true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if slices.Contains(d.withdrawn[:], id) {
+		return nil, false
+	}
 	if d.ends == nil {
 		d.ends = map[uint64]context.CancelCauseFunc{}
 	}
@@ -61,16 +74,19 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.ends, id)
-	}
+	}, true
 }
 
-// end ends a request with a cause, and reports whether it was there.
+// end ends a request with a cause, and reports whether it was there. If not, it isn't served when it comes.
 func (d *delegations) end(id uint64, cause error) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	end, ok := d.ends[id]
-	if ok {
-		end(cause)
+	if !ok {
+		d.withdrawn[d.next] = id
+		d.next = (d.next + 1) % maxWithdrawn
+		return false
 	}
-	return ok
+	end(cause)
+	return true
 }
