peering: a request that ends while its connection to a peer opens isn't sent

When a request ended (the stop, or a caller that left) just as its connection to a peer was ready, the request was written to the peer although it had been decided that there was nothing to withdraw; the peer could begin to serve it, and the caller of a stopping entry got 504 instead of 503.

Cause: whether the call is connected was read by one goroutine and set by another; http.Transport writes a request after GotConn whether or not its context has ended.

Change: both decide under one lock. A connection that is ready after the end is closed before the request is written.

Result: the new test holds the end of the request between its decision and the cancellation of the call.

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -4,12 +4,13 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
-	"sync/atomic"
+	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -233,17 +234,17 @@
 	if ctx.Err() != nil {
 		return shutdown.NotRun(ctx)
 	}
-	var connected atomic.Bool
+	var sending sending
 	// The call outlasts ctx, whose end is handled below.
 	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	streaming, message := withMessageMemory(call)
-	traced := httptrace.WithClientTrace(streaming, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	traced := httptrace.WithClientTrace(streaming, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { sending.connect(i.Conn) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), decompressWithin(d.memory))
 	id := rand.Uint64()
 	stop := context.AfterFunc(ctx, func() {
-		if connected.Load() && context.Cause(ctx) == shutdown.ErrStopping {
+		if sending.end() && context.Cause(ctx) == shutdown.ErrStopping {
 			withdraw(call, client, id)
 		}
 		cancel(context.Cause(ctx))
@@ -253,7 +254,7 @@
 		DelegationId: id, FromVm: d.fromVM, Method: j.Method, Uri: []byte(j.Path), Host: []byte(j.Host), Headers: encodeHeaders(header), Body: j.Body,
 	}))
 	if err != nil {
-		return delegationError(err, connected.Load(), false)
+		return delegationError(err, sending.hasConnected(), false)
 	}
 	defer stream.Close()
 	relay := delegatedResponse{sink: sink, memory: d.memory.Reserve(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
@@ -264,7 +265,39 @@
 			return failure
 		}
 	}
-	return delegationError(stream.Err(), connected.Load(), relay.started)
+	return delegationError(stream.Err(), sending.hasConnected(), relay.started)
+}
+
+// sending decides whether a call is sent or ends before. It is safe for concurrent use.
+type sending struct {
+	mu               sync.Mutex
+	connected, ended bool
+}
+
+// connect is called when the call has got its connection, which it doesn't share. http.Transport writes to it even if
+// the context of the call has ended, so it is closed then.
+func (s *sending) connect(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		_ = c.Close()
+		return
+	}
+	s.connected = true
+}
+
+// end ends the call unless it is connected, and reports whether it is.
+func (s *sending) end() (connected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return s.connected
+}
+
+func (s *sending) hasConnected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connected
 }
 
 // maxPlainBytes is up to which size a response that isn't a stream is held until it is complete.
--- a/internal/peering/ended_test.go
+++ b/internal/peering/ended_test.go
@@ -119,3 +119,43 @@
 	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
 	g.Expect(err.Code).To(Equal(outcome.CodeStopping))
 }
+
+// lookedAtContext calls onErr when Err returns an error.
+type lookedAtContext struct {
+	context.Context
+	onErr func()
+}
+
+func (c lookedAtContext) Err() error {
+	err := c.Context.Err()
+	if err != nil {
+		c.onErr()
+	}
+	return err
+}
+
+// TestARequestThatEndsWhileItsConnectionOpensIsNotDelegated guards against requests that are sent to a peer once it has
+// been decided that there is nothing to withdraw.
+func TestARequestThatEndsWhileItsConnectionOpensIsNotDelegated(t *testing.T) {
+	g := NewWithT(t)
+	ending, returned := make(chan struct{}), make(chan struct{})
+	var served atomic.Int64
+	server := serveDelegated(t, func(string, http.ResponseWriter, *http.Request) *outcome.Error {
+		served.Add(1)
+		return nil
+	})
+	open, end := context.WithCancelCause(t.Context())
+	announce := sync.OnceFunc(func() { close(ending) })
+	ctx := lookedAtContext{open, func() { announce(); <-returned }}
+	d := NewDelegator("a", func(call context.Context, network, address string) (net.Conn, error) {
+		end(shutdown.ErrStopping)
+		<-ending
+		return tcpconn.Dialer(time.Second)(call, network, address)
+	}, nil)
+	j := &job.Job{Method: http.MethodPost, Path: "/", Host: "h"}
+	err := d.Delegate(ctx, membership.Contact{Address: server.Listener.Addr().String()}, j, nil, respond.NewWriter(httptest.NewRecorder()))
+	close(returned)
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(served.Load()).To(BeZero())
+	g.Expect(err.Outcome).To(Equal(outcome.NotRun))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -463,6 +463,7 @@
 mutant "shutdown: new requests are admitted" pkg/scheduler/shutdown.go 's/end.After(s.stopAt)/end.After(s.stopAt) \&\& false/' "./pkg/scheduler -run Outlast"
 mutant "shutdown: delegated requests aren't withdrawn" internal/peering/delegation.go 's/^\t\t\twithdraw(call, client, id)$//' "./internal/gateway -run DelegatedRequestsHeldAtAStop"
 mutant "shutdown: withdrawn requests are served" internal/peering/withdraw.go 's/if slices.Contains(d.withdrawn\[:\], id) {/if false \&\& slices.Contains(d.withdrawn[:], id) {/' "./internal/peering -run AfterItsWithdrawal"
+mutant "shutdown: ended requests are delegated" internal/peering/delegation.go 's/^\tif s.ended {$/\tif false {/' "./internal/peering -run ConnectionOpens"
 mutant "shutdown: bodies aren't ended" internal/filters/body/body.go 's/context.AfterFunc(r.Context(), func() { .* })/context.AfterFunc(r.Context(), func() {})/' "./internal/gateway -run BodyArrives"
 mutant "shutdown: responses don't close" internal/filters/drain/drain.go 's/httpserver.CloseAfter(w, closing())/_ = closing/' "./internal/gateway -run ResponsesOfAStopping"
 mutant "shutdown: requests that arrive late are dropped" internal/httpserver/server.go '/^func (s \*Server) Drain/,/^}/s/^\t_ = s.listener.Close()$/\treturn s.cfg.HTTP.Shutdown(ctx)/' "./internal/httpserver -run Arrive"
