owner: no run begins after Abort

On the own interface a request with a ticket that arrived after Abort began its run, whose context no stop ends: its caller got 504 may_have_run ("the run goes on"), although the scheduler then refused it; with the policies round-robin and least-in-flight, which know no stop, it was sent to an engine and cut by the end of the process.

Cause: Owner starts runs without regard to the end of the requests that they are for.

Change: at Abort the owner begins no more runs. It refuses them as not run (503, with a new ticket) and keeps the refusal as the outcome of the ticket, so that no delayed duplicate runs here or at the successor.

That Abort calls Owner.Stop is not covered by a test.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -141,7 +141,10 @@
 	e.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
 	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
 	defer cancelAbort()
-	context.AfterFunc(abort, func() { e.abort(shutdown.ErrStopping) })
+	context.AfterFunc(abort, func() {
+		e.owner.Stop()
+		e.abort(shutdown.ErrStopping)
+	})
 	e.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
 	pause.For(abort, e.cfg.DrainDelay)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,6 +36,8 @@
 	run    RunFunc
 	remote Remote
 	onDone func(*job.Job)
+	// stopping refuses requests that would have to run.
+	stopping bool
 }
 
 // New returns an owner. onDone is called after each run has ended.
@@ -88,6 +90,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := o.ledger.Begin(clock.Now(), t, j.Workspace, digest(j))
+	if d.Action == claims.Run && o.stopping {
+		err := outcome.Stopping()
+		// A delayed duplicate must not run after this refusal either, here or at the successor.
+		o.ledger.Finish(clock.Now(), d.Key, nil, err)
+		return claims.Decision{Action: claims.Refuse, Err: err}, nil
+	}
 	if d.Action == claims.Run {
 		log := answer.NewLog()
 		o.runs[d.Key] = log
@@ -172,6 +180,13 @@
 	return o.ledger.Adopt(clock.Now(), msg)
 }
 
+// Stop makes the owner begin no more runs. Repeats of requests that have run, or are running, are still answered.
+func (o *Owner) Stop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopping = true
+}
+
 // Freeze waits until no run is open, then freezes the ledger permanently so that
 // none can start. It returns false if ctx is done first.
 func (o *Owner) Freeze(ctx context.Context) bool {
