entry, peering: a stop awaits the responses to forwarded requests

An entry that stops served its peers for some 4 s after the last run had ended (handover, linger, 2 s), however much of -drain-timeout was left. A response that took longer to write, or a request that was being forwarded to the successor, was cut: the caller at the other entry got 504 owner_unreachable, or a broken answer, for a request that had run. If a run outlasted the stop, the streams of those who wait for it were cut without an outcome.

Cause: the listener of the peers was drained for 2 s only, and the context of a forwarded request never ends with the stop.

Change: it is drained until the end of -drain-timeout. If requests are left then, those whose response hasn't begun end with the outcome may_have_run (stopping), which is written before the connections are closed.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -57,6 +57,21 @@
 
 // startEntryWith is startEntry with flags; stop begins a planned stop.
 func startEntryWith(tb testing.TB, flags []string, engines ...string) (address string, stop func()) {
+	e := newEntry(tb, flags, engines...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	tb.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for !e.ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return e.cfg.Listen, cancel
+}
+
+func newEntry(tb testing.TB, flags []string, engines ...string) *Entry {
 	sum := sha256.Sum256([]byte("key"))
 	peer := freeport.Address(tb)
 	var endpoints []fleet.Endpoint
@@ -93,17 +108,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- e.Run(ctx) }()
-	tb.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	for !e.ready() {
-		time.Sleep(time.Millisecond)
-	}
-	return cfg.Listen, cancel
+	return e
 }
 
 func stream(b *testing.B, address string, tokens int) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,9 @@
 	// open ends when the requests must end that the entry still holds; abort ends it.
 	open  context.Context
 	abort context.CancelCauseFunc
+	// forwarded ends when the requests must end that peers have forwarded; endForwarded ends it.
+	forwarded    context.Context
+	endForwarded context.CancelCauseFunc
 }
 
 // New makes an entry from checked settings.
@@ -86,6 +89,7 @@
 		traffic: &peering.Traffic{},
 	}
 	e.open, e.abort = context.WithCancelCause(context.Background())
+	e.forwarded, e.endForwarded = context.WithCancelCause(context.Background())
 	e.client = engineclient.New(e.onSaid)
 	var err error
 	if e.peerTLS, err = cfg.PeerTLS.Load(); err != nil {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
+	peerService.EndForwarded(e.forwarded)
 	s := &servers{}
 	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
 		return nil, err
@@ -160,9 +161,12 @@
 	defer cancelFarewell()
 	e.exchange.AnnounceLeft(farewell)
 	time.Sleep(e.cfg.HandoverLinger)
-	grace, cancelGrace := context.WithTimeout(ctx, listenerCloseGrace)
-	defer cancelGrace()
-	_ = s.peers.Drain(grace)
+	if s.peers.Drain(drain) != nil {
+		e.endForwarded(shutdown.ErrStopping)
+		grace, cancelGrace := context.WithTimeout(ctx, listenerCloseGrace)
+		defer cancelGrace()
+		_ = s.peers.Drain(grace)
+	}
 	_ = s.peers.Close()
 	_ = s.operators.Close()
 }
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -6,10 +6,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 )
 
@@ -49,3 +51,45 @@
 	}
 	g.Expect(invariant.Count(invariant.DrainCutsNothing)).To(Equal(cut))
 }
+
+// TestAResponseToAPeerIsWrittenBeforeTheStopEnds guards against peers whose forwarded requests have run, and that are cut off
+// before they have the answer.
+func TestAResponseToAPeerIsWrittenBeforeTheStopEnds(t *testing.T) {
+	g := NewWithT(t)
+	e := newEntry(t, nil)
+	servers, err := e.listen()
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = servers.peers.Close()
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	address := freeport.Address(t)
+	servers.peers, err = e.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-respond
+		_, _ = io.WriteString(w, "whole")
+	}), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Get("http://" + address)
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		answer <- string(body)
+	}()
+	<-arrived
+	stopped := make(chan struct{})
+	go func() {
+		e.stop(t.Context(), servers)
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(2 * listenerCloseGrace):
+	}
+	close(respond)
+	g.Expect(<-answer).To(Equal("whole"))
+	<-stopped
+}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -24,6 +24,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
 	"github.com/bridgehoist/bridgehoist/internal/published"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -56,6 +57,8 @@
 	delegated DelegateHandler
 	// admit decides whether a delegated request is served; nil if all are.
 	admit func() (release func(), refusal *outcome.Error)
+	// open ends the forwarded requests whose response hasn't begun.
+	open context.Context
 	// delegations are the delegated requests that are being served.
 	delegations delegations
 	// memory bounds what is held of calls; nil is unlimited.
@@ -66,9 +69,13 @@
 
 // NewServer returns a server. If o is nil, it serves Exchange only.
 func NewServer(cs *ClusterState, s *published.Store, o *owner.Owner, m MakeJob, t *Traffic) *Server {
-	return &Server{clusterState: cs, store: s, owner: o, makeJob: m, traffic: t}
+	return &Server{clusterState: cs, store: s, owner: o, makeJob: m, traffic: t, open: context.Background()}
 }
 
+// EndForwarded makes the forwarded requests whose response hasn't begun end with open, and with its cause. It must be
+// called before Handler.
+func (s *Server) EndForwarded(open context.Context) { s.open = open }
+
 // LimitMemory sets the budget for what is held of calls. It must be called before Handler.
 func (s *Server) LimitMemory(b *membudget.Budget) { s.memory = b }
 
@@ -170,6 +177,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, release := shutdown.Abortable(ctx, s.open)
+	defer release()
 	return s.owner.ServeForwarded(ctx, t, j, sink)
 }
 
--- a/internal/peering/withdraw_test.go
+++ b/internal/peering/withdraw_test.go
@@ -13,11 +13,14 @@
 
 	. "github.com/onsi/gomega"
 
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/owner"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
@@ -158,3 +161,30 @@
 		g.Expect(caller.Body.String()).To(Equal("reply"))
 	}
 }
+
+// TestAForwardedRequestIsAnsweredAtTheStopOfTheOwner guards against streams that are cut without an outcome.
+func TestAForwardedRequestIsAnsweredAtTheStopOfTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	open, end := context.WithCancelCause(t.Context())
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	o := owner.New(claims.New(time.Now(), claims.Config{Secret: []byte("s")}), func(context.Context, *job.Job, job.Sink) *outcome.Error {
+		end(shutdown.ErrStopping)
+		<-release
+		return nil
+	}, nil, func(*job.Job) {})
+	ticket, _ := o.Mint("w")
+	p := newPeer(t, "b")
+	j := &job.Job{Workspace: "w", Ticket: ticket}
+	s := NewServer(p.state, p.store, o, func(*peerv1.RunRequest) (*job.Job, *outcome.Error) { return j, nil }, &Traffic{})
+	s.EndForwarded(open)
+	server := httptest.NewServer(s.Handler(""))
+	t.Cleanup(server.CloseClientConnections)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done, err := p.client.attach(ctx, server.Listener.Addr().String(), &job.Job{Workspace: "w", Ticket: ticket}, &responseRelay{})
+	g.Expect(done).To(BeTrue())
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun))
+	g.Expect(err.Code).To(Equal(outcome.CodeStopping))
+}
