httpserver: a refusal doesn't wait for the body of its request

A request that was refused before its body was read (404, 401, too many requests, no table) was answered only when its caller had sent the rest, up to 256 KiB, without a time limit: one that sent slowly held its connection and a place, held up a drain until its end, and was cut there without an answer. Larger bodies, and those after Expect: 100-continue, were left unread, and their connections reset, by which the caller's system may drop the answer. The 413 and 400 of the body filter began at once, but ended up to 0.5 s later.

Cause: http.Server reads the rest of a body before it writes a response, and again before it closes the connection; both without a deadline, and not beyond 256 KiB.

Change: httpserver gives what has arrived of a body 1 ms when a response begins before the body has been read. If that isn't all, the response is written at once and asks to close; then the rest is read for up to 0.5 s before the connection is closed. The body filter refuses like the others. Connections of refused requests whose body has arrived are kept, as before.

--- a/internal/filters/body/body.go
+++ b/internal/filters/body/body.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,9 +17,6 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
-// restTimeout is for the rest of a body whose request has been refused.
-const restTimeout = 500 * time.Millisecond
-
 // retryAfterBusy is when a caller may come back whose body found no room.
 const retryAfterBusy = time.Second
 
@@ -33,7 +29,7 @@
 		data, err := read(w, r, held, limit, timeout)
 		if err != nil {
 			held.Release()
-			refuse(w, r, refusal(r.Context(), err, limit), limit)
+			respond.Refuse(w, r, refusal(r.Context(), err, limit))
 			return
 		}
 		j := job.FromRequest(r)
@@ -43,18 +39,6 @@
 	})
 }
 
-// refuse answers a request whose body has not been read whole, and closes its connection. The rest is read
-// meanwhile: a connection that is closed with unread bytes is reset, and the answer may be lost.
-func refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error, limit int64) {
-	control := http.NewResponseController(w)
-	_ = control.EnableFullDuplex()
-	w.Header().Set("Connection", "close")
-	respond.Refuse(w, r, err)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(restTimeout))
-	_, _ = io.CopyN(io.Discard, r.Body, limit)
-}
-
 // read reads the body until the timeout or the end of the request's context.
 func read(w http.ResponseWriter, r *http.Request, held *membudget.Reservation, limit int64, timeout time.Duration) ([]byte, error) {
 	control := http.NewResponseController(w)
--- a/internal/filters/body/body_test.go
+++ b/internal/filters/body/body_test.go
@@ -12,7 +12,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 )
@@ -24,11 +26,12 @@
 func serveWithin(t *testing.T, reached *int, limit int64, memory *membudget.Budget) *httptest.Server {
 	next := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { *reached += len(job.FromRequest(r).Body) })
 	filter := New(next, limit, 200*time.Millisecond, memory)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l := freeport.Listen(t)
+	s := httpserver.Start(l, httpserver.Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		filter.ServeHTTP(w, job.WithJob(r, &job.Job{}))
-	}))
-	t.Cleanup(s.Close)
-	return s
+	})}})
+	t.Cleanup(func() { _ = s.Close() })
+	return &httptest.Server{URL: "http://" + l.Addr().String(), Listener: l}
 }
 
 func TestSlowSenderIsRefused(t *testing.T) {
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -19,6 +20,13 @@
 // arrived.
 const receiveGrace = time.Second
 
+var (
+	// arrivedTimeout bounds the time to read what has arrived of a body that the handler hasn't read.
+	arrivedTimeout = time.Millisecond
+	// lingerTimeout bounds the time to read the rest of it after the response.
+	lingerTimeout = 500 * time.Millisecond
+)
+
 // phase is how far a server has closed a connection.
 type phase int
 
@@ -49,6 +57,8 @@
 	// first byte of a request before it reports the end of the one before.
 	receiving bool
 	phase     phase
+	// unread says that a part of the last request's body may be unread.
+	unread bool
 	// readDeadline is the one that http.Server has set.
 	readDeadline time.Time
 }
@@ -80,11 +90,34 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite is called by http.Server before it closes a connection with unread bytes.
+// leaveUnread is called when a response begins, or the handler ends, before the body of the request has been read.
+// http.Server reads what it gets of the rest until the deadline, and closes the connection unless that was all.
+func (c *conn) leaveUnread() {
+	c.all.mu.Lock()
+	c.unread = true
+	c.all.mu.Unlock()
+	_ = c.SetReadDeadline(time.Now().Add(arrivedTimeout))
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.all.isUnread(c) {
+		_ = c.CloseWrite()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite is called before a connection with unread bytes is closed, also by http.Server. It reads the rest: closing
+// resets the connection otherwise, and the response may be lost.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+		_ = half.CloseWrite()
 	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.unread = false
 	return nil
 }
 
@@ -235,7 +268,7 @@
 		if c.phase == ending {
 			l.resume(c)
 		}
-		c.state, c.since = state, now
+		c.state, c.since, c.unread = state, now, false
 		if state == http.StateActive {
 			c.receiving = false
 		} else if l.draining && c.idle(now) {
@@ -252,6 +285,12 @@
 	c.phase = closed
 }
 
+func (l *connections) isUnread(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.unread && c.phase != closed
+}
+
 func (l *connections) phase(c *conn) phase {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,11 +3,15 @@
 // http.Server closes connections that it holds for idle, among them those on which a request has just been read,
 // and http.Server.Shutdown also drops requests that it reads after its begin. Here a request that has been read on a
 // connection is either served and its response written, or not passed to the handler at all: see connections.
+//
+// A response that begins before the body of its request has been read is written at once, where http.Server waits for up
+// to 256 KiB of it. If the rest hasn't arrived, the connection is closed after it.
 package httpserver
 
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -72,10 +76,41 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(BeforeResponse(w, func() { CloseAfter(w, s.connections.isDraining()) }), r)
+		body := &trackedBody{ended: r.Body == http.NoBody}
+		if !body.ended {
+			body.ReadCloser = r.Body
+			// http.Server looks at the body of its own copy.
+			r = r.WithContext(r.Context())
+			r.Body = body
+		}
+		begun := false
+		begin := func() {
+			begun = true
+			CloseAfter(w, s.connections.isDraining())
+			if !body.ended {
+				c.leaveUnread()
+			}
+		}
+		next.ServeHTTP(BeforeResponse(w, begin), r)
+		if !begun && !body.ended {
+			c.leaveUnread()
+		}
 	})
 }
 
+// trackedBody records whether the body has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
 // Drain accepts no more connections and returns when no request is left, or with an error when ctx ends. Requests
 // that arrive meanwhile on open connections are served.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -107,3 +108,64 @@
 	defer cancel()
 	g.Expect(s.Drain(ctx)).To(Succeed())
 }
+
+// startRefusing runs a server that refuses all requests without reading their bodies.
+func startRefusing(t *testing.T) (client net.Conn, accepted *pausingConn) {
+	l := &pausingListener{Listener: freeport.Listen(t), accepted: make(chan *pausingConn, 1)}
+	s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	})}})
+	t.Cleanup(func() { _ = s.Close() })
+	client = dial(NewWithT(t), l.Addr().String())
+	t.Cleanup(func() { _ = client.Close() })
+	_ = client.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return client, <-l.accepted
+}
+
+// expectRefusal reads a whole refusal, and reports whether its connection is to be closed.
+func expectRefusal(g *WithT, c net.Conn) (closes bool) {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	return resp.Close
+}
+
+// TestARefusalDoesNotWaitForTheBody guards against refusals that are held until their callers have sent the rest, against
+// callers that hold a connection by sending slowly, and against a reset by which the refusal may be lost.
+func TestARefusalDoesNotWaitForTheBody(t *testing.T) {
+	defer func(timeout time.Duration) { lingerTimeout = timeout }(lingerTimeout)
+	lingerTimeout = time.Minute
+	for name, request := range map[string]string{
+		"length":  "Content-Length: 1000\r\n\r\nab",
+		"large":   "Content-Length: 1000000\r\n\r\nab",
+		"chunks":  "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"expects": "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			client, conn := startRefusing(t)
+			head, _ := fmt.Fprint(client, "POST / HTTP/1.1\r\nHost: h\r\n"+request)
+			g.Expect(expectRefusal(g, client)).To(BeTrue())
+			rest, err := client.Write(make([]byte, 500_000))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(client.(*net.TCPConn).CloseWrite()).To(Succeed())
+			g.Eventually(conn.closed, "10s").Should(BeClosed())
+			g.Expect(conn.total.Load()).To(BeEquivalentTo(head + rest))
+		})
+	}
+}
+
+// TestARefusedRequestWhoseBodyHasArrivedKeepsItsConnection guards against new connections of all callers that are refused.
+func TestARefusedRequestWhoseBodyHasArrivedKeepsItsConnection(t *testing.T) {
+	defer func(timeout time.Duration) { arrivedTimeout = timeout }(arrivedTimeout)
+	arrivedTimeout = time.Minute
+	g := NewWithT(t)
+	client, _ := startRefusing(t)
+	for range 2 {
+		fmt.Fprint(client, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+		g.Expect(expectRefusal(g, client)).To(BeFalse())
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -481,6 +481,8 @@
 mutant "closing: writes don't count" internal/httpserver/connections.go 's/^\tc.all.writes(c)$//' "./internal/httpserver -run AByteThatComes|DuringADrain|HoldUp"
 mutant "closing: a drain doesn't wait" internal/httpserver/connections.go 's/return len(l.open) > 0/return len(l.open) > l.ending/' "./internal/httpserver"
 mutant "closing: drains miss what is being accepted" internal/httpserver/connections.go '/^func (l \*connections) add/,/^}/s/if l.draining {/if false {/' "./internal/httpserver -run WhileADrainEnds"
+mutant "closing: refusals wait for the body" internal/httpserver/server.go 's/^\t\t\t\tc.leaveUnread()$//' "./internal/httpserver -run ARefusal"
+mutant "closing: bodies stay unread" internal/httpserver/connections.go 's/^\t_, _ = io.Copy(io.Discard, c.Conn)$/\t_ = io.EOF/' "./internal/httpserver -run ARefusal"
 mutant "closing: connections with requests are closed" internal/httpserver/connections.go 's/^\tcase c.state == http.StateActive:$/\tcase false:/' "./internal/httpserver -run WhileTheirConnection|DuringADrain|IdleLongest"
 mutant "closing: late requests aren't ended" internal/shutdown/shutdown.go 's/if open.Err() != nil {/if false {/' ./internal/filters/drain
 mutant "closing: responses begin after the end" internal/shutdown/shutdown.go 's/if detach() {/if detach() || true {/' "./internal/gateway -run NoResponseBegins"
