body: the stop doesn't interrupt what is read after a body

A request that was refused for its body (413, 400, 503) in the moment of Abort could lose its refusal: the rest of the body wasn't read, so that closing the connection reset it.

Cause: the function that interrupts the reading of a body runs in its own goroutine. It could set the read deadline after the body filter had returned, for whatever is read on the connection then.

Change: the filter waits for a call of it that has begun.

Result: the new test holds the interruption until the filter returns.

--- a/internal/filters/body/body.go
+++ b/internal/filters/body/body.go
@@ -43,10 +43,16 @@
 func read(w http.ResponseWriter, r *http.Request, held *membudget.Reservation, limit int64, timeout time.Duration) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
-	defer stop()
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(r.Context(), func() {
+		defer close(interrupted)
+		_ = control.SetReadDeadline(time.Now())
+	})
 	data, err := held.ReadAll(r.Body, limit)
-	if err == nil && stop() {
+	if !stop() {
+		// It must not interrupt what is read after the body.
+		<-interrupted
+	} else if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
 	return data, err
--- a/internal/filters/body/body_test.go
+++ b/internal/filters/body/body_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 )
 
 // serve runs the filter before a handler that counts what reaches it.
@@ -104,3 +107,48 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(memory.Used()).To(BeZero())
 }
+
+// heldDeadline holds back the deadline that interrupts the reading of a body.
+type heldDeadline struct {
+	*httptest.ResponseRecorder
+	deadlines                         atomic.Int64
+	interrupting, returned, completed chan struct{}
+	tooLate                           bool
+}
+
+func (w *heldDeadline) SetReadDeadline(time.Time) error {
+	if w.deadlines.Add(1) < 2 {
+		return nil
+	}
+	defer close(w.completed)
+	close(w.interrupting)
+	select {
+	case <-w.returned:
+		w.tooLate = true
+	case <-time.After(100 * time.Millisecond):
+	}
+	return nil
+}
+
+// TestAStopDoesNotInterruptWhatComesAfterTheBody guards against a refusal that is lost, since the rest of its body can't be
+// read, if the stop comes in the moment of the refusal.
+func TestAStopDoesNotInterruptWhatComesAfterTheBody(t *testing.T) {
+	w := &heldDeadline{ResponseRecorder: httptest.NewRecorder(), interrupting: make(chan struct{}), returned: make(chan struct{}), completed: make(chan struct{})}
+	ctx, end := context.WithCancelCause(t.Context())
+	body := readerFunc(func(p []byte) (int, error) {
+		end(shutdown.ErrStopping)
+		<-w.interrupting
+		return len(p), nil
+	})
+	r := job.WithJob(httptest.NewRequestWithContext(ctx, http.MethodPost, "/", body), &job.Job{})
+	New(http.NotFoundHandler(), 1, time.Minute, nil).ServeHTTP(w, r)
+	close(w.returned)
+	g := NewWithT(t)
+	g.Expect(w.Code).To(Equal(http.StatusRequestEntityTooLarge))
+	<-w.completed
+	g.Expect(w.tooLate).To(BeFalse())
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
