httpserver: a test of requests during a drain doesn't depend on a dial

TestRequestsThatArriveDuringADrainAreAnswered dialled until the listener was closed before it sent its request.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -66,14 +66,10 @@
 	accepted(g, s, 2)
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context()) }()
-	g.Eventually(func() error {
-		c, err := net.Dial("tcp", address)
-		if err == nil {
-			c.Close()
-		}
-		return err
-	}).Should(HaveOccurred())
+	g.Eventually(s.connections.isDraining, "5s").Should(BeTrue())
 	request(g, during)
+	_, err := net.DialTimeout("tcp", address, 5*time.Second)
+	g.Expect(err).To(HaveOccurred())
 	time.Sleep(2 * drainPoll)
 	g.Expect(drained).NotTo(Receive())
 	close(release)
