--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -25,8 +25,12 @@
 // arrived.
 const receiveGrace = time.Second
 
-// lingerTimeout bounds the wait for a client that has sent more requests to read the last response.
-const lingerTimeout = time.Second
+var (
+	// arrivedTimeout bounds the time to read what has arrived of a body that the handler hasn't read.
+	arrivedTimeout = 20 * time.Millisecond
+	// lingerTimeout bounds the time for which what a client still sends is read after the last response.
+	lingerTimeout = time.Second
+)
 
 // phase is how far a server has closed a connection.
 type phase int
@@ -57,8 +61,9 @@
 	// receiving says that bytes have arrived since the last write, or the last whole head. http.Server may read the
 	// first byte of a request before it reports the end of the one before.
 	receiving bool
-	// answered says that a part of the response to the last request has been written.
-	answered bool
+	// answered says that a part of the response to the last request has been written, and bodyLeft that the
+	// body of that request hasn't been read to its end.
+	answered, bodyLeft bool
 	// http10 says that the last request is one of HTTP/1.0, whose client may take the end of the connection for the end
 	// of the response. handled says that the handler has returned.
 	http10, handled bool
@@ -100,25 +105,32 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close implements net.Conn. It resets a connection whose client couldn't tell that the response was cut.
+func (c *conn) Close() error {
+	switch {
+	case c.all.cuts(c):
+		c.reset()
+	case c.all.lingers(c):
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
 // CloseWrite is called by http.Server before it closes a connection with unread bytes.
 func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
+	c.linger()
 	return nil
 }
 
-// Close implements net.Conn. A client that has sent another request gets time to read the response before it: closing
-// a connection with unread bytes resets it, and what is under way to the client is lost.
-func (c *conn) Close() error {
-	if c.all.cuts(c) {
-		c.reset()
-	} else if c.all.lingers(c) && c.unread() {
-		_ = c.CloseWrite()
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.Conn)
+// linger ends the sending side, and reads what the client still sends: closing a connection with unread bytes resets
+// it, and what is under way to the client is lost.
+func (c *conn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
-	return c.Conn.Close()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
+	c.all.lingered(c)
 }
 
 // reset lets Close reset the connection, so that a response that is cut doesn't appear complete.
@@ -289,11 +301,25 @@
 	return c.http10 && !c.handled
 }
 
-// lingers reports whether the client may still be reading a response.
+// lingers reports whether the client may still be reading a response, and has sent more or may be about to.
 func (l *connections) lingers(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return c.phase == serving && c.state == http.StateActive && c.answered
+	return c.phase == serving && c.state == http.StateActive && (c.bodyLeft || c.answered && c.unread())
+}
+
+// lingered records that nothing of the last request is left to be read.
+func (l *connections) lingered(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.bodyLeft = false
+}
+
+// leaveBody records that the body of a request isn't read to its end.
+func (l *connections) leaveBody(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.bodyLeft = true
 }
 
 // changed is http.Server.ConnState.
@@ -316,7 +342,7 @@
 		}
 		c.state, c.since = state, now
 		if state == http.StateActive {
-			c.receiving, c.answered = false, false
+			c.receiving, c.answered, c.bodyLeft = false, false, false
 		} else if l.draining {
 			// The next request may have arrived before the end of the response.
 			c.receiving = c.receiving || c.unread()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,11 +3,15 @@
 // http.Server closes connections that it holds for idle, among them those on which a request has just been read,
 // and http.Server.Shutdown also drops requests that it reads after its begin. Here a request that has been read on a
 // connection is either served and its response written, or not passed to the handler at all: see connections.
+//
+// A response that begins before the body of its request has been read is written at once, where http.Server waits for up
+// to 256 KiB of it. If the rest hasn't arrived, the connection is closed after it.
 package httpserver
 
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -73,11 +77,63 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.connections.handles(c, !r.ProtoAtLeast(1, 1))
-		next.ServeHTTP(BeforeResponse(w, func() { CloseAfter(w, s.connections.isDraining()) }), r)
+		body := trackBody(r)
+		begun := false
+		begin := func() {
+			begun = true
+			CloseAfter(w, !c.finishBody(body) || s.connections.isDraining())
+		}
+		// http.Server looks at the body of its own copy.
+		r = r.WithContext(r.Context())
+		r.Body = body
+		next.ServeHTTP(BeforeResponse(w, begin), r)
+		if !begun {
+			begin()
+		}
 		s.connections.returned(c)
 	})
 }
 
+// trackedBody records whether the body has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	// awaited says that the client sends the body only once it is read.
+	awaited, ended bool
+}
+
+func trackBody(r *http.Request) *trackedBody {
+	return &trackedBody{ReadCloser: r.Body, awaited: r.Header.Get("Expect") != "", ended: r.Body == http.NoBody}
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// maxRestBytes bounds what is read of the rest of a body, so that its connection can be kept.
+const maxRestBytes = 256 << 10
+
+// finishBody reads what has arrived of the rest of a body, and reports whether that was all. Otherwise the connection
+// must be closed after the response.
+func (c *conn) finishBody(body *trackedBody) (whole bool) {
+	if body.ended {
+		return true
+	}
+	if !body.awaited {
+		_ = c.SetReadDeadline(time.Now().Add(arrivedTimeout))
+		_, _ = io.CopyN(io.Discard, body, maxRestBytes)
+	}
+	if !body.ended {
+		c.all.leaveBody(c)
+		return false
+	}
+	// http.Server reads on for the end of the connection.
+	_ = c.SetReadDeadline(time.Time{})
+	return true
+}
+
 // Drain accepts no more connections and returns when no request is left, or with an error when ctx ends. Requests
 // that arrive meanwhile on open connections are served.
 func (s *Server) Drain(ctx context.Context) error {
