httpserver: a request whose context has ended before is refused

http.Server reads on for the end of a connection while a request is handled. If that read meets a deadline, which a filter has set for the body, the contexts of this and of all later requests on the connection end, while the connection stays open: each request after it was passed to the handler, which took its caller for gone, and some callers got a 400 for a sound body.

Change: such a request gets 503 with Connection: close, and isn't passed on.

Result: go test ./internal/httpserver -run WhoseContextHasEnded failed before (200 where 503 is asked, handled twice); green now, 10 of 10.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -66,7 +66,8 @@
 	return s
 }
 
-// admit drops the requests of connections that have been closed with the server.
+// admit drops the requests of connections that have been closed with the server, and refuses those whose context has
+// ended before.
 func (s *Server) admit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := r.Context().Value(connKey{}).(*conn)
@@ -76,6 +77,12 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if r.Context().Err() != nil {
+			// A read that timed out ends the contexts of all requests of its connection.
+			CloseAfter(w, true)
+			http.Error(w, "the connection is closing", http.StatusServiceUnavailable)
+			return
+		}
 		s.connections.handles(c, !r.ProtoAtLeast(1, 1))
 		body := trackBody(r)
 		begun := false
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -165,3 +165,30 @@
 		g.Expect(expectRefusal(g, client)).To(BeFalse())
 	}
 }
+
+// TestARequestWhoseContextHasEndedIsRefused guards against requests that are passed on and broken off at once, since a
+// read for the end of the connection has timed out.
+func TestARequestWhoseContextHasEndedIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	handled := 0
+	l := freeport.Listen(t)
+	s := Start(l, Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handled++
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+		<-r.Context().Done()
+	})}})
+	t.Cleanup(func() { _ = s.Close() })
+	client := dial(g, l.Addr().String())
+	defer client.Close()
+	answers := bufio.NewReader(client)
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		request(g, client)
+		resp, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(status))
+		g.Expect(resp.Close).To(Equal(status != http.StatusOK))
+	}
+	g.Expect(handled).To(Equal(1))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -475,6 +475,7 @@
 mutant "shutdown: responses don't close" internal/filters/drain/drain.go 's/httpserver.CloseAfter(w, closing())/_ = closing/' "./internal/gateway -run ResponsesOfAStopping"
 mutant "shutdown: requests that arrive late are dropped" internal/httpserver/server.go '/^func (s \*Server) Drain/,/^}/s/^\t_ = s.listener.Close()$/\treturn s.cfg.HTTP.Shutdown(ctx)/' "./internal/httpserver -run Arrive"
 mutant "closing: requests are handled" internal/httpserver/server.go 's/if s.connections.phase(c) == closed {/if s.connections.phase(c) == closed \&\& false {/' "./internal/httpserver -run IsNotHandled"
+mutant "closing: requests are handled whose context has ended" internal/httpserver/server.go 's/if r.Context().Err() != nil {/if false {/' "./internal/httpserver -run WhoseContextHasEnded"
 mutant "closing: bytes are handed on" internal/httpserver/connections.go 's/case n > 0 \&\& !c.all.received(c, time.Now()):/case n > 0 \&\& !c.all.received(c, time.Now()) \&\& false:/' "./internal/httpserver -run WhileTheirConnection"
 mutant "closing: connections don't resume" internal/httpserver/connections.go 's/^\t\tl.resume(c)$/\t\treturn false/' "./internal/httpserver -run WhileTheirConnection"
 mutant "closing: deadlines stay" internal/httpserver/connections.go 's/^\t_ = c.Conn.SetReadDeadline(c.readDeadline)$//' "./internal/httpserver -run WhileTheirConnection"
