e2e: odd lists: wait for the good list itself

The test waited for a revision above the one read before, which a valid odd list that came late has too: a request got 503 no_endpoint (1 of 2 runs and 1 of 6, beside load). It waits for the engine's capacity in the good list now, which no other list has; the requests are checked as before.

--- a/internal/e2e/more_test.go
+++ b/internal/e2e/more_test.go
@@ -23,7 +23,6 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
-	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/standin"
 	platformstandin "github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -225,16 +224,11 @@
 	for i := range 14 {
 		c.control(c.platform, fmt.Sprintf("values/odd-%d", i), bytes.Repeat([]byte("x"), 1<<20))
 	}
-	list := func() []byte {
-		c.list.Endpoints[0].Incarnation++
-		data, err := json.Marshal(c.list)
-		c.g.Expect(err).NotTo(HaveOccurred())
-		return data
-	}
-	fleetRevision := func(i int) uint64 {
-		for _, v := range c.status(i).Values {
-			if v.Name == published.Fleet {
-				return v.Revision
+	engine := &c.list.Endpoints[0]
+	capacity := func(i int) int {
+		for _, e := range c.status(i).Endpoints {
+			if e.ID == engine.ID {
+				return e.Capacity
 			}
 		}
 		return 0
@@ -244,11 +238,14 @@
 	for n, odd := range c.oddLists(string(good)) {
 		c.control(c.platform, "values/fleet", []byte(odd))
 		c.publishTable(odd)
-		before := fleetRevision(0)
 		c.publishTable(tableText)
-		c.control(c.platform, "values/fleet", list())
+		engine.Incarnation++
+		engine.CapacityTokens++
+		list, err := json.Marshal(c.list)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.control(c.platform, "values/fleet", list)
 		for i := range c.entries {
-			c.g.Eventually(func() uint64 { return fleetRevision(i) }, patience, "10ms").Should(BeNumerically(">", before), "%d, %.40q", n, odd)
+			c.g.Eventually(func() int { return capacity(i) }, patience, "10ms").Should(Equal(engine.CapacityTokens), "%d, %.40q", n, odd)
 			a := c.send(i, call{kind: "shift-report", prompt: prompt(fmt.Sprintf("%d at %d ", n, i), 5)})
 			c.g.Expect(a.status).To(Equal(http.StatusOK), "%d, %.40q: %+v", n, odd, a)
 		}
