peering: a handover uses a connection of its own

On the own interface a stopping entry could lose its tickets: if its successor closed an idle connection as the handover was written on it (its idle time, or a stop), the call failed, and no other entry may be tried then, as it isn't known whether the tickets were adopted. Callers with these tickets got 504 may_have_run.

Cause: the call isn't idempotent, so http.Transport rightly doesn't repeat it, and it went on connections that exchanges had kept.

Change: idle connections are closed before the call, so that it gets a new one.

Result: the new test closes the kept connection when the call arrives on it.

--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -51,6 +51,8 @@
 func (c *Client) handOverTo(ctx context.Context, to membership.Contact, msg *peerv1.HandoverRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
+	// The call can't be repeated, and the peer may close a kept connection at any time.
+	c.cfg.HTTP.CloseIdleConnections()
 	_, err := c.clientFor(to.Address).Handover(ctx, authorize(c, msg))
 	if err == nil || connect.CodeOf(err) != connect.CodeFailedPrecondition {
 		c.mu.Lock()
--- a/internal/peering/silent_connections_test.go
+++ b/internal/peering/silent_connections_test.go
@@ -5,15 +5,21 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/owner"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
@@ -127,3 +133,46 @@
 	g.Expect(done).To(BeFalse())
 	g.Expect(client.Reconcile(t.Context(), []membership.Contact{owner, other})).To(Equal(2))
 }
+
+// TestCallsOnKeptConnectionsThatThePeerCloses guards against tickets that are lost, and requests that fail, since the peer
+// closes an idle connection as the call is written on it.
+func TestCallsOnKeptConnectionsThatThePeerCloses(t *testing.T) {
+	for name, call := range map[string]func(g *WithT, client *Client, peer membership.Contact, o *owner.Owner, ticket string){
+		"handover": func(g *WithT, client *Client, peer membership.Contact, o *owner.Owner, _ string) {
+			stopping := claims.New(time.Now(), claims.Config{Incarnation: claims.Incarnation{1}, Secret: []byte("s")})
+			stopping.Freeze()
+			g.Expect(client.handOverTo(t.Context(), peer, stopping.Export(time.Now(), []byte(peer.VM)))).To(Succeed())
+			g.Expect(o.Holds(claims.Incarnation{1})).To(BeTrue())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := newPeer(t, "b")
+			var s *Server
+			var used sync.Map
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, again := used.LoadOrStore(r.RemoteAddr, true); again && !strings.HasSuffix(r.URL.Path, "/Exchange") {
+					panic(http.ErrAbortHandler)
+				}
+				s.Handler("").ServeHTTP(w, r)
+			}))
+			t.Cleanup(server.Close)
+			incarnation := claims.Incarnation{2}
+			peer := membership.Contact{VM: string(incarnation[:]), Address: server.Listener.Addr().String()}
+			o := owner.New(claims.New(time.Now(), claims.Config{VM: "z", PeerAddress: peer.Address, Incarnation: incarnation, Secret: []byte("s")}),
+				func(_ context.Context, _ *job.Job, sink job.Sink) *outcome.Error {
+					sink.Header(http.StatusOK, "text/plain")
+					_ = sink.Data([]byte("reply"))
+					return nil
+				}, nil, func(*job.Job) {})
+			ticket, _ := o.Mint("w")
+			s = NewServer(p.state, p.store, o, func(*peerv1.RunRequest) (*job.Job, *outcome.Error) {
+				return &job.Job{Workspace: "w", Ticket: ticket}, nil
+			}, &Traffic{})
+			client := NewClient(Config{ClusterState: p.state, Store: p.store, HTTP: &http.Client{Transport: &http.Transport{}}, Scheme: "http",
+				Traffic: &Traffic{}, Timeout: generousTimeout, Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}})
+			g.Expect(client.Reconcile(t.Context(), []membership.Contact{peer})).To(Equal(1))
+			call(g, client, peer, o, ticket)
+		})
+	}
+}
