peering: a forwarded request survives the close of a kept connection

On the own interface a request with a ticket that was forwarded on a kept connection got 504 owner_unreachable (may_have_run) if the owner closed the connection as the request was written on it, or if the connection had died without a reset, although the owner could serve it.

Cause: a stream that breaks before the owner's first message wasn't attached again, since the owner was taken as unreachable.

Change: it is attached again, on a new connection, if it was opened on one that had been used before. The owner runs a ticket once however often it is attached to.

--- a/internal/peering/remote.go
+++ b/internal/peering/remote.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -63,7 +65,8 @@
 }
 
 // Forward implements owner.Remote. If a stream to the owner breaks, it attaches again as long as
-// the owner has answered, at most maxAttachments times in all.
+// the owner has answered, or if the connection had been kept, which the peer may close at any time; at most
+// maxAttachments times in all. A ticket runs once however often it is attached to.
 func (c *Client) Forward(ctx context.Context, t claims.Ticket, j *job.Job, sink job.Sink) *outcome.Error {
 	address, err := c.ownerAddress(t)
 	if err != nil {
@@ -75,9 +78,12 @@
 			j.OwnerAnswered = true
 			return final
 		}
-		if ctx.Err() != nil || !relay.connected {
+		if ctx.Err() != nil || !relay.connected && !relay.reused.Load() {
 			break
 		}
+		if !relay.connected {
+			c.cfg.HTTP.CloseIdleConnections()
+		}
 	}
 	return relay.unreachableError()
 }
@@ -145,7 +151,9 @@
 	// mayBegin reports whether the response may begin.
 	mayBegin func() bool
 	// connected reports whether the owner has sent any message.
-	connected  bool
+	connected bool
+	// reused reports whether the last stream was opened on a connection that had been used before.
+	reused     atomic.Bool
 	headerSent bool
 	// forwarded is the number of body bytes passed to the sink, received that of the body bytes
 	// received on the current stream.
@@ -165,7 +173,9 @@
 		cancel()
 	})
 	defer watchdog.Stop()
-	stream, err := c.clientFor(address).Run(ctx, authorize(c, newRunRequest(j.Ticket, j)))
+	relay.reused.Store(false)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { relay.reused.Store(i.Reused) }})
+	stream, err := c.clientFor(address).Run(traced, authorize(c, newRunRequest(j.Ticket, j)))
 	if err != nil {
 		return false, nil
 	}
--- a/internal/peering/silent_connections_test.go
+++ b/internal/peering/silent_connections_test.go
@@ -144,6 +144,12 @@
 			g.Expect(client.handOverTo(t.Context(), peer, stopping.Export(time.Now(), []byte(peer.VM)))).To(Succeed())
 			g.Expect(o.Holds(claims.Incarnation{1})).To(BeTrue())
 		},
+		"forwarded": func(g *WithT, client *Client, _ membership.Contact, _ *owner.Owner, text string) {
+			ticket, _ := claims.ParseTicket(text)
+			caller := httptest.NewRecorder()
+			g.Expect(client.Forward(t.Context(), ticket, &job.Job{Workspace: "w", Ticket: text}, respond.NewWriter(caller))).To(BeNil())
+			g.Expect(caller.Body.String()).To(Equal("reply"))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,6 +59,8 @@
 mutant "planned stop: runs begin after it" internal/owner/owner.go 's/d.Action == claims.Run \&\& o.stopping {/d.Action == claims.Run \&\& false {/' ./internal/owner
 mutant "planned stop: responses to peers are cut" internal/entry/lifecycle.go 's/if s.peers.Drain(drain) != nil {/if true {/' "./internal/entry -run BeforeTheStopEnds"
 mutant "planned stop: forwarded requests have no outcome" internal/peering/server.go 's/shutdown.Abortable(ctx, s.open)/shutdown.Abortable(ctx, context.Background())/' "./internal/peering -run AtTheStopOfTheOwner"
+mutant "peers: handovers use kept connections" internal/peering/remote.go '/^func (c \*Client) handOverTo/,/^}/s/^\tc.cfg.HTTP.CloseIdleConnections()$//' "./internal/peering -run CallsOnKept"
+mutant "peers: forwarded requests end with their connection" internal/peering/remote.go 's/ \&\& !relay.reused.Load() {/ {/' "./internal/peering -run CallsOnKept"
 mutant "silent connections: replaced one by one" internal/peering/client.go 's/if reused {/if false {/' "./internal/peering -run TestOneTimeout"
 dg="./internal/gateway -run Delegated|AnotherPeer"
 mutant "delegation: delegated again" internal/gateway/delegation.go 's/if delegationOf(r.Context()) != nil ||/if/' "$dg"
