truncation: endpoints that fall silent within an answer

Answers that end by FIN or RST were tested at each byte; those of an endpoint that sends nothing more and leaves its connection open were not.

Each answer now falls silent too, at 8 places: in the status line, in a field, before and behind the empty line, in the size of a chunk or in an event, and before the last byte, or behind it where HTTP has no end. The caller must get an answer or a stream that is cut, never a whole success, and the gateway must close the connection: the endpoint waits for that, and the caller for the endpoint.

go test -run 'TestAnAnswerCut|TestADelegated' ./internal/truncation: green, 568 silences (384 of them straight, 184 delegated), no fault found.

--- a/internal/truncation/endpoint_test.go
+++ b/internal/truncation/endpoint_test.go
@@ -18,10 +18,17 @@
 const (
 	headerAnswer = "Test-Answer"
 	headerCut    = "Test-Cut"
-	headerReset  = "Test-Reset"
+	headerEnd    = "Test-End"
 	headerClose  = "Test-Close"
 )
 
+// How an answer that is cut off ends.
+const (
+	fin     = "FIN"
+	reset   = "RST"
+	silence = "silence"
+)
+
 // run is one request that has reached an endpoint.
 type run struct {
 	// kept says that its connection had carried another request.
@@ -118,8 +125,12 @@
 		return false
 	}
 	_, _ = io.WriteString(c, text[:cut])
-	if req.Header.Get(headerReset) != "" {
+	switch req.Header.Get(headerEnd) {
+	case reset:
 		_ = c.SetLinger(0)
+	case silence:
+		// The gateway closes the connection.
+		_, _ = io.Copy(io.Discard, c)
 	}
 	return false
 }
--- a/internal/truncation/gateway_test.go
+++ b/internal/truncation/gateway_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -158,10 +159,14 @@
 		if err != nil {
 			return
 		}
+		wait, err := strconv.Atoi(r.Header.Get(platform.HeaderWait))
+		if err != nil {
+			return
+		}
 		j := &job.Job{RequestID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, Path: r.RequestURI, Host: r.Host, Body: body}
 		sink := respond.NewWriter(w)
 		peer := membership.Contact{VM: p.vm.VM, Address: p.vm.Peers}
-		sink.End(j, delegator.Delegate(r.Context(), peer, j, platform.DelegatedHeader(r.Header, timeout), sink))
+		sink.End(j, delegator.Delegate(r.Context(), peer, j, platform.DelegatedHeader(r.Header, time.Duration(wait)*time.Millisecond), sink))
 	}))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
--- a/internal/truncation/truncation_test.go
+++ b/internal/truncation/truncation_test.go
@@ -23,30 +23,26 @@
 	// resume is the caller's last event; none if it is empty.
 	resume string
 	at     int
-	reset  bool
+	end    string
 	kept   bool
 }
 
 func (c cut) name() string {
-	return fmt.Sprintf("%s, %s, after %d bytes, reset %v, kept %v, resume %q", c.service, c.answer, c.at, c.reset, c.kept, c.resume)
+	return fmt.Sprintf("%s, %s, after %d bytes, %s, kept %v, resume %q", c.service, c.answer, c.at, c.end, c.kept, c.resume)
 }
 
 // group names the cuts of one line of the table.
 func (c cut) group() string {
-	end := "FIN"
-	if c.reset {
-		end = "RST"
-	}
 	if c.resume != "" {
-		return fmt.Sprintf("%-10s %-21s %s", c.service+"*", c.answer, end)
+		return fmt.Sprintf("%-10s %-21s %s", c.service+"*", c.answer, c.end)
 	}
-	return fmt.Sprintf("%-10s %-21s %s", c.service, c.answer, end)
+	return fmt.Sprintf("%-10s %-21s %s", c.service, c.answer, c.end)
 }
 
 // requestID returns IDs of one length.
 func requestID(n int) string { return fmt.Sprintf("r%07d", n) }
 
-// cuts lists all answers, cut after each byte of their heads and bodies.
+// cuts lists all answers, cut after each byte of their heads and bodies. Endpoints fall silent after some of these.
 func cuts() (all []cut) {
 	for _, name := range sortedAnswers() {
 		for _, s := range servicesOf(name) {
@@ -61,9 +57,15 @@
 					end = len(answers[name].head(requestID(0), last))
 				}
 				for at := range end {
-					for _, reset := range []bool{false, true} {
-						all = append(all, cut{name, s, resume, at, reset, (at%2 == 0) == reset})
-					}
+					all = append(all, cut{name, s, resume, at, fin, at%2 != 0}, cut{name, s, resume, at, reset, at%2 == 0})
+				}
+				head, rest := len(answers[name].head(requestID(0), last)), end-2
+				if answers[name].unframed {
+					rest = end - 1
+				}
+				// In the status line, in a field, before the empty line, behind it, in a chunk's size or an event, at the end.
+				for n, at := range []int{0, 12, 20, head - 2, head, head + 1, rest - 1, rest} {
+					all = append(all, cut{name, s, resume, min(at, rest), silence, n%2 == 0})
 				}
 			}
 		}
@@ -80,6 +82,9 @@
 	return append([]string{first}, slices.DeleteFunc(names, func(name string) bool { return name == first })...)
 }
 
+// silentWait is the time limit in ms of callers whose answer falls silent.
+const silentWait = "500"
+
 // first is the answer that is cut first.
 const first = "length"
 
@@ -154,8 +159,9 @@
 		if !one.kept {
 			before[headerClose] = "1"
 		}
-		if one.reset {
-			header[headerReset] = "1"
+		header[headerEnd] = one.end
+		if one.end == silence {
+			header[platform.HeaderWait] = silentWait
 		}
 		if one.resume != "" {
 			header[platform.HeaderResumeFrom] = one.resume
@@ -166,7 +172,7 @@
 		}
 		got := c.send(id, key, path, header)
 		runs := l.of(id)
-		if len(runs) == 0 && got.status == http.StatusServiceUnavailable {
+		if len(runs) == 0 && (got.status == http.StatusServiceUnavailable || one.end == silence && got.status == http.StatusGatewayTimeout) {
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
@@ -193,7 +199,7 @@
 	headWhole := one.at >= len(head)
 	whole := one.at == len(answer.text(id, last))
 	// A part of an answer without a length is whole if its connection ends well, unless it ends inside an event.
-	passed, unframed := "", headWhole && answer.unframed && !one.reset
+	passed, unframed := "", headWhole && answer.unframed && one.end == fin
 	if unframed {
 		passed = body[:one.at-len(head)]
 		unframed = !strings.Contains(one.answer, "stream") || passed != "" && endsEvent(passed)
@@ -224,11 +230,11 @@
 		return "a part of an answer that is framed as whole"
 	case outcome.StatusMeansNotRun(got.status) && !(answer.refused && headWhole):
 		return "called not run, and may have run"
-	case whole && !one.reset && !answer.refused && !answer.invalid && (got.status != answer.status || got.err != nil):
+	case whole && one.end == fin && !answer.refused && !answer.invalid && (got.status != answer.status || got.err != nil):
 		return "a whole answer isn't passed on"
 	case repeated && got.status != answer.status && !answer.refused:
 		return "the answer to the repeat isn't passed on"
-	case one.service == "safe" && one.answer == first && !whole && len(runs) != 2:
+	case one.service == "safe" && one.answer == first && one.end != silence && !whole && len(runs) != 2:
 		return "a safe request isn't repeated"
 	}
 	return ""
