truncation: no connection that ends late is taken for an idle one

(Inferred: nothing else closes a connection that carries the request before; the late delivery itself wasn't forced.)

After a whole answer to a repeat the endpoint now keeps the connection, as servers do, and the next request may use it. Where the cut is behind the last byte, and the close is what is tested, the endpoint waits until /proc/net/tcp no longer shows the gateway's side as established. Checks and cuts are the same.

--- a/internal/truncation/endpoint_test.go
+++ b/internal/truncation/endpoint_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -35,7 +39,7 @@
 	kept bool
 	// sent is what was sent of the answer.
 	sent int
-	// closed is closed once its connection is.
+	// closed is closed once its connection is, if that is to be.
 	closed chan struct{}
 }
 
@@ -53,8 +57,8 @@
 	return len(l.runs[id]) - 1
 }
 
-// of returns the runs of a request once their connections are closed. Before that the gateway may send the next
-// request on one of them, which is lost unread then.
+// of returns the runs of a request once the connections that end with them are closed. Before that the gateway may send
+// the next request on one of them, which is lost unread then.
 func (l *ledger) of(id string) []run {
 	l.mu.Lock()
 	runs := l.runs[id]
@@ -103,12 +107,13 @@
 	}
 }
 
-// answer writes an answer. It cuts the first to a request as it was told to, closes the connection of each that
-// may be cut, and returns whether it is kept.
+// answer writes an answer and returns whether the connection is kept. It cuts the first to a request as it was told to,
+// and closes the connection then.
 func (l *ledger) answer(c *net.TCPConn, req *http.Request, kept bool) (keep bool) {
 	id := req.Header.Get(platform.HeaderRequestID)
 	last, _ := strconv.Atoi(req.Header.Get(platform.HeaderResumeFrom))
-	text := answers[req.Header.Get(headerAnswer)].text(id, last)
+	kind := answers[req.Header.Get(headerAnswer)]
+	text := kind.text(id, last)
 	if req.Header.Get(headerClose) != "" {
 		text = strings.Replace(text, "\r\n", "\r\nConnection: close\r\n", 1)
 	}
@@ -119,10 +124,9 @@
 	}
 	closed := make(chan struct{})
 	defer close(closed)
-	defer c.Close()
 	if l.add(id, run{kept: kept, sent: cut, closed: closed}) > 0 {
 		_, _ = io.WriteString(c, text)
-		return false
+		return !kind.unframed
 	}
 	_, _ = io.WriteString(c, text[:cut])
 	switch req.Header.Get(headerEnd) {
@@ -132,5 +136,23 @@
 		// The gateway closes the connection.
 		_, _ = io.Copy(io.Discard, c)
 	}
+	c.Close()
+	if cut == len(text) {
+		awaitClosing(c)
+	}
 	return false
 }
+
+// awaitClosing waits until the other side's kernel has got the end of a connection that is closed: it may arrive later
+// on a busy machine, and the gateway takes the connection for an idle one until then.
+func awaitClosing(c *net.TCPConn) {
+	const established = "0100007F:%04X 0100007F:%04X 01 "
+	other := fmt.Sprintf(established, c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	for {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil || !bytes.Contains(table, []byte(other)) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
