Wording: readers, odd answers and cuts in the usual terms

No change of behaviour. A counter of open connections in package truncation, which nothing read, is gone.

--- a/internal/engineclient/cut_test.go
+++ b/internal/engineclient/cut_test.go
@@ -26,7 +26,7 @@
 	return fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
 }
 
-// TestAnAnswerCutAtAnyByteIsALostLink guards against parts of answers that count as whole, or as nonsense.
+// TestAnAnswerCutAtAnyByteIsALostLink guards against parts of answers that count as whole, or as malformed.
 func TestAnAnswerCutAtAnyByteIsALostLink(t *testing.T) {
 	const (
 		generation = `data: {"id":"g","request_id":"r","incarnation":1,"index":0,"choices":[{"text":"t","finish_reason":null}]}` + "\n\n" +
--- a/internal/soak/odd_answers_test.go
+++ b/internal/soak/odd_answers_test.go
@@ -84,7 +84,7 @@
 	return s.answered >= len(s.heads) && s.reported >= len(s.reports)
 }
 
-// TestNoOddAnswerEndsAProcess: heads and reports of a server, and its sound neighbour serves on.
+// TestNoOddAnswerEndsAProcess guards against heads and reports of a server that end a gateway, or keep it from another.
 func TestNoOddAnswerEndsAProcess(t *testing.T) {
 	o := newOddWorld(t, "-poll-every", "10ms", "-poll-idle", "10ms", "-poll-pressed", "10ms")
 	odd := newOddServer(t, standin.OddHeads(), standin.OddReports())
@@ -103,7 +103,7 @@
 			t.Fatalf("%d of %d heads, %d of %d reports", odd.answered, len(odd.heads), odd.reported, len(odd.reports))
 		}
 		if n%2 == 0 {
-			// Another life isn't kept from by what the one before has said.
+			// What one life has said doesn't keep requests from the next.
 			for _, service := range []string{"odd", "engine"} {
 				o.store.Put(platform.EndpointPrefix+service+"-odd", standin.RecordWith(service, odd.address, now()+uint64(n), nil))
 			}
@@ -118,5 +118,5 @@
 		}
 	}
 	o.followed(t, "after odd answers", "desk")
-	o.live(t)
+	o.expectRunning(t)
 }
--- a/internal/soak/odd_entries_test.go
+++ b/internal/soak/odd_entries_test.go
@@ -113,8 +113,8 @@
 	o.put(platform.ConfigurationKey, c.Encode())
 }
 
-// live fails the test if a process that wasn't told to has ended.
-func (o *oddWorld) live(t *testing.T) {
+// expectRunning fails the test if a process has ended that isn't being restarted.
+func (o *oddWorld) expectRunning(t *testing.T) {
 	for _, g := range o.gateways {
 		g.mu.Lock()
 		ended, restarting := g.ended, g.restarting
@@ -129,7 +129,7 @@
 	}
 }
 
-// TestNoOddEntryEndsAProcessOrItsList: processes that read the list of servers with odd entries, or get it from a peer.
+// TestNoOddEntryEndsAProcessOrItsList guards against entries that end a process, or keep it from following the list.
 func TestNoOddEntryEndsAProcessOrItsList(t *testing.T) {
 	o := newOddWorld(t)
 	kinds := standin.OddEntries("desk", unrouted, o.trap.address)
@@ -160,7 +160,7 @@
 			o.followed(t, "a whole list", service[1])
 			o.endpoint(service[2] + "-0")
 			o.followed(t, "the entry corrected", service[2])
-			o.live(t)
+			o.expectRunning(t)
 			t.Logf("%d entries, %v", len(odd), time.Since(begun).Round(10*time.Millisecond))
 		})
 	}
--- a/internal/truncation/answers_test.go
+++ b/internal/truncation/answers_test.go
@@ -12,7 +12,7 @@
 	status int
 	// before is what comes before the answer on the connection.
 	before string
-	// lines are those of the head; those that name the request and vouch for the answer are added at {}.
+	// lines are those of the head; those of ownLines are added at {}.
 	lines string
 	body  func(id string, last int) string
 	// bareLF says that the lines of the head end without CR, chunked that the body goes in chunks, unframed that
@@ -41,7 +41,7 @@
 	eventType = "Content-Type: text/event-stream\r\n"
 )
 
-// ownLines name the request of an answer and vouch for it.
+// ownLines returns the fields with the request's ID and the signature.
 func ownLines(id string) string {
 	return platform.HeaderRequestID + ": " + id + "\r\n" + platform.HeaderSignature + ": " + signature + "\r\n"
 }
--- a/internal/truncation/endpoint_test.go
+++ b/internal/truncation/endpoint_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
@@ -35,7 +34,6 @@
 type ledger struct {
 	mu   sync.Mutex
 	runs map[string][]run
-	open atomic.Int64
 }
 
 // add records a run and returns how many there were before.
@@ -69,8 +67,6 @@
 }
 
 func (l *ledger) serveConn(c *net.TCPConn) {
-	l.open.Add(1)
-	defer l.open.Add(-1)
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for kept := false; ; {
--- a/internal/upstream/tries_test.go
+++ b/internal/upstream/tries_test.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// TestAHeadCutAtAnyByteIsALostLink guards against an endpoint that ended within its head and counts as one that
-// answered nonsense.
+// TestAHeadCutAtAnyByteIsALostLink guards against an endpoint that ended within its head and counts as one whose
+// answer is malformed.
 func TestAHeadCutAtAnyByteIsALostLink(t *testing.T) {
 	const informational = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 	for name, head := range map[string]string{
