gateway: a stop that is held up answers its requests before it closes their connections

Callers of requests that ran at a server lost their connection without an answer when the process didn't run between Abort and Close: both times had passed when it ran again, so that it ended the requests and closed their connections at once, though the grace period was not over.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -160,12 +160,16 @@
 	g.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
 	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
 	defer cancelAbort()
-	context.AfterFunc(abort, func() { g.abort(shutdown.ErrStopping) })
+	open, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(abort, func() {
+		g.abort(shutdown.ErrStopping)
+		pause.For(ctx, schedule.AnswerTime())
+		cancel()
+	})
 	g.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
 	pause.For(abort, g.cfg.DrainDelay)
-	open, cancel := clock.WithDeadline(ctx, schedule.Close)
-	defer cancel()
 	if err := s.callers.Drain(open); err != nil {
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
 	}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -186,3 +186,20 @@
 	d.expectAnswered(wait())
 	d.g.Expect(d.logs.with("delegation refused", "vm=vm-cut", "code=stopping")).To(BeEmpty())
 }
+
+// TestAStopThatIsHeldUpAnswersItsRequests guards against connections that are closed as soon as their requests end, since the
+// process didn't run between Abort and Close.
+func TestAStopThatIsHeldUpAnswersItsRequests(t *testing.T) {
+	suspend := suspendable(t)
+	w := newWorld(t)
+	w.endpoint("desk-1", "desk").Work = longWork
+	vm := w.settings("vm-1")
+	vm.Bounds.Grace = 10 * time.Second
+	e := w.start(vm).waitReady()
+	wait := e.callAll(40)
+	w.g.Eventually(func() int { return len(w.ledger.Runs()) }, eventually).Should(BeNumerically(">=", 8))
+	e.stop()
+	w.g.Eventually(func() []string { return w.logs.with("msg=stopping") }, eventually).ShouldNot(BeEmpty())
+	suspend(vm.Bounds.Grace)
+	w.expectAnswered(wait())
+}
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -44,6 +44,10 @@
 	return Schedule{Abort: closing.Add(-min(maxAnswerTime, grace/maxMarginShare)), Close: closing}
 }
 
+// AnswerTime returns the time for final answers, between Abort and Close. It counts from when the requests have ended: a
+// process that is held up may run again only after the time of Close.
+func (s Schedule) AnswerTime() time.Duration { return s.Close.Sub(s.Abort) }
+
 type beginKey struct{}
 
 // Abortable returns a context that ends with open, and with its cause, unless BeginResponse was called on it
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -479,6 +479,7 @@
 mutant "closing: cut responses of HTTP/1.0 appear complete" internal/httpserver/connections.go 's/if c.http10 \&\& c.state == http.StateActive {/if false {/' "./internal/httpserver -run ACutResponse"
 mutant "closing: heads that are cut are answered" internal/httpserver/connections.go 's/ \&\& !c.all.active(c):$/ \&\& false:/' "./internal/httpserver -run AHeadThatIsCut"
 mutant "closing: parts of pipelined heads are answered" internal/httpserver/connections.go '/if c.all.phase(c) != serving {/,/}/s/_ = c.Conn.Close()//' "./internal/httpserver -run APipelinedRequest"
+mutant "closing: a stop that is held up has no time to answer" internal/gateway/listen.go 's/^\t\tpause.For(ctx, schedule.AnswerTime())$/\t\tpause.For(ctx, clock.Until(schedule.Close))/' "./internal/gateway -run HeldUp"
 mutant "closing: writes don't count" internal/httpserver/connections.go 's/^\tc.all.writes(c)$//' "./internal/httpserver -run AByteThatComes|DuringADrain|HoldUp"
 mutant "closing: a drain doesn't wait" internal/httpserver/connections.go 's/return len(l.open) > 0/return len(l.open) > l.ending/' "./internal/httpserver"
 mutant "closing: drains miss what is being accepted" internal/httpserver/connections.go '/^func (l \*connections) add/,/^}/s/if l.draining {/if false {/' "./internal/httpserver -run WhileADrainEnds"
