--- a/internal/soak/odd_entries_test.go
+++ b/internal/soak/odd_entries_test.go
@@ -118,8 +118,8 @@
 	return c
 }
 
-// live fails the test if a process that wasn't told to has ended.
-func (o *oddWorld) live(t *testing.T) {
+// expectRunning fails the test if a process has ended that isn't being restarted.
+func (o *oddWorld) expectRunning(t *testing.T) {
 	for _, g := range o.gateways {
 		g.mu.Lock()
 		ended, restarting := g.ended, g.restarting
@@ -134,7 +134,7 @@
 	}
 }
 
-// TestNoOddEntryEndsAProcessOrItsList: processes that read the list of servers with odd entries, or get it from a peer.
+// TestNoOddEntryEndsAProcessOrItsList guards against entries that end a process, or keep it from following the list.
 func TestNoOddEntryEndsAProcessOrItsList(t *testing.T) {
 	o := newOddWorld(t)
 	kinds := standin.OddEntries("desk", unrouted, o.trap.address)
@@ -165,7 +165,7 @@
 			o.followed(t, "a whole list", service[1])
 			o.endpoint(service[2] + "-0")
 			o.followed(t, "the entry corrected", service[2])
-			o.live(t)
+			o.expectRunning(t)
 			t.Logf("%d entries, %v", len(odd), time.Since(begun).Round(10*time.Millisecond))
 		})
 	}
@@ -187,7 +187,7 @@
 		by := fmt.Sprintf("configuration %d, %.40q", i, value)
 		o.followed(t, by, service)
 		o.followed(t, by, "engine")
-		o.live(t)
+		o.expectRunning(t)
 	}
 	stop()
 	o.trap.check(t)
