--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
+	peerService.EndForwarded(e.forwarded)
 	s := &servers{}
 	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
 		return nil, err
@@ -141,7 +142,10 @@
 	e.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
 	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
 	defer cancelAbort()
-	context.AfterFunc(abort, func() { e.abort(shutdown.ErrStopping) })
+	context.AfterFunc(abort, func() {
+		e.owner.Stop()
+		e.abort(shutdown.ErrStopping)
+	})
 	e.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
 	pause.For(abort, e.cfg.DrainDelay)
@@ -157,9 +161,12 @@
 	defer cancelFarewell()
 	e.exchange.AnnounceLeft(farewell)
 	time.Sleep(e.cfg.HandoverLinger)
-	grace, cancelGrace := context.WithTimeout(ctx, listenerCloseGrace)
-	defer cancelGrace()
-	_ = s.peers.Drain(grace)
+	if s.peers.Drain(drain) != nil {
+		e.endForwarded(shutdown.ErrStopping)
+		grace, cancelGrace := context.WithTimeout(ctx, listenerCloseGrace)
+		defer cancelGrace()
+		_ = s.peers.Drain(grace)
+	}
 	_ = s.peers.Close()
 	_ = s.operators.Close()
 }
--- a/internal/filters/body/body_test.go
+++ b/internal/filters/body/body_test.go
@@ -2,19 +2,24 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 )
 
 // serve runs the filter before a handler that counts what reaches it.
@@ -24,11 +29,12 @@
 func serveWithin(t *testing.T, reached *int, limit int64, memory *membudget.Budget) *httptest.Server {
 	next := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { *reached += len(job.FromRequest(r).Body) })
 	filter := New(next, limit, 200*time.Millisecond, memory)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l := freeport.Listen(t)
+	s := httpserver.Start(l, httpserver.Config{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		filter.ServeHTTP(w, job.WithJob(r, &job.Job{}))
-	}))
-	t.Cleanup(s.Close)
-	return s
+	})}})
+	t.Cleanup(func() { _ = s.Close() })
+	return &httptest.Server{URL: "http://" + l.Addr().String(), Listener: l}
 }
 
 func TestSlowSenderIsRefused(t *testing.T) {
@@ -101,3 +107,48 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(memory.Used()).To(BeZero())
 }
+
+// heldDeadline holds back the deadline that interrupts the reading of a body.
+type heldDeadline struct {
+	*httptest.ResponseRecorder
+	deadlines                         atomic.Int64
+	interrupting, returned, completed chan struct{}
+	tooLate                           bool
+}
+
+func (w *heldDeadline) SetReadDeadline(time.Time) error {
+	if w.deadlines.Add(1) < 2 {
+		return nil
+	}
+	defer close(w.completed)
+	close(w.interrupting)
+	select {
+	case <-w.returned:
+		w.tooLate = true
+	case <-time.After(100 * time.Millisecond):
+	}
+	return nil
+}
+
+// TestAStopDoesNotInterruptWhatComesAfterTheBody guards against a refusal that is lost, since the rest of its body can't be
+// read, if the stop comes in the moment of the refusal.
+func TestAStopDoesNotInterruptWhatComesAfterTheBody(t *testing.T) {
+	w := &heldDeadline{ResponseRecorder: httptest.NewRecorder(), interrupting: make(chan struct{}), returned: make(chan struct{}), completed: make(chan struct{})}
+	ctx, end := context.WithCancelCause(t.Context())
+	body := readerFunc(func(p []byte) (int, error) {
+		end(shutdown.ErrStopping)
+		<-w.interrupting
+		return len(p), nil
+	})
+	r := job.WithJob(httptest.NewRequestWithContext(ctx, http.MethodPost, "/", body), &job.Job{})
+	New(http.NotFoundHandler(), 1, time.Minute, nil).ServeHTTP(w, r)
+	close(w.returned)
+	g := NewWithT(t)
+	g.Expect(w.Code).To(Equal(http.StatusRequestEntityTooLarge))
+	<-w.completed
+	g.Expect(w.tooLate).To(BeFalse())
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
