soak: a refused dial isn't a lost request, however slow

Its gateway was stopping, and its listener closed. The rule is on requests that a process has read (RULES.md, LOST: "A process has read a whole request, and the channel ends without a complete answer"), and the slack counts from the last byte sent; the check counted from before the dial, so that refused dials passed only if they took less than 200 ms.

--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -103,6 +103,8 @@
 	err               error
 	// elapsed is the time from sending the request to the end of its answer.
 	elapsed time.Duration
+	// connected is that from getting a connection; zero if there was none.
+	connected time.Duration
 }
 
 func newWorld(t *testing.T, s seed) *world {
