--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -41,7 +41,7 @@
 mutant "one generation: reset after release" pkg/stream/stream.go 's/if a.released > 0 {/if false {/' ./pkg/stream
 mutant "own answer: replies not matched" internal/engineclient/engineclient.go 's/got != "" \&\& got != requestID/got == "\\n"/' ./internal/engineclient
 mutant "not run: any failure counts as proof" pkg/retry/retry.go 's/return f == NotSent || f == RefusedBeforeExecution/return true/' ./pkg/retry
-mutant "not run: connected counts as not sent" internal/engineclient/engineclient.go 's/if !connected.Load() {/if true {/' ./internal/engineclient
+mutant "not run: connected counts as not sent" internal/engineclient/engineclient.go '/^func (c \*Client) send/,/^}/s/retry.LinkLost/retry.NotSent/' ./internal/engineclient
 mutant "at most once: records not kept" pkg/claims/claims.go 's/if r := l.records\[key\]; r != nil {/if r := l.records[key]; false {/' "$P ./pkg/claims"
 mutant "at most once: refusals not burnt" pkg/claims/claims.go 's/^\tr.phase = finished$/\tr.phase = finished\n\tif err != nil \&\& err.Outcome == outcome.NotRun {\n\t\tdelete(l.records, key)\n\t}/' "$P"
 mutant "at most once: old owner not frozen" pkg/claims/handover.go 's/func (l \*Ledger) Freeze() { l.frozen = true }/func (l *Ledger) Freeze() {}/' "$P ./pkg/claims"
@@ -157,7 +157,7 @@
 mutant "records: long ones kept whole" platform/endpoints.go 's/if len(out) <= maxBadBytes || out\[0\] != .{. {/if true {/' ./platform
 mutant "records: long ones read by no field" platform/endpoints.go 's/ || len(out) <= maxKeptBytes \&\& namesEndpoint(out)//' ./platform
 mutant "store: a value too deep costs the list" platform/store.go 's/if err != nil \&\& strings.HasSuffix(err.Error(), "exceeded max depth") {/if false {/' ./platform
-mutant "peers: a value too large costs the exchange" internal/peering/convert.go 's/if len(d.GetContent()) <= maxDocumentBytes {/if true {/' "./internal/peering -run TooLargeForAMessage"
+mutant "peers: a value too large costs the exchange" internal/peering/convert.go 's/if len(d.GetContent()) <= MaxDocumentBytes {/if true {/' "./internal/peering -run TooLargeForAMessage"
 mutant "store: odd records fill a list" platform/listing.go 's/odd > maxOddBytes {/false {/' "./platform -run TestAListOfTooMany"
 mutant "store: too many records refuse a list" platform/listing.go 's/if l.bytes > maxListBytes {$/if false {/' "./platform -run TestAListOfTooMany"
 mutant "store: what watches add isn't bounded" internal/gateway/reader.go 's/if len(v.Content) > peering.MaxDocumentBytes {/if len(v.Content) < -peering.MaxDocumentBytes {/' "./internal/gateway -run TestOddEntriesThatCome"
@@ -466,7 +466,7 @@
 mutant "precedence: also where no kind has time to wait" pkg/scheduler/versions.go 's/c.PrecedenceWhereKindsYield = true/c.PrecedenceWhereKindsYield = false/' "./pkg/scheduler -run NeedsTime"
 mutant "precedence: time to wait from a third" pkg/scheduler/precedence.go 's/^const minYieldRatio = 2$/const minYieldRatio = 1/' "./pkg/scheduler -run NeedsTime"
 mutant "precedence: time to wait from three times" pkg/scheduler/precedence.go 's/^const minYieldRatio = 2$/const minYieldRatio = 6/' "./pkg/scheduler -run NeedsTime"
-mutant "shutdown: no abort" internal/gateway/listen.go 's/^\tcontext.AfterFunc(abort, .*$//' "./internal/gateway -run AtAStop"
+mutant "shutdown: no abort" internal/gateway/listen.go 's/^\t\tg.abort(shutdown.ErrStopping)$/\t\t_ = shutdown.ErrStopping/' "./internal/gateway -run AtAStop"
 mutant "shutdown: waiting requests stay" pkg/scheduler/dispatch.go 's/^\ts.refuseBeforeStop(now, q)$//' "./pkg/scheduler -run Outlast"
 mutant "shutdown: new requests are admitted" pkg/scheduler/shutdown.go 's/end.After(s.stopAt)/end.After(s.stopAt) \&\& false/' "./pkg/scheduler -run Outlast"
 mutant "shutdown: delegated requests aren't withdrawn" internal/peering/delegation.go 's/^\t\t\twithdraw(call, client, id)$//' "./internal/gateway -run DelegatedRequestsHeldAtAStop"
@@ -510,7 +510,7 @@
 mutant "memory: refused bodies hold theirs" internal/filters/body/body.go 's/^\t\t\theld.Release()$//' "./internal/filters/body -run HoldsNoMemory"
 mutant "memory: refused calls wait for ever" internal/peering/memory.go 's/^\t\t\t_ = http.NewResponseController(w).SetReadDeadline(.*$//' "./internal/peering -run WithoutRoomThat"
 mutant "ended: delegated" internal/peering/delegation.go '/^func (d \*Delegator) Delegate/,/^}/s/if ctx.Err() != nil {/if false {/' "./internal/peering -run HasEndedIsNotDelegated"
-mutant "ended: sent while it is withdrawn" internal/peering/delegation.go 's/if connected.Load() \&\& context.Cause/if context.Cause/' "./internal/peering -run EndsBeforeItIsSent"
+mutant "ended: sent while it is withdrawn" internal/peering/delegation.go 's/if sending.end() \&\& context.Cause/if sending.end(); context.Cause/' "./internal/peering -run EndsBeforeItIsSent"
 mutant "ended: delegated to the next peer" internal/gateway/delegation.go 's/ || !ownRefusals\[err.Code\] || ctx.Err() != nil {/ || !ownRefusals[err.Code] {/' "./internal/gateway -run WithdrawnAtAStop"
 mutant "ended: sent on an open connection" internal/upstream/pool.go '/^func (p \*Pool) exchange/,/^}/s/if ctx.Err() != nil {/if false {/' "./internal/upstream -run HasEndedIsNotSent"
 mutant "unread: the end has no time" internal/filters/respond/respond.go 's/^\t\ts.allow()$//' "./internal/gateway -run EndComesLate"
