httpserver: bound the fields of requests' heads, and their memory in sum

Callers that sent heads of short fields took a gateway far over MemoryMb, where the platform kills it with all its requests: 32 KB of "aa:\r\n" are 5,000 fields of some 140 bytes each in memory, and heads that wait for their body are held for the body timeout. 1,300 callers with 28 KB of such fields: 733 to 993 MB (VmHWM; 134 are allowed; real gateway, 8 cores).

http.Server bounds the bytes of a head, not its fields. A connection now counts the bytes and the lines of a head as they arrive, ends it at 256 lines (431), and reserves its memory in a budget that all heads share (503 beyond it), until its response has been written. Lines of encrypted connections aren't counted.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -117,6 +117,8 @@
 			ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 		MaxConnections:     connections,
+		HeadMemory:         g.memory.heads,
+		OnHeadRefused:      g.metrics.HeadsRefused.Inc,
 		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
 		OnLateRequest:      g.onLateRequest,
 		OnEnd:              func(err error) { g.log.Error("listener ended", "address", address, "error", err) },
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -18,6 +18,8 @@
 	peerPart = 8
 	// headPart is for the heads of the answers to all requests that may be open at once.
 	headPart = 8
+	// requestHeadPart is for the heads of callers' and peers' requests.
+	requestHeadPart = 16
 	// connectionPart is for the buffers of callers' connections.
 	connectionPart = 4
 )
@@ -37,7 +39,7 @@
 
 // memoryPlan bounds what others can make the process hold.
 type memoryPlan struct {
-	bodies, answers, peers *membudget.Budget
+	bodies, answers, peers, heads *membudget.Budget
 	// headBytes bounds the head of one answer.
 	headBytes int
 	// connections bounds those of callers.
@@ -46,7 +48,7 @@
 
 // register adds gauges of the reserved memory.
 func (p memoryPlan) register(m *metrics.Metrics) {
-	for name, budget := range map[string]*membudget.Budget{"bodies": p.bodies, "answers": p.answers, "peers": p.peers} {
+	for name, budget := range map[string]*membudget.Budget{"bodies": p.bodies, "answers": p.answers, "peers": p.peers, "heads": p.heads} {
 		m.Gauge("memory_reserved_"+name+"_bytes", "Memory reserved for "+name+".", func() float64 { return float64(budget.Used()) })
 	}
 }
@@ -62,6 +64,7 @@
 		bodies:      membudget.New(memory / bodyPart),
 		answers:     membudget.New(memory / answerPart),
 		peers:       membudget.New(memory / peerPart),
+		heads:       membudget.New(memory / requestHeadPart),
 		headBytes:   min(max(int(memory/headPart)/maxOpen, minHeadBytes), maxHeadBytes),
 		connections: max(connections, 1),
 	}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 )
 
@@ -68,6 +69,8 @@
 	// of the response. handled says that the handler has returned.
 	http10, handled bool
 	phase           phase
+	// head bounds the head of the request that is received or served.
+	head headGuard
 	// readDeadline is the one that http.Server has set.
 	readDeadline time.Time
 }
@@ -80,6 +83,10 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err = c.Conn.Read(p)
+	if refusal := c.all.head(c, p[:n]); refusal != "" {
+		c.refuse(refusal)
+		return 0, net.ErrClosed
+	}
 	switch {
 	case n > 0 && !c.all.received(c, time.Now()):
 		_ = c.Conn.Close()
@@ -105,6 +112,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// refuse answers a request whose head isn't read to its end, and closes the connection.
+func (c *conn) refuse(response string) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(arrivedTimeout))
+	_, _ = io.WriteString(c.Conn, response)
+	c.linger()
+	_ = c.Conn.Close()
+}
+
 // Close implements net.Conn. It resets a connection whose client couldn't tell that the response was cut.
 func (c *conn) Close() error {
 	switch {
@@ -170,6 +185,12 @@
 type connections struct {
 	max     int
 	onLimit func()
+	// heads bounds the memory of the requests' heads; nil is unlimited. encrypted says that heads can't be
+	// told from what follows them.
+	heads     *membudget.Budget
+	encrypted bool
+	// onHeadRefused is called for each head that exceeds its bounds; it may be nil.
+	onHeadRefused func()
 
 	mu       sync.Mutex
 	open     map[*conn]bool
@@ -214,6 +235,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.state, c.since = http.StateNew, now
+	c.head = headGuard{memory: l.heads.Reserve(), blank: true}
 	l.open[c] = true
 	if l.draining {
 		l.end(c)
@@ -272,6 +294,20 @@
 	return true
 }
 
+// head counts bytes that have arrived of the head of a request. If it exceeds its bounds, refusal is the response.
+func (l *connections) head(c *conn, data []byte) (refusal string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.state == http.StateActive || len(data) == 0 {
+		return ""
+	}
+	refusal = c.head.take(data, l.encrypted)
+	if refusal != "" && l.onHeadRefused != nil {
+		l.onHeadRefused()
+	}
+	return refusal
+}
+
 // writes records that a part of a response is written.
 func (l *connections) writes(c *conn) {
 	l.mu.Lock()
@@ -343,7 +379,10 @@
 		c.state, c.since = state, now
 		if state == http.StateActive {
 			c.receiving, c.answered, c.bodyLeft = false, false, false
-		} else if l.draining {
+			return
+		}
+		c.head.next()
+		if l.draining {
 			// The next request may have arrived before the end of the response.
 			c.receiving = c.receiving || c.unread()
 			if c.idle(now) {
@@ -355,6 +394,7 @@
 
 func (l *connections) remove(c *conn) {
 	delete(l.open, c)
+	c.head.next()
 	if c.phase == ending {
 		l.ending--
 	}
--- /dev/null
+++ b/internal/httpserver/head_test.go
@@ -0,0 +1,63 @@
+package httpserver
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
+)
+
+// TestHeadsAreBoundedInFieldsAndInSum guards against heads of short fields that take many times their size in memory.
+func TestHeadsAreBoundedInFieldsAndInSum(t *testing.T) {
+	const headMemory = 64 << 10
+	const begin = "POST / HTTP/1.1\r\nHost: h\r\n"
+	body := strings.Repeat("\n", 4*maxHeadLines)
+	end := "Content-Length: 1024\r\n\r\n" + body
+	for name, tc := range map[string]struct {
+		pieces []string
+		status int
+	}{
+		"ordinary":                  {[]string{begin, strings.Repeat("a: b\r\n", 30), end}, http.StatusOK},
+		"body of many lines":        {[]string{begin + end}, http.StatusOK},
+		"end in pieces":             {[]string{begin + "Content-Length: 1024\r\n\r", "\n", body}, http.StatusOK},
+		"too many fields":           {[]string{begin + strings.Repeat("a:\r\n", maxHeadLines)}, http.StatusRequestHeaderFieldsTooLarge},
+		"too many fields in pieces": {[]string{begin + strings.Repeat("a:\n", maxHeadLines/2), strings.Repeat("b:\n", maxHeadLines/2)}, http.StatusRequestHeaderFieldsTooLarge},
+		"no memory":                 {[]string{begin + "A: " + strings.Repeat("x", headMemory)}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := freeport.Listen(t)
+			memory := membudget.New(headMemory)
+			s := Start(l, Config{HeadMemory: memory, HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			answers := bufio.NewReader(c)
+			for range 2 {
+				for _, piece := range tc.pieces {
+					_, err := io.WriteString(c, piece)
+					g.Expect(err).NotTo(HaveOccurred())
+					time.Sleep(time.Millisecond)
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode).To(Equal(tc.status))
+				g.Expect(resp.Body.Close()).To(Succeed())
+				if tc.status != http.StatusOK {
+					break
+				}
+			}
+			_ = c.Close()
+			g.Eventually(memory.Used).Should(BeZero())
+		})
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 )
 
 // Config holds the settings of a Server.
@@ -27,6 +29,11 @@
 	TLS *tls.Config
 	// MaxConnections bounds the open connections; zero is unlimited.
 	MaxConnections int
+	// HeadMemory bounds what the heads of all requests take, from when they arrive until their responses have been
+	// written; nil is unlimited.
+	HeadMemory *membudget.Budget
+	// OnHeadRefused, if set, is called for each head that exceeds its bounds.
+	OnHeadRefused func()
 	// OnConnectionClosed, if set, is called for each connection that is closed since there are too many.
 	OnConnectionClosed func()
 	// OnLateRequest, if set, is called for each request that was read when its connection had been closed with the
@@ -49,6 +56,7 @@
 // Start serves on a listener.
 func Start(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, connections: newConnections(cfg.MaxConnections, cfg.OnConnectionClosed)}
+	s.connections.heads, s.connections.encrypted, s.connections.onHeadRefused = cfg.HeadMemory, cfg.TLS != nil, cfg.OnHeadRefused
 	s.listener = listener{l, s.connections}
 	if cfg.TLS != nil {
 		s.listener = tls.NewListener(s.listener, cfg.TLS)
--- a/internal/soak/floods_test.go
+++ b/internal/soak/floods_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -38,9 +39,19 @@
 var floodBlocks = []string{"x", "a: b\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"}
 
 // flood sends bytes without end until the connection or the mode ends.
-func (p *proxy) flood(to net.Conn) {
-	_, _ = io.WriteString(to, floodHeads[rand.IntN(len(floodHeads))])
-	block := []byte(strings.Repeat(floodBlocks[rand.IntN(len(floodBlocks))], 4096))
+func (p *proxy) flood(to net.Conn, whole []byte) {
+	begin, repeated := floodHeads[rand.IntN(len(floodHeads))], floodBlocks[rand.IntN(len(floodBlocks))]
+	p.mu.Lock()
+	name := p.answer
+	p.mu.Unlock()
+	if name == mixed {
+		name = pick(rand.New(rand.NewPCG(rand.Uint64(), 0)), slices.Collect(maps.Keys(floodAnswers)))
+	}
+	if name != "" {
+		begin, repeated = strings.Replace(floodAnswers[name][0], "ID\r\n", identity(whole), 1), floodAnswers[name][1]
+	}
+	_, _ = io.WriteString(to, begin)
+	block := []byte(strings.Repeat(repeated, 4096))
 	for end := time.Now().Add(floodFor); time.Now().Before(end) && p.now() == flood; {
 		if _, err := to.Write(block); err != nil {
 			return
@@ -48,6 +59,18 @@
 	}
 }
 
+// identity returns the fields of an answer that tell whose it is.
+func identity(answer []byte) string {
+	var b strings.Builder
+	for line := range bytes.Lines(answer) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if n := string(name); n == platform.HeaderRequestID || n == platform.HeaderSignature {
+			b.Write(line)
+		}
+	}
+	return b.String()
+}
+
 var floodSteps = []step{
 	{"endpoint floods", fault, func(w *world, r *rand.Rand) { w.spoil(pick(r, w.proxies), flood, short(r)) }},
 	{"all endpoints flood", fault, func(w *world, r *rand.Rand) {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -47,6 +47,14 @@
 	conns    map[net.Conn]bool
 	// stuck are the connections that pass nothing on, not even their end.
 	stuck map[net.Conn]bool
+	// answer is what flood sends, one of floodAnswers or mixed; random if it is empty.
+	answer string
+}
+
+func (p *proxy) setFlood(answer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answer = answer
 }
 
 func newProxy(l net.Listener, target string) (*proxy, func()) {
@@ -184,7 +192,7 @@
 			time.Sleep(held)
 		}
 		if n > 0 && back && p.now() == flood {
-			p.flood(to)
+			p.flood(to, buf[:n])
 			return
 		}
 		if n > 0 && !back {
