notices: wait after an error of the socket

The loop that receives datagrams read again at once after an error, so that one that lasts (ENOBUFS, ENOMEM, ENETDOWN) would have taken a core. Found by reading; not reproduced, as the kernel gives an unconnected socket no lasting error on loopback.

--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -30,6 +30,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 )
 
 const (
@@ -217,6 +218,9 @@
 	return peers[:count], len(peers) - count
 }
 
+// receiveBackoff is the wait after an error of the socket.
+const receiveBackoff = 10 * time.Millisecond
+
 // Run receives notices until the context ends, then closes the socket.
 func (n *Notifier) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
@@ -229,6 +233,8 @@
 		}
 		if err != nil {
 			n.cfg.Log.Debug("notice not received", "error", err)
+			// The error may last.
+			pause.For(ctx, receiveBackoff)
 			continue
 		}
 		n.receive(buf[:size])
