httpserver: listeners go on after every error

http.Server.Serve returns at an error of the listener that isn't temporary: ENOBUFS, ENOMEM, EPERM, EPROTO, ENETDOWN and others, which accept(2) says to take as errors of the connection or the network. The process then lived on without the listener, while its readiness, which has a listener of its own, said ready.

The listener now tries again after every error but its own end, up to 100 ms later, where http.Server waited for up to 1 s for descriptors. Errors are counted (accept_errors_total), and the log gets the first of a kind. The controller's listener is one of these too, and bounded.

TestAListenerOutlivesItsErrors failed before for seven of nine errors: the listener ended and the client had no answer. EMFILE and ENFILE were tried again by http.Server.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
@@ -36,6 +37,8 @@
 const (
 	callTimeout   = 2 * time.Second
 	maxReplyBytes = 1 << 20
+	// maxOperatorConnections bounds those to health and metrics.
+	maxOperatorConnections = 64
 	// maxOrderAge bounds the time between the refresh of the belief and the
 	// send of an order, on this process's monotonic clock.
 	maxOrderAge = 500 * time.Millisecond
@@ -122,8 +125,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(operatorapi.PathHealth, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.Handle(operatorapi.PathMetrics, promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout}
-	go func() { _ = server.Serve(l) }()
+	server := httpserver.Start(l, httpserver.Config{
+		HTTP:           &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout},
+		MaxConnections: maxOperatorConnections,
+	})
 	defer server.Close()
 	t := time.NewTicker(c.cfg.Every)
 	defer t.Stop()
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, HTTP: &http.Server{
+	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, OnAcceptError: e.onAcceptError, HTTP: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -129,6 +129,9 @@
 	}}), nil
 }
 
+// onAcceptError counts an error of a listener.
+func (e *Entry) onAcceptError(error) { e.metrics.AcceptErrors.Inc() }
+
 // onLateRequest logs a request that was dropped at the end of the process.
 func (e *Entry) onLateRequest(r *http.Request) {
 	e.log.Warn("request dropped on a closed connection", "path", r.URL.Path)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	doubtful atomic.Bool
 	// lostDataCenters are those that the log said last were out of reach.
 	lostDataCenters atomic.Pointer[string]
+	// lastAcceptError is the one of a listener that was logged last.
+	lastAcceptError atomic.Pointer[string]
 	// lastState is the readiness.State that the balancer was told last.
 	lastState atomic.Int32
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -121,10 +121,18 @@
 		OnHeadRefused:      g.metrics.HeadsRefused.Inc,
 		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
 		OnLateRequest:      g.onLateRequest,
-		OnEnd:              func(err error) { g.log.Error("listener ended", "address", address, "error", err) },
+		OnAcceptError:      g.onAcceptError,
 	}), nil
 }
 
+// onAcceptError counts an error of a listener. The log gets the first one of a kind.
+func (g *Gateway) onAcceptError(err error) {
+	g.metrics.AcceptErrors.Inc()
+	if last := g.lastAcceptError.Swap(new(err.Error())); last == nil || *last != err.Error() {
+		g.log.Warn("no connection accepted", "error", err)
+	}
+}
+
 // onLateRequest counts and logs a request that was dropped at the end of the process.
 func (g *Gateway) onLateRequest(r *http.Request) {
 	g.metrics.LateRequests.Inc()
--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,3 +50,36 @@
 	g.Expect(os.IsTimeout(err)).To(BeFalse(), "the connection stays open")
 	g.Expect(passedOn).NotTo(Receive())
 }
+
+// failingListener returns errors before each connection.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) > 0 {
+		err := l.errs[0]
+		l.errs = l.errs[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAListenerOutlivesItsErrors guards against processes that live on without a listener.
+func TestAListenerOutlivesItsErrors(t *testing.T) {
+	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN, syscall.EINVAL, syscall.ECONNABORTED} {
+		t.Run(err.Error(), func(t *testing.T) {
+			g := NewWithT(t)
+			var seen []error
+			l := &failingListener{freeport.Listen(t), []error{err, err, err}}
+			s := Start(l, Config{OnAcceptError: func(err error) { seen = append(seen, err) }, HTTP: &http.Server{Handler: http.NotFoundHandler()}})
+			t.Cleanup(func() { _ = s.Close() })
+			resp, failure := http.Get("http://" + l.Addr().String())
+			g.Expect(failure).NotTo(HaveOccurred())
+			g.Expect(resp.Body.Close()).To(Succeed())
+			g.Expect(seen).To(HaveLen(3))
+			g.Expect(seen).To(HaveEach(MatchError(err)))
+		})
+	}
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -208,13 +208,29 @@
 type listener struct {
 	net.Listener
 	connections *connections
+	// onError is called for each error; it may be nil.
+	onError func(error)
 }
 
-// Accept implements net.Listener.
+// minAcceptBackoff and maxAcceptBackoff limit the time between two errors of a listener.
+const (
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = 100 * time.Millisecond
+)
+
+// Accept implements net.Listener. It fails only if the listener has been closed: a lack of descriptors or memory passes,
+// and other errors are of the connection or the network.
 func (l listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for backoff := minAcceptBackoff; err != nil; backoff = min(2*backoff, maxAcceptBackoff) {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		if l.onError != nil {
+			l.onError(err)
+		}
+		time.Sleep(backoff)
+		nc, err = l.Listener.Accept()
 	}
 	c := &conn{Conn: nc, all: l.connections}
 	l.connections.add(c, time.Now())
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,8 +16,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 )
 
@@ -39,8 +37,8 @@
 	// OnLateRequest, if set, is called for each request that was read when its connection had been closed with the
 	// server. The handler doesn't get it.
 	OnLateRequest func(*http.Request)
-	// OnEnd is called if the listener ends by an error.
-	OnEnd func(error)
+	// OnAcceptError, if set, is called for each error of the listener, which goes on.
+	OnAcceptError func(error)
 }
 
 // Server is a running HTTP server.
@@ -57,7 +55,7 @@
 func Start(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, connections: newConnections(cfg.MaxConnections, cfg.OnConnectionClosed)}
 	s.connections.heads, s.connections.encrypted, s.connections.onHeadRefused = cfg.HeadMemory, cfg.TLS != nil, cfg.OnHeadRefused
-	s.listener = listener{l, s.connections}
+	s.listener = listener{l, s.connections, cfg.OnAcceptError}
 	if cfg.TLS != nil {
 		s.listener = tls.NewListener(s.listener, cfg.TLS)
 	}
@@ -66,11 +64,8 @@
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
 	cfg.HTTP.Handler = s.admit(cfg.HTTP.Handler)
-	go func() {
-		if err := cfg.HTTP.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && cfg.OnEnd != nil {
-			cfg.OnEnd(err)
-		}
-	}()
+	// It returns when the listener is closed.
+	go func() { _ = cfg.HTTP.Serve(s.listener) }()
 	return s
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,6 +58,8 @@
 	EndedUnder prometheus.Counter
 	// Connections counts new connections to endpoints.
 	Connections prometheus.Counter
+	// AcceptErrors counts errors of listeners.
+	AcceptErrors prometheus.Counter
 	// HeadsRefused counts heads of requests to this process that exceeded their bounds.
 	HeadsRefused prometheus.Counter
 	// ConnectionsLimited counts connections to this process that were closed since there were too many.
@@ -124,6 +126,7 @@
 	m.Rejected = counters("rejected_input_total", "Bad input, by code.", "code")
 	m.EndedUnder = counter("runs_ended_with_endpoint_total", "Runs that broke off because their endpoint ended unannounced.")
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
+	m.AcceptErrors = counter("accept_errors_total", "Errors of this process's listeners, which go on.")
 	m.HeadsRefused = counter("heads_refused_total", "Heads of requests to this process that exceeded their bounds.")
 	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
 	m.LateRequests = counter("late_requests_total", "Requests that were dropped since they were read at the end of the process.")
@@ -142,7 +145,7 @@
 	m.Delegated = counters("delegated_requests_total", "Requests delegated to peers (out) or by them (in), by outcome.", "direction", "outcome")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.HeadsRefused, m.ConnectionsLimited, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.AcceptErrors, m.HeadsRefused, m.ConnectionsLimited, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
