--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,7 +16,7 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 )
 
 // Config holds the settings of a Server.
@@ -27,13 +27,18 @@
 	TLS *tls.Config
 	// MaxConnections bounds the open connections; zero is unlimited.
 	MaxConnections int
+	// HeadMemory bounds what the heads of all requests take, from when they arrive until their responses have been
+	// written; nil is unlimited.
+	HeadMemory *membudget.Budget
+	// OnHeadRefused, if set, is called for each head that exceeds its bounds.
+	OnHeadRefused func()
 	// OnConnectionClosed, if set, is called for each connection that is closed since there are too many.
 	OnConnectionClosed func()
 	// OnLateRequest, if set, is called for each request that was read when its connection had been closed with the
 	// server. The handler doesn't get it.
 	OnLateRequest func(*http.Request)
-	// OnEnd is called if the listener ends by an error.
-	OnEnd func(error)
+	// OnAcceptError, if set, is called for each error of the listener, which goes on.
+	OnAcceptError func(error)
 }
 
 // Server is a running HTTP server.
@@ -49,7 +54,8 @@
 // Start serves on a listener.
 func Start(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, connections: newConnections(cfg.MaxConnections, cfg.OnConnectionClosed)}
-	s.listener = listener{l, s.connections}
+	s.connections.heads, s.connections.encrypted, s.connections.onHeadRefused = cfg.HeadMemory, cfg.TLS != nil, cfg.OnHeadRefused
+	s.listener = listener{l, s.connections, cfg.OnAcceptError}
 	if cfg.TLS != nil {
 		s.listener = tls.NewListener(s.listener, cfg.TLS)
 	}
@@ -58,11 +64,8 @@
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
 	cfg.HTTP.Handler = s.admit(cfg.HTTP.Handler)
-	go func() {
-		if err := cfg.HTTP.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && cfg.OnEnd != nil {
-			cfg.OnEnd(err)
-		}
-	}()
+	// It returns when the listener is closed.
+	go func() { _ = cfg.HTTP.Serve(s.listener) }()
 	return s
 }
 
