soak: gateways under a supervisor on a disturbed host

A family of seeds of its own, written with an h. A supervisor starts each process again a short time after it ended, or was told to stop, so that processes overlap on the same ports. Around a start: SIGHUP within 50 ms, a settings file that is empty, half, null or without fields and is rewritten in place, a port that others hold, and a log whose reader goes away or is stuck, that is closed, or lies on a full disk. Checked: no process ends by itself, each ends within its grace period and serves again within 20 s of the last disturbance, and no request is lost beside planned work only. Plan 0 has planned stops only, so that losses of their own are told from those that follow a process's end.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -19,11 +20,18 @@
 	done := make(chan struct{})
 	var all sync.WaitGroup
 	for _, g := range w.gateways {
-		for n := range callersEach {
+		each := callersEach
+		if w.drawn.host {
+			each = hostCallersEach
+		}
+		for n := range each {
 			r := rand.New(rand.NewPCG(w.rand.Uint64(), uint64(n)))
 			all.Go(func() { g.callUntil(done, r) })
 		}
-		all.Go(func() { g.watchVersions(done) })
+		// Of two processes of one VM it can't be told which has answered.
+		if !w.drawn.host {
+			all.Go(func() { g.watchVersions(done) })
+		}
 	}
 	return func() {
 		close(done)
@@ -33,7 +41,7 @@
 
 func (g *gateway) callUntil(done chan struct{}, r *rand.Rand) {
 	transport := &http.Transport{}
-	if g.w.drawn.stops {
+	if g.w.drawn.stops || g.w.drawn.host {
 		transport.DialContext = dialPiecewise(r.Uint64())
 	}
 	client := &http.Client{Transport: transport, Timeout: callerTimeout}
@@ -90,14 +98,24 @@
 		g.w.mu.Unlock()
 	}
 	begun := time.Now()
+	res.begun = begun
 	var connected time.Time
+	// Another goroutine writes the request.
+	var wrote atomic.Int64
 	defer func() {
 		res.elapsed = time.Since(begun)
 		if !connected.IsZero() {
 			res.connected = time.Since(connected)
 		}
+		if after := time.Duration(wrote.Load()); after > 0 {
+			res.answered = res.elapsed - after
+		}
 	}()
-	traced := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = time.Now() }})
+	traced := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = time.Now() }, WroteRequest: func(i httptrace.WroteRequestInfo) {
+		if i.Err == nil {
+			wrote.Store(int64(time.Since(begun)))
+		}
+	}})
 	resp, err := client.Do(req.WithContext(traced))
 	if err != nil {
 		res.err = err
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -22,6 +22,10 @@
 	w.checkLeaves()
 	w.checkCrashes()
 	w.checkParts()
+	if w.drawn.host {
+		w.checkLosses()
+		w.checkProcesses()
+	}
 	w.checkRefusedParts()
 	w.checkThrottling()
 	w.trap.check(w.t)
@@ -74,6 +78,8 @@
 	case r.status == http.StatusInternalServerError && r.signature == "":
 		bad("is an error that no endpoint signed")
 	case w.wasRunningAtStop(r):
+	case w.drawn.host:
+		// checkLosses holds the rest.
 	case w.harm < fault && r.err != nil && r.status == 0 && (len(runs) > 0 || r.connected > lossSlack):
 		bad("got no answer within %v, though all that happened was planned", r.connected)
 	case w.harm < fault && r.err != nil && r.status != 0:
@@ -93,7 +99,7 @@
 	}
 	for _, run := range w.ledger.Runs() {
 		at := run.At
-		if w.drawn.stops {
+		if w.drawn.stops || w.drawn.host {
 			// Engines read prompts for longer than the bound, which is on the arrival of a request.
 			at = w.arrivedAt(run.RequestID, run.Endpoint)
 		}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -32,6 +33,8 @@
 	over       bool
 	// suspended is for how long it believes to have been suspended.
 	suspended time.Duration
+	// host is nil unless the run has a supervisor.
+	host *supervisor
 }
 
 func (w *world) newGateway(i int, seeds []string) *gateway {
@@ -46,11 +49,18 @@
 	if err := os.WriteFile(g.file, standin.SettingsFile(g.vm), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
+	if w.drawn.host {
+		g.host = &supervisor{rand: rand.New(rand.NewPCG(w.seed, uint64(i)))}
+	}
 	w.t.Cleanup(g.end)
 	return g
 }
 
 func (g *gateway) start() {
+	if g.host != nil {
+		g.launch()
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.over {
@@ -94,6 +104,10 @@
 
 // end kills the process for good.
 func (g *gateway) end() {
+	if g.host != nil {
+		g.endOnHost()
+		return
+	}
 	g.mu.Lock()
 	g.over = true
 	cmd, ended := g.cmd, g.ended
@@ -112,6 +126,11 @@
 
 // signal sends a signal to the process of now.
 func (g *gateway) signal(s syscall.Signal) (ended chan struct{}) {
+	if g.host != nil {
+		p := g.newest()
+		g.tell(p, s)
+		return p.ended
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_ = g.cmd.Process.Signal(s)
@@ -121,16 +140,28 @@
 func (g *gateway) hup() { g.signal(syscall.SIGHUP) }
 
 func (g *gateway) kill() {
+	if g.host != nil {
+		g.signal(syscall.SIGKILL)
+		return
+	}
 	ended := g.signal(syscall.SIGKILL)
 	g.w.pending.Go(func() { g.restart(ended) })
 }
 
 func (g *gateway) term() {
+	if g.host != nil {
+		g.stopOnHost()
+		return
+	}
 	ended := g.signal(syscall.SIGTERM)
 	g.w.pending.Go(func() { g.restart(ended) })
 }
 
 func (g *gateway) pause(d time.Duration) {
+	if g.host != nil {
+		g.pauseOnHost(d)
+		return
+	}
 	g.signal(syscall.SIGSTOP)
 	g.w.after(d, func() { g.signal(syscall.SIGCONT) })
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,12 +53,15 @@
 	floods bool
 	// surplus says that it draws one of surplusPlans.
 	surplus bool
+	// host says that it draws one of hostPlans.
+	host bool
 }
 
 // String gives the seed as it is written, with a c behind the number if it may crash, an n if
 // endpoints throttle, an r if the store is restored, and a p if parts of prompts crash
 // endpoints, and an s if gateways stop under load, an f
-// if what they are connected to sends without end, and a u if answers come once more.
+// if what they are connected to sends without end, a u if answers come once more, and an h
+// if gateways run under a supervisor on a disturbed host.
 func (s seed) String() string {
 	text := strconv.FormatUint(s.number, 10)
 	if s.crashes {
@@ -82,11 +85,15 @@
 	if s.surplus {
 		text += "u"
 	}
+	if s.host {
+		text += "h"
+	}
 	return text
 }
 
 func parseSeed(text string) (seed, error) {
-	number, surplus := strings.CutSuffix(text, "u")
+	number, host := strings.CutSuffix(text, "h")
+	number, surplus := strings.CutSuffix(number, "u")
 	number, floods := strings.CutSuffix(number, "f")
 	number, stops := strings.CutSuffix(number, "s")
 	number, parts := strings.CutSuffix(number, "p")
@@ -94,7 +101,7 @@
 	number, throttling := strings.CutSuffix(number, "n")
 	number, crashes := strings.CutSuffix(number, "c")
 	n, err := strconv.ParseUint(number, 10, 64)
-	return seed{n, crashes, throttling, restores, parts, stops, floods, surplus}, err
+	return seed{n, crashes, throttling, restores, parts, stops, floods, surplus, host}, err
 }
 
 // seeds lists the seeds to run.
@@ -112,8 +119,8 @@
 	}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS")); n > 0 {
 		for range n {
-			kind := rand.IntN(8)
-			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4, stops: kind == 5, floods: kind == 6, surplus: kind == 7})
+			kind := rand.IntN(9)
+			out = append(out, seed{number: rand.Uint64(), crashes: kind == 1, throttling: kind == 2, restores: kind == 3, parts: kind == 4, stops: kind == 5, floods: kind == 6, surplus: kind == 7, host: kind == 8})
 		}
 		return out
 	}
@@ -135,7 +142,7 @@
 
 func TestSoak(t *testing.T) {
 	soak(t, func(s seed) bool {
-		return !s.crashes && !s.throttling && !s.restores && !s.parts && !s.stops && !s.floods && !s.surplus
+		return !s.crashes && !s.throttling && !s.restores && !s.parts && !s.stops && !s.floods && !s.surplus && !s.host
 	})
 }
 
@@ -154,6 +161,9 @@
 // TestSoakWithSurplusAnswers runs the seeds that draw one of surplusPlans.
 func TestSoakWithSurplusAnswers(t *testing.T) { soak(t, func(s seed) bool { return s.surplus }) }
 
+// TestSoakOnHost runs the seeds that draw one of hostPlans.
+func TestSoakOnHost(t *testing.T) { soak(t, func(s seed) bool { return s.host }) }
+
 // TestSoakWithThrottling runs the seeds that draw one of throttlingPlans.
 func TestSoakWithThrottling(t *testing.T) { soak(t, func(s seed) bool { return s.throttling }) }
 
--- a/internal/soak/steps_test.go
+++ b/internal/soak/steps_test.go
@@ -84,6 +84,9 @@
 }
 
 func planOf(s seed) plan {
+	if s.host {
+		return hostPlanOf(s).plan
+	}
 	if s.surplus {
 		return surplusPlans[s.number%uint64(len(surplusPlans))]
 	}
@@ -151,6 +154,9 @@
 		lasts += restoresFor
 		defer w.copyStore()()
 	}
+	if w.longGrace {
+		lasts += longGraceFor
+	}
 	end := time.Now().Add(lasts)
 	for time.Now().Before(end) {
 		s := pick(w.rand, p.steps)
@@ -159,7 +165,11 @@
 		s.do(w, w.rand)
 		time.Sleep(time.Duration(50+w.rand.IntN(500)) * time.Millisecond)
 	}
+	w.settled.Store(true)
 	w.pending.Wait()
+	if w.drawn.host {
+		w.checkServing()
+	}
 	w.checkUsedAgain()
 	stop()
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,13 @@
 	trap trap
 	// again holds the endpoints that were started again and are in use.
 	again map[string]bool
+
+	// settled says that the run draws no more conditions.
+	settled atomic.Bool
+	// disturbed says that processes start under conditions, longGrace that they have the default drain delay.
+	disturbed, longGrace bool
+	// workEnded holds when servers stopped working on requests, by their ids.
+	workEnded sync.Map
 }
 
 // result is what a caller got.
@@ -105,6 +113,9 @@
 	elapsed time.Duration
 	// connected is that from getting a connection; zero if there was none.
 	connected time.Duration
+	begun     time.Time
+	// answered is the time from having sent the whole request to the end of its answer; zero if it wasn't sent.
+	answered time.Duration
 }
 
 func newWorld(t *testing.T, s seed) *world {
@@ -128,7 +139,11 @@
 	}
 	w.nextVersion()
 	var seedsOf []string
-	for i := range gateways {
+	count := gateways
+	if s.host {
+		count = w.drawHost()
+	}
+	for i := range count {
 		g := w.newGateway(i, seedsOf)
 		seedsOf = append(seedsOf, g.vm.Peers)
 		w.gateways = append(w.gateways, g)
@@ -158,7 +173,7 @@
 	e := &standin.Endpoint{ID: id, Address: p.address, Events: streamEvents, Every: eventEvery, Work: workTime, Ledger: w.ledger, Peers: w.at, CopyTakes: copies}
 	e.SetBorn(now())
 	w.fragile(e)
-	server := &http.Server{Handler: e.Handler(), ConnState: e.ConnState}
+	server := &http.Server{Handler: w.uneven(e.Handler()), ConnState: e.ConnState}
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() { server.Close() })
 	w.mu.Lock()
