soak: callers that send late in the grace period, on connections opened before the stop

Half of them send one request at any time of the grace period, half one after another without a pause until the connection ends, a quarter of these running for 2 to 6 s.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -80,10 +80,15 @@
 	return req
 }
 
-func (g *gateway) call(client *http.Client, kind string) (res result) {
-	res = result{id: g.nextID(), kind: kind, gateway: g.vm.VM}
+func (g *gateway) call(client *http.Client, kind string) result {
+	return g.callAs(client, g.nextID(), kind)
+}
+
+// newCall makes a request, and what its caller should get.
+func (g *gateway) newCall(id, kind string) (*http.Request, result) {
+	res := result{id: id, kind: kind, gateway: g.vm.VM, begun: time.Now()}
 	path := "/" + kind + "/x"
-	req := g.request(res.id, path)
+	req := g.request(id, path)
 	res.want = "POST " + path + " body"
 	if kind == kindStream {
 		req.Header.Set(platform.HeaderTokens, "100,50")
@@ -97,8 +102,13 @@
 		req.Header.Set(platform.HeaderPromptParts, soundParts(g.w.serial))
 		g.w.mu.Unlock()
 	}
-	begun := time.Now()
-	res.begun = begun
+	return req, res
+}
+
+// callAs sends a request with an id.
+func (g *gateway) callAs(client *http.Client, id, kind string) (res result) {
+	req, res := g.newCall(id, kind)
+	begun := res.begun
 	var connected time.Time
 	// Another goroutine writes the request.
 	var wrote atomic.Int64
@@ -121,16 +131,21 @@
 		res.err = err
 		return res
 	}
+	res.read(resp)
+	return res
+}
+
+// read reads the answer.
+func (r *result) read(resp *http.Response) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	res.status, res.body, res.err = resp.StatusCode, string(body), err
-	res.signature = resp.Header.Get(platform.HeaderSignature)
-	if res.status != http.StatusOK {
-		res.quarantined = strings.Contains(res.body, "quarantine")
+	r.status, r.body, r.err = resp.StatusCode, string(body), err
+	r.signature = resp.Header.Get(platform.HeaderSignature)
+	if r.status != http.StatusOK {
+		r.quarantined = strings.Contains(r.body, "quarantine")
 		// The text of a refusal is the system's own.
-		res.body = ""
+		r.body = ""
 	}
-	return res
 }
 
 // watchVersions looks which configuration a process has in force.
--- a/internal/soak/host_plans_test.go
+++ b/internal/soak/host_plans_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +30,10 @@
 	// earlyInStop is how long after SIGTERM a request may be sent that a process may cut if its server still works
 	// on it in the last sixth of the grace period.
 	earlyInStop = 3 * time.Second
-	// long and veryLong are how much longer than the others some runs take.
-	long     = 400 * time.Millisecond
-	veryLong = 3 * time.Second
+	// long is how much longer than the others some runs take; a few take 2 to 6 s.
+	long = 400 * time.Millisecond
+	// longSuffix ends the ids of requests that take 2 to 6 s.
+	longSuffix = "-long"
 )
 
 // hostPlan is what a seed with an h behind its number plays.
@@ -139,8 +141,7 @@
 			if err != nil {
 				return
 			}
-			time.Sleep(wait)
-			w.callOnce(g, dialedBefore{nc}, kind)
+			w.callLate(g, nc, kind, wait)
 		})
 	}
 	dialed.Wait()
@@ -151,6 +152,33 @@
 	}
 }
 
+// callLate sends requests on a connection: half of the callers one after a while, the others one right after another until
+// the connection ends, of which a quarter run for 2 to 6 s.
+func (w *world) callLate(g *gateway, nc net.Conn, kind string, wait time.Duration) {
+	if wait.Nanoseconds()%2 == 0 {
+		time.Sleep(wait)
+		w.callOnce(g, dialedBefore{nc}, kind)
+		return
+	}
+	transport := &http.Transport{DialContext: dialedBefore{nc}.DialContext}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: callerTimeout}
+	r := rand.New(rand.NewPCG(uint64(wait), 0))
+	for end := time.Now().Add(g.vm.Bounds.Grace); time.Now().Before(end); {
+		id := g.nextID()
+		if r.IntN(4) == 0 {
+			id += longSuffix
+		}
+		res := g.callAs(client, id, kind)
+		w.mu.Lock()
+		w.results = append(w.results, res)
+		w.mu.Unlock()
+		if res.err != nil {
+			return
+		}
+	}
+}
+
 type dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -204,8 +232,8 @@
 		_, _ = hash.Write([]byte(id))
 		var longer time.Duration
 		switch n := hash.Sum32() % 50; {
-		case n == 0:
-			longer = veryLong
+		case n == 0 || strings.HasSuffix(id, longSuffix):
+			longer = 2*time.Second + time.Duration(hash.Sum32()%4000)*time.Millisecond
 		case n < 5:
 			longer = long
 		}
@@ -265,11 +293,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.host.processes {
-		for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
-			told := p.told[s]
-			if !told.IsZero() && told.Before(at) && at.Sub(told) <= g.vm.Bounds.Grace+lossSlack && told.After(stop) {
-				stop, ok = told, true
-			}
+		told := p.toldToStop()
+		gone := !p.endedAt.IsZero() && at.Sub(p.endedAt) > lossSlack
+		if !gone && !told.IsZero() && told.Before(at) && at.Sub(told) <= g.vm.Bounds.Grace+lossSlack && told.After(stop) {
+			stop, ok = told, true
 		}
 	}
 	return stop, ok
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -354,6 +354,16 @@
 	}
 }
 
+// toldToStop returns when a process was first told to stop; zero if it wasn't.
+func (p *process) toldToStop() (at time.Time) {
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		if told, ok := p.told[s]; ok && (at.IsZero() || told.Before(at)) {
+			at = told
+		}
+	}
+	return at
+}
+
 // endedByItself tells how a process ended that nobody told to end like that; "" if it didn't.
 func (p *process) endedByItself() string {
 	if p.state == nil {
