peering: bound what messages decode to

A message of a peer can take more than a hundred times its size once it is decoded: an empty record is two bytes on the wire and some hundred in memory, and compressed it is next to nothing. The budget counted the bytes before and after decompression only. 32 exchanges of 4 MB of empty records, 4 KB each as compressed, took a gateway to 2,366 MB (VmHWM; it may use 134), and the same in JSON, which the handlers took by default, to 4,263 MB.

The parts of a message are counted by its descriptors before it is decoded, and what their structs and lists take is reserved in the peers' budget until the message is garbage. Handlers refuse JSON, which no entry sends. Texts and documents aren't counted again: their bytes are those that the budget counts already.

--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -83,7 +83,7 @@
 // this bearer token.
 func (s *Server) Handler(token string) http.Handler {
 	mux := http.NewServeMux()
-	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes), decompressWithin(s.memory))
+	path, h := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes), decompressWithin(s.memory), decodeWithin(s.memory), withoutJSON())
 	mux.Handle(path, requireToken(token, limitBodies(s.largeDocs.trackResponses(h), s.memory)))
 	return mux
 }
