--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"maps"
@@ -13,9 +14,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -191,3 +197,95 @@
 	}
 	return 0
 }
+
+// expandingBytes is the size of messages that take many times their size when they are decoded.
+const expandingBytes = 4_000_000
+
+// expandingAnswer is an answer of the store with nothing but empty items.
+func expandingAnswer() string {
+	return `{"AsOf":1,"Entries":[` + strings.Repeat("{},", expandingBytes/len("{},")) + `{}]}`
+}
+
+// expandingMessages are messages of peers that are far smaller compressed, or encoded, than decoded.
+func expandingMessages() map[string][]byte {
+	// The tag of the records and the length of an empty one.
+	tag := byte((&peerv1.ExchangeRequest{}).ProtoReflect().Descriptor().Fields().ByName("records").Number()<<3 | 2)
+	document, _ := proto.Marshal(&peerv1.ExchangeRequest{Documents: []*peerv1.Document{{Name: "d", Content: make([]byte, expandingBytes)}}})
+	numbers, _ := proto.Marshal(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{UsageInFlight: make([]uint32, expandingBytes)}}})
+	return map[string][]byte{
+		"application/proto records":  bytes.Repeat([]byte{tag, 0}, expandingBytes/2),
+		"application/proto document": document,
+		"application/proto numbers":  numbers,
+		"application/json records":   []byte(`{"records":[` + strings.Repeat("{},", expandingBytes/3) + `{}]}`),
+	}
+}
+
+func compressed(data []byte) []byte {
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	_, _ = z.Write(data)
+	_ = z.Close()
+	return out.Bytes()
+}
+
+// TestGatewaysStayWithinTheirMemoryWhenMessagesExpand guards against messages that decode to many times their size.
+func TestGatewaysStayWithinTheirMemoryWhenMessagesExpand(t *testing.T) {
+	var spoilt atomic.Bool
+	var answered atomic.Int64
+	answer := expandingAnswer()
+	w := newWorldOver(t, seed{number: 1}, func(store http.Handler) http.Handler {
+		return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if !spoilt.Load() {
+				store.ServeHTTP(rw, r)
+				return
+			}
+			_, _ = io.WriteString(rw, answer)
+			answered.Add(1)
+		})
+	})
+	check := func(of string) {
+		most := int64(0)
+		for _, g := range w.gateways {
+			most = max(most, g.peak())
+		}
+		t.Logf("%s: at most %.1f MB", of, float64(most)/1e6)
+		if most > memoryBytes || most == 0 {
+			t.Errorf("over %.1f MB", memoryBytes/1e6)
+		}
+	}
+	// A process that starts reads the store at once.
+	spoilt.Store(true)
+	w.gateways[0].kill()
+	for end := time.Now().Add(readyTimeout); answered.Load() < spoiltAnswers && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.pending.Wait()
+	check(fmt.Sprintf("%d answers of the store", answered.Load()))
+	spoilt.Store(false)
+	w.gateways[0].waitReady()
+	messages := expandingMessages()
+	for _, name := range slices.Sorted(maps.Keys(messages)) {
+		body := compressed(messages[name])
+		contentType, _, _ := strings.Cut(name, " ")
+		var all sync.WaitGroup
+		for range messagesAtOnce {
+			all.Go(func() {
+				req, _ := http.NewRequest(http.MethodPost, "http://"+w.gateways[0].vm.Peers+peerv1connect.PeerServiceExchangeProcedure, bytes.NewReader(body))
+				req.Header.Set("Content-Type", contentType)
+				req.Header.Set("Content-Encoding", "gzip")
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			})
+		}
+		all.Wait()
+		check(name)
+	}
+}
+
+// messagesAtOnce is how many messages a gateway gets at the same time.
+const messagesAtOnce = 32
+
+// spoiltAnswers is how many answers of the store are waited for.
+const spoiltAnswers = 3
--- a/pkg/jsontext/jsontext.go
+++ b/pkg/jsontext/jsontext.go
@@ -15,6 +15,26 @@
 	return len(data)
 }
 
+// Separators returns the number of commas at a depth; the outermost list or object is at depth 1.
+func Separators(data []byte, depth int) int {
+	count, at := 0, 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			i += StringLen(data[i:]) - 1
+		case '{', '[':
+			at++
+		case '}', ']':
+			at--
+		case ',':
+			if at == depth {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // Prune replaces the lists and objects at a depth greater than maxDepth by null; the outermost value
 // is at depth 1.
 func Prune(data []byte, maxDepth int) []byte {
--- a/pkg/jsontext/jsontext_test.go
+++ b/pkg/jsontext/jsontext_test.go
@@ -21,3 +21,16 @@
 		}
 	}
 }
+
+func TestSeparatorsAtADepth(t *testing.T) {
+	for text, want := range map[string]int{
+		`{"a":[1,[2,3],4],"b":[5,6]}`: 3,
+		`{"a":"[,","b":["\",",{}]}`:   1,
+		`[,,`:                         0,
+		`]],`:                         0,
+	} {
+		if got := jsontext.Separators([]byte(text), 2); got != want {
+			t.Errorf("%s: %d", text, got)
+		}
+	}
+}
