--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -46,12 +46,15 @@
 		Bounds: platform.Bounds{Grace: 8 * time.Second, Drain: 2 * time.Second, ConfigApply: configurationBound, RetryRatio: 0.2, RetrySlack: 58},
 		Limits: platform.VMLimits{MemoryBytes: memoryBytes, Descriptors: 4100},
 	}}
-	if err := os.WriteFile(g.file, standin.SettingsFile(g.vm), 0o600); err != nil {
-		w.t.Fatal(err)
-	}
 	if w.drawn.host {
+		if !w.longGrace {
+			g.vm.Bounds.Grace = shortGrace
+		}
 		g.host = &supervisor{rand: rand.New(rand.NewPCG(w.seed, uint64(i)))}
 	}
+	if err := os.WriteFile(g.file, standin.SettingsFile(g.vm), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
 	w.t.Cleanup(g.end)
 	return g
 }
