--- a/internal/soak/host_plans_test.go
+++ b/internal/soak/host_plans_test.go
@@ -92,6 +92,20 @@
 	}},
 }
 
+// faultsOnHost hit all gateways at the same time.
+var faultsOnHost = []step{
+	{"all killed", fault, func(w *world, _ *rand.Rand) {
+		for _, g := range w.gateways {
+			g.kill()
+		}
+	}},
+	{"all paused", fault, func(w *world, r *rand.Rand) {
+		for _, g := range w.gateways {
+			g.pause(short(r))
+		}
+	}},
+}
+
 // crowdStep opens more requests at a gateway than it takes.
 var crowdStep = step{"crowd", fault, func(w *world, r *rand.Rand) {
 	g := pick(r, w.gateways)
@@ -105,7 +119,7 @@
 var hostPlans = []hostPlan{
 	{plan{"planned stops only", append(named("configuration", "reload", "engine leaves"), plannedOnHost...)}, false, gateways},
 	{plan{"planned stops on a disturbed host", slices.Concat(named("configuration", "engine leaves"), plannedOnHost, aroundOnHost)}, true, gateways},
-	{plan{"all on a disturbed host", slices.Concat(steps, floodSteps, plannedOnHost, aroundOnHost)}, true, gateways},
+	{plan{"all on a disturbed host", slices.Concat(steps, floodSteps, plannedOnHost, aroundOnHost, faultsOnHost)}, true, gateways},
 	{plan{"at the limits' size", slices.Concat(floodSteps, plannedOnHost, aroundOnHost, []step{crowdStep, crowdStep, crowdStep})}, true, gatewaysAtSize},
 }
 
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -243,15 +243,22 @@
 	}
 }
 
+// settingsGone names the absence of the file.
+const settingsGone = "gone"
+
 // spoilSettings writes something else than settings in place, and returns what.
 func (g *gateway) spoilSettings(r *rand.Rand) string {
 	good := standin.SettingsFile(g.vm)
 	bad := pick(r, []struct {
 		name string
 		data []byte
-	}{{"empty", nil}, {"half", good[:len(good)/2]}, {"null", []byte("null")}, {"without fields", []byte("{}")}})
+	}{{"empty", nil}, {"half", good[:len(good)/2]}, {"null", []byte("null")}, {"without fields", []byte("{}")}, {"of wrong types", []byte(`{"NodeName":[],"Listen":7}`)}, {settingsGone, nil}})
 	g.host.writing.Lock()
 	defer g.host.writing.Unlock()
+	if bad.name == settingsGone {
+		_ = os.Remove(g.file)
+		return bad.name
+	}
 	g.overwrite(bad.data)
 	return bad.name
 }
