daemons: signals and the log's reader don't end the process

Operators saw processes end by themselves: all daemons write their log to a pipe, and the Go runtime ends a process by SIGPIPE (exit 141) when the reader of its standard output or error has gone, at the start, in service or in the grace period. SIGHUP ended the entry, the controller and the stand-ins at any time, as nothing catches it there, and the gateway during its first milliseconds. The entry and the controller also wrote their log without a queue, so that a reader that stops reading held up whoever logged.

Package daemon now runs all four. SIGPIPE is ignored, and the log is written by a goroutine of its own with a bound (logging.Bounded), also its last lines.

--- a/cmd/bridgehoist-controller/main.go
+++ b/cmd/bridgehoist-controller/main.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/bridgehoist/bridgehoist/internal/controller"
-	"github.com/bridgehoist/bridgehoist/internal/logging"
+	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 )
 
@@ -17,10 +15,10 @@
 	var cfg controller.Config
 	set := settings.New("bridgehoist-controller")
 	cfg.Register(set)
-	settings.Main(set, func() { cfg.Check(set) }, func() error {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		c, err := controller.New(cfg, logging.New(os.Stderr, "controller", cfg.VM))
+	daemon.Main(set, os.Stderr, &daemon.LogLines, func() { cfg.Check(set) }, func(ctx context.Context, p *daemon.Process) error {
+		logger := p.Logger("controller", cfg.VM)
+		p.IgnoreHangups(logger)
+		c, err := controller.New(cfg, logger)
 		if err != nil {
 			return err
 		}
--- a/cmd/bridgehoist-entry/main.go
+++ b/cmd/bridgehoist-entry/main.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/entry"
-	"github.com/bridgehoist/bridgehoist/internal/logging"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 )
 
@@ -17,15 +15,13 @@
 	var cfg entry.Config
 	set := settings.New("bridgehoist-entry")
 	cfg.Register(set)
-	settings.Main(set, func() { cfg.Check(set) }, func() error { return run(cfg) })
-}
-
-func run(cfg entry.Config) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	e, err := entry.New(cfg, logging.New(os.Stderr, "entry", cfg.VM))
-	if err != nil {
-		return err
-	}
-	return e.Run(ctx)
+	daemon.Main(set, os.Stderr, &daemon.LogLines, func() { cfg.Check(set) }, func(ctx context.Context, p *daemon.Process) error {
+		logger := p.Logger("entry", cfg.VM)
+		p.IgnoreHangups(logger)
+		e, err := entry.New(cfg, logger)
+		if err != nil {
+			return err
+		}
+		return e.Run(ctx)
+	})
 }
--- a/cmd/bridgehoist-gateway/main.go
+++ b/cmd/bridgehoist-gateway/main.go
@@ -10,41 +10,34 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/gateway"
 	"github.com/bridgehoist/bridgehoist/internal/heap"
-	"github.com/bridgehoist/bridgehoist/internal/logging"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
 const (
+	component = "gateway"
 	// memoryShare is the share of the VM's memory from which on the garbage
 	// collector works harder.
 	memoryShare = 0.7
-	// logFlush is how long the end of the process waits for the log.
-	logFlush = 100 * time.Millisecond
 )
 
 func main() {
 	var cfg gateway.Config
 	set := settings.New("bridgehoist-gateway")
 	cfg.Register(set)
-	settings.Main(set, func() { cfg.Check(set) }, func() error { return run(cfg) })
+	daemon.Main(set, os.Stdout, &cfg.LogLines, func() { cfg.Check(set) }, func(ctx context.Context, p *daemon.Process) error {
+		return run(ctx, p, cfg)
+	})
 }
 
-func run(cfg gateway.Config) error {
-	// From here on no signal ends the process by its default action.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func run(ctx context.Context, p *daemon.Process, cfg gateway.Config) error {
 	vm, err := platform.ReadSettings(platform.SettingsPath())
 	if err != nil {
 		return err
@@ -52,11 +45,9 @@
 	if vm.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(vm.Limits.MemoryBytes)))
 	}
-	out := logging.NewBounded(os.Stdout, cfg.LogLines)
-	defer out.Close(logFlush)
-	logger := logging.New(out, "gateway", vm.VM)
+	logger := p.Logger(component, vm.VM)
 	go heap.Bound(ctx)
-	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, hup, logger))
+	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, p.Hangups, logger))
 }
 
 // reloads reads the settings file again at each SIGHUP.
--- a/cmd/bridgehoist-standin/main.go
+++ b/cmd/bridgehoist-standin/main.go
@@ -8,13 +8,12 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/enginemodel"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
@@ -50,11 +49,11 @@
 	listen := set.String("listen", "", "IP:port")
 	table := set.String("table", "", "file of the table")
 	fleet := set.String("fleet", "", "file of the fleet list")
-	settings.Main(set, func() {
+	run(set, func() {
 		set.NeedAddress("listen", *listen)
 		set.NeedText("table", *table)
 		set.NeedText("fleet", *fleet)
-	}, func() error {
+	}, func(ctx context.Context) error {
 		p := platformstandin.New()
 		for name, file := range map[string]string{published.Fleet: *fleet, published.Table: *table} {
 			content, err := os.ReadFile(file)
@@ -63,7 +62,7 @@
 			}
 			p.Put(platform.OwnPrefix+name, content)
 		}
-		return serve(*listen, p.Handler(), nil)
+		return serve(ctx, *listen, p.Handler(), nil)
 	})
 }
 
@@ -81,17 +80,17 @@
 	set.IntVar(&model.CapacityTokens, "capacity-tokens", model.CapacityTokens, "KV memory in tokens")
 	set.IntVar(&model.MaxRunning, "max-running", model.MaxRunning, "sequences of a batch")
 	set.DurationVar(&model.StepBase, "step-base", model.StepBase, "duration of a step with an empty batch")
-	settings.Main(set, func() {
+	run(set, func() {
 		set.NeedAddress("listen", *listen)
 		set.NeedInt("capacity-tokens", model.CapacityTokens, 1, 1<<30)
 		set.NeedInt("max-running", model.MaxRunning, 1, 1<<20)
-	}, func() error {
+	}, func(ctx context.Context) error {
 		cfg.Model = model
 		if *models != "" {
 			cfg.Loaded = strings.Split(*models, ",")
 		}
 		e := standin.NewEngine(cfg)
-		return serve(*listen, e.Handler(), e.Run)
+		return serve(ctx, *listen, e.Handler(), e.Run)
 	})
 }
 
@@ -99,15 +98,21 @@
 	set := settings.New("bridgehoist-standin service")
 	listen := set.String("listen", "", "IP:port")
 	latency := set.Duration("latency", 10*time.Millisecond, "duration of a call")
-	settings.Main(set, func() { set.NeedAddress("listen", *listen) }, func() error {
-		return serve(*listen, standin.NewService(*latency).Handler(), nil)
+	run(set, func() { set.NeedAddress("listen", *listen) }, func(ctx context.Context) error {
+		return serve(ctx, *listen, standin.NewService(*latency).Handler(), nil)
+	})
+}
+
+// run runs a stand-in as a daemon.
+func run(set *settings.Set, check func(), serve func(context.Context) error) {
+	daemon.Main(set, os.Stderr, &daemon.LogLines, check, func(ctx context.Context, p *daemon.Process) error {
+		p.IgnoreHangups(p.Logger("standin", ""))
+		return serve(ctx)
 	})
 }
 
 // serve runs until the process is told to stop.
-func serve(listen string, h http.Handler, background func(context.Context)) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func serve(ctx context.Context, listen string, h http.Handler, background func(context.Context)) error {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,7 +120,12 @@
 
 // Main runs a binary: it reads and checks the settings, then calls run.
 func Main(s *Set, check func(), run func() error) {
-	os.Exit(mainCode(s, os.Args[1:], os.Stderr, check, run))
+	os.Exit(Run(s, os.Stderr, check, run))
+}
+
+// Run is Main for programs that end themselves: it writes findings and errors to w and returns the exit code.
+func Run(s *Set, w io.Writer, check func(), run func() error) int {
+	return mainCode(s, os.Args[1:], w, check, run)
 }
 
 func mainCode(s *Set, args []string, w io.Writer, check func(), run func() error) int {
