shutdown: take a request only if it surely ends before the stop

Callers saw: in a planned stop, requests that were sent late in the grace period were taken and passed on, and at the end answered with 504, or cut if their stream had begun, among them requests that must not run again.

Cause: a request was taken if the mean run time of its kind ended before Abort; a kind that hadn't run was taken always. About half of the requests run longer than the mean. Requests of slow senders, which arrive whole after the listener was closed, were taken in the same way, and delegated requests without any check.

Now a request is taken if a run time that few exceed ends before Abort: the mean plus four mean deviations of its kind, or what its length needs. After the drain delay only requests whose deadline is before Abort are taken: by then the balancer knows, and a refusal costs one more try.

--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -28,6 +28,7 @@
 func (e *Entry) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(e.relay)
 	run = claim.New(run, e.owner)
+	run = drain.RefuseLate(run, &e.intake)
 	run = quarantined.New(run, e.beliefs.Guard())
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/drain"
@@ -56,6 +57,7 @@
 	started  time.Time
 	caughtUp atomic.Bool
 	stopping atomic.Bool
+	intake   shutdown.Intake
 
 	metrics    *metrics.Metrics
 	dispatcher *dispatch.Dispatcher
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -149,6 +149,7 @@
 	e.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
 	pause.For(abort, e.cfg.DrainDelay)
+	e.intake.Close(schedule.Abort)
 	drain, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
 	defer cancel()
 	err := s.callers.Drain(drain)
--- a/internal/filters/drain/drain.go
+++ b/internal/filters/drain/drain.go
@@ -5,8 +5,11 @@
 	"context"
 	"net/http"
 
+	"github.com/bridgehoist/bridgehoist/internal/filters/respond"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
+	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
 // New returns the filter. When open ends, so do the contexts of the requests whose response has not
@@ -23,3 +26,15 @@
 		next.ServeHTTP(httpserver.BeforeResponse(w, begin), r.WithContext(ctx))
 	})
 }
+
+// RefuseLate returns the filter that refuses requests which intake doesn't take. It stands behind the one that reads the
+// body.
+func RefuseLate(next http.Handler, intake *shutdown.Intake) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !intake.Takes(job.FromRequest(r).Deadline()) {
+			respond.Refuse(w, r, outcome.Stopping())
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/filters/drain/drain_test.go
+++ b/internal/filters/drain/drain_test.go
@@ -6,10 +6,13 @@
 	"net/http/httptest"
 	"runtime"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/pkg/table"
 )
 
 // TestARequestThatArrivesAfterTheEndHasEnded guards against requests that are sent although the process ends.
@@ -26,3 +29,30 @@
 		filter.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
 	}
 }
+
+// TestRequestsThatAreLateAreRefused guards against requests that are taken once the listener is closed, and cut at the end.
+func TestRequestsThatAreLateAreRefused(t *testing.T) {
+	now := time.Now()
+	abort := now.Add(time.Second)
+	for name, c := range map[string]struct {
+		closed  bool
+		timeout time.Duration
+		status  int
+	}{
+		"listener open":           {timeout: time.Minute, status: http.StatusOK},
+		"deadline before the end": {closed: true, timeout: time.Second, status: http.StatusOK},
+		"deadline after the end":  {closed: true, timeout: time.Minute, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var intake shutdown.Intake
+			if c.closed {
+				intake.Close(abort)
+			}
+			j := &job.Job{ArrivedAt: now, Row: table.Row{Timeout: c.timeout}}
+			rec := httptest.NewRecorder()
+			ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+			RefuseLate(ok, &intake).ServeHTTP(rec, job.WithJob(httptest.NewRequest(http.MethodPost, "/", nil), j))
+			NewWithT(t).Expect(rec.Code).To(Equal(c.status))
+		})
+	}
+}
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -17,6 +17,7 @@
 // order.
 func (g *Gateway) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(g.relay)
+	run = drain.RefuseLate(run, &g.intake)
 	run = quarantined.New(run, g.beliefs.Guard())
 	run = body.New(run, int64(g.cfg.MaxBodyBytes), g.cfg.BodyTimeout, g.memory.bodies)
 	run = route.New(run, g.tableInForce)
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -12,6 +12,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
+	"github.com/bridgehoist/bridgehoist/internal/runner"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -72,6 +73,10 @@
 
 // delegate has a peer serve a request. served is false if no peer could; the request has not run then.
 func (g *Gateway) delegate(r *http.Request, j *job.Job, sink *respond.Writer) (served bool, err *outcome.Error) {
+	g.dispatcher.ViewScheduler(func(now time.Time, s *scheduler.Scheduler) { err = s.EndsAfterStop(now, runner.Request(j, "")) })
+	if err != nil {
+		return true, err
+	}
 	ctx, cancel := clock.WithDeadline(r.Context(), j.Deadline())
 	defer cancel()
 	now := clock.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
@@ -84,6 +85,7 @@
 	// small says that the fleet is so small that all tell each other all.
 	small    atomic.Bool
 	stopping atomic.Bool
+	intake   shutdown.Intake
 	// doubtful says that the VM was suspended and nobody has told since what is in force.
 	doubtful atomic.Bool
 	// lostDataCenters are those that the log said last were out of reach.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -170,6 +170,7 @@
 	g.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
 	pause.For(abort, g.cfg.DrainDelay)
+	g.intake.Close(schedule.Abort)
 	if err := s.callers.Drain(open); err != nil {
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -135,6 +135,7 @@
 		PromptTokens:     j.PromptTokens,
 		MaxTokens:        j.MaxTokens,
 		ArrivedAt:        j.ArrivedAt,
+		Deadline:         j.Deadline(),
 		Avoid:            avoid,
 		Identity:         j.Identity,
 		SharedParts:      j.SharedParts,
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -2,8 +2,9 @@
 //
 //	[serving] --signal--> [draining] --Abort--> [answering] --Close--> [closed]
 //
-// A draining process serves the requests that it has and those that still arrive, unless they aren't
-// expected to end before Abort. At Abort every request whose response has not begun gets its final
+// A draining process serves the requests that it has and those that still arrive, unless they may not
+// end before Abort. Once its listener is closed, after the drain delay, it takes only those whose deadline is
+// before Abort. At Abort every request whose response has not begun gets its final
 // answer: a refusal if it has not run, and a failure otherwise. Connections that are still open at
 // Close are closed. Streams that have begun may use the time until then.
 package shutdown
@@ -11,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +50,19 @@
 // process that is held up may run again only after the time of Close.
 func (s Schedule) AnswerTime() time.Duration { return s.Close.Sub(s.Abort) }
 
+// Intake decides which requests a process still takes that have arrived whole. The zero value takes all. It is safe for
+// concurrent use.
+type Intake struct{ abort atomic.Pointer[time.Time] }
+
+// Close takes only requests from now on whose deadline is at most abort.
+func (i *Intake) Close(abort time.Time) { i.abort.Store(&abort) }
+
+// Takes reports whether a request with a deadline is taken.
+func (i *Intake) Takes(deadline time.Time) bool {
+	abort := i.abort.Load()
+	return abort == nil || !deadline.After(*abort)
+}
+
 type beginKey struct{}
 
 // Abortable returns a context that ends with open, and with its cause, unless BeginResponse was called on it
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -40,7 +40,7 @@
 		VM: fmt.Sprintf("vm-%d", i), DataCenter: homeOfGateways, Seeds: seeds, Store: w.storeProxy.address, FirstStart: true,
 		PortLow: port, PortHigh: port,
 		Callers: freeport.Address(w.t), Readiness: freeport.Address(w.t), Peers: freeport.Address(w.t),
-		Bounds: platform.Bounds{Grace: 8 * time.Second, Drain: 2 * time.Second, ConfigApply: configurationBound, RetryRatio: 0.2, RetrySlack: 58},
+		Bounds: platform.Bounds{Grace: w.grace, Drain: 2 * time.Second, ConfigApply: configurationBound, RetryRatio: 0.2, RetrySlack: 58},
 		Limits: platform.VMLimits{MemoryBytes: memoryBytes, Descriptors: 4100},
 	}}
 	if err := os.WriteFile(g.file, standin.SettingsFile(g.vm), 0o600); err != nil {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -50,6 +50,8 @@
 	dir   string
 	// flags are those of all gateways, besides the usual ones.
 	flags []string
+	// grace is the grace period of all gateways.
+	grace time.Duration
 
 	store      *standin.Store
 	storeProxy *proxy
@@ -111,10 +113,17 @@
 	return newWorldOver(t, s, func(store http.Handler) http.Handler { return store })
 }
 
+// usualGrace is the grace period of gateways.
+const usualGrace = 8 * time.Second
+
 // newWorldOver is newWorld with a wrapper of the store and flags of the gateways.
 func newWorldOver(t *testing.T, s seed, wrap func(http.Handler) http.Handler, flags ...string) *world {
+	return newWorldWithGrace(t, s, usualGrace, wrap, flags...)
+}
+
+func newWorldWithGrace(t *testing.T, s seed, grace time.Duration, wrap func(http.Handler) http.Handler, flags ...string) *world {
 	w := &world{
-		t: t, flags: flags, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
+		t: t, flags: flags, grace: grace, seed: s.number, drawn: s, rand: rand.New(rand.NewPCG(s.number, s.number)), begun: time.Now(), dir: t.TempDir(), store: standin.New(), ledger: &standin.Ledger{},
 		endpoints: map[string]*standin.Endpoint{}, left: map[life]time.Time{}, versions: map[string]int{}, again: map[string]bool{},
 		crashed: map[string][]time.Time{}, withPart: map[string]string{}, throttling: map[*standin.Endpoint]bool{}, written: written{values: map[string][]byte{}},
 	}
--- a/pkg/scheduler/policy.go
+++ b/pkg/scheduler/policy.go
@@ -77,6 +77,8 @@
 	MaxTokens int
 	// ArrivedAt is when the entry received the request.
 	ArrivedAt time.Time
+	// Deadline is when its caller no longer waits; zero for the timeout of the row after its arrival.
+	Deadline time.Time
 	// Avoid is the ID of an endpoint where the request failed before; empty if none.
 	Avoid string
 	// PermittedRegions limits the workspace's requests to these regions; empty means no limit.
@@ -95,6 +97,14 @@
 // Urgent reports whether the request may use the capacity reserved for urgent requests.
 func (r *Request) Urgent() bool { return r.Row.Priority >= MinUrgentPriority }
 
+// deadline returns when the caller no longer waits.
+func (r *Request) deadline() time.Time {
+	if !r.Deadline.IsZero() {
+		return r.Deadline
+	}
+	return r.ArrivedAt.Add(r.Row.Timeout)
+}
+
 // Dispatch instructs the caller to send a request to an endpoint.
 type Dispatch struct {
 	ID       ID
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -42,8 +42,9 @@
 	// knownRemotes are the engines of other data centres whose load is known. It is a buffer
 	// that is filled anew for each decision.
 	knownRemotes []*endpoint
-	// meanRunTimes is the mean run time of requests by kind; see run_time.go.
+	// meanRunTimes is the mean run time of requests by kind, and runTimes how much they differ; see run_time.go.
 	meanRunTimes map[string]time.Duration
+	runTimes     map[string]runTimes
 	// speedEstimates estimates the speed of engines; nil if it is not estimated for each engine.
 	// It is speeds, except in tests.
 	speedEstimates speedEstimator
@@ -110,6 +111,7 @@
 		targets:            map[string]*target{},
 		dataCenterBreakers: map[string]*retry.Breaker{},
 		meanRunTimes:       map[string]time.Duration{},
+		runTimes:           map[string]runTimes{},
 		gapObjectives:      map[string]*gapObjectives{},
 		estimator:          lengths.New(cfg.PriorHazard),
 		queues:             map[string]*queue{},
--- a/pkg/scheduler/shutdown.go
+++ b/pkg/scheduler/shutdown.go
@@ -6,21 +6,22 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
-// Condition handled here: the entry is about to stop. A request that isn't expected to end before is
-// refused at once, so that its caller can go to another entry while it still has time.
+// Condition handled here: the entry is about to stop. A request that may not end before is refused at once, so that its
+// caller can go to another entry while it still has time: a refusal costs it one more try, and an answer that the end of
+// the entry cuts costs it all of the time that it has waited, and a request that mustn't run again is lost. So what counts
+// is not the mean run time, which about half of the requests exceed.
 
 // SetStopAt sets when the entry ends the requests that it still has.
 func (s *Scheduler) SetStopAt(at time.Time) { s.stopAt = at }
 
-// refuseBeforeStop refuses the waiting requests of a queue that aren't expected to end before the entry
-// stops.
+// refuseBeforeStop refuses the waiting requests of a queue that may not end before the entry stops.
 func (s *Scheduler) refuseBeforeStop(now time.Time, q *queue) {
 	if s.stopAt.IsZero() {
 		return
 	}
 	costAhead := 0.0
 	for i := 0; i < len(q.items); {
-		if err := s.endsAfterStop(now, q, q.items[i], costAhead); err != nil {
+		if err := s.endsAfterStop(now, &q.items[i].req, q, costAhead); err != nil {
 			s.refuseItem(q, i, err)
 			continue
 		}
@@ -29,27 +30,20 @@
 	}
 }
 
-// endsAfterStop returns the error for a request that isn't expected to end before the entry stops, or
-// nil. costAhead is the cost of the requests before it in the queue.
-func (s *Scheduler) endsAfterStop(now time.Time, q *queue, it *item, costAhead float64) *outcome.Error {
-	if s.stopAt.IsZero() {
-		return nil
-	}
-	wait, _ := q.expectedWait(costAhead)
-	if end := now.Add(wait + s.expectedRunTime(now, &it.req)); end.After(s.stopAt) {
-		return outcome.Stopping()
-	}
-	return nil
+// EndsAfterStop returns the error for a request that would be sent now and may not end before the entry stops, or nil.
+func (s *Scheduler) EndsAfterStop(now time.Time, r Request) *outcome.Error {
+	return s.endsAfterStop(now, &r, s.queue(r.Row.Target), 0)
 }
 
-// expectedRunTime returns the expected time from the dispatch of a request to the end of its answer;
-// zero if it is unknown.
-func (s *Scheduler) expectedRunTime(now time.Time, r *Request) time.Duration {
-	if mean, ok := s.meanRunTimes[r.Kind]; ok {
-		return mean
+// endsAfterStop returns the error for a request that may not end before the entry stops, or nil. costAhead is the cost of
+// the requests before it in the queue.
+func (s *Scheduler) endsAfterStop(now time.Time, r *Request, q *queue, costAhead float64) *outcome.Error {
+	if s.stopAt.IsZero() || !r.deadline().After(s.stopAt) {
+		return nil
 	}
-	if r.PromptTokens == 0 {
-		return 0
+	wait, _ := q.expectedWait(costAhead)
+	if runTime, known := s.longRunTime(now, r); known && !now.Add(wait+runTime).After(s.stopAt) {
+		return nil
 	}
-	return time.Duration(s.expectedSteps(r) * s.meanInterTokenLatency(now) * float64(time.Second))
+	return outcome.Stopping()
 }
--- a/pkg/scheduler/shutdown_test.go
+++ b/pkg/scheduler/shutdown_test.go
@@ -45,3 +45,61 @@
 	s.SetStopAt(now.Add(time.Hour))
 	g.Expect(s.Submit(now, request(id+2))).To(BeNil())
 }
+
+// TestWhatMayOutlastAStopIsRefused guards against requests that are taken since their mean run time ends before the entry
+// stops, and outlast it.
+func TestWhatMayOutlastAStopIsRefused(t *testing.T) {
+	const grace = 4 * time.Second
+	even, spread := []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, []float64{0.2, 0.5, 3, 0.4, 1.2, 0.3, 0.6, 4, 0.7, 0.5}
+	for name, c := range map[string]struct {
+		// learned are the run times in seconds that the kind had before.
+		learned []float64
+		request scheduler.Request
+		refused bool
+	}{
+		"kind whose run times are alike":          {learned: even},
+		"kind whose run times differ":             {learned: spread, refused: true},
+		"kind that hasn't run":                    {refused: true},
+		"deadline before the stop":                {learned: spread, request: scheduler.Request{Deadline: time.Unix(0, 0).Add(grace)}},
+		"row's timeout before the stop":           {request: scheduler.Request{Row: table.Row{Timeout: grace}}},
+		"short generation of a kind that differs": {learned: spread, request: scheduler.Request{PromptTokens: 10, MaxTokens: 40}},
+		"long generation":                         {request: scheduler.Request{PromptTokens: 10, MaxTokens: 400}, refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := scheduler.New(scheduler.Version(scheduler.ForwardingVersion))
+			now := time.Unix(0, 0).Add(-time.Hour)
+			s.SetEndpoints(now, []fleet.Endpoint{{ID: "desk-1", Targets: []string{"desk"}, MaxRunning: 8, Type: fleet.Service}, {ID: "engine-1", Targets: []string{"engine"}, MaxRunning: 8, Type: fleet.Engine}})
+			request := func(id scheduler.ID, r scheduler.Request) scheduler.Request {
+				r.ID, r.Kind, r.ArrivedAt = id, "kind", now
+				r.Row.Target, r.Row.MaxQueued, r.Row.MaxInFlight, r.Row.MaxQueueTime = "desk", 100, 100, time.Minute
+				if r.PromptTokens > 0 {
+					r.Row.Target = "engine"
+				}
+				if r.Row.Timeout == 0 {
+					r.Row.Timeout = time.Minute
+				}
+				return r
+			}
+			id := scheduler.ID(0)
+			for _, seconds := range c.learned {
+				id++
+				g.Expect(s.Submit(now, request(id, scheduler.Request{}))).To(BeNil())
+				g.Expect(s.Next(now).Dispatches).To(HaveLen(1))
+				now = now.Add(time.Duration(seconds * float64(time.Second)))
+				s.Finish(now, id, scheduler.Result{Complete: true})
+			}
+			now = time.Unix(0, 0)
+			s.SetStopAt(now.Add(grace))
+			r := request(id+1, c.request)
+			err := s.Submit(now, r)
+			g.Expect(s.EndsAfterStop(now, r)).To(Equal(err), "what is sent without waiting here")
+			if !c.refused {
+				g.Expect(err).To(BeNil())
+				return
+			}
+			g.Expect(err).NotTo(BeNil())
+			g.Expect(err.Code).To(Equal(outcome.CodeStopping))
+		})
+	}
+}
--- a/pkg/scheduler/submit.go
+++ b/pkg/scheduler/submit.go
@@ -40,7 +40,7 @@
 
 // refuseOnArrival returns the error for a request that isn't admitted to the queue, or nil.
 func (s *Scheduler) refuseOnArrival(now time.Time, q *queue, it *item) *outcome.Error {
-	if err := s.endsAfterStop(now, q, it, q.costAhead(it)); err != nil {
+	if err := s.endsAfterStop(now, &it.req, q, q.costAhead(it)); err != nil {
 		return err
 	}
 	if s.refusesByForecast(q) {
