httpserver: keep connections that are opened ahead as long as used ones

Callers saw: a request on a connection that had been opened some seconds before and not been used was lost: the connection closed as the request arrived.

Cause: http.Server counts the time for the head of the first request (5 s) from the accept, and not from its first bytes, as it does for all further ones. A caller that keeps open connections ready, and is told that it may rest for the idle timeout (60 s), sends its first request on a closed connection.

Now the time for the head counts from its first bytes, and until then a connection rests as long as one that has been used.

--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -70,6 +70,8 @@
 	phase           phase
 	// readDeadline is the one that http.Server has set.
 	readDeadline time.Time
+	// unused says that nothing has arrived yet.
+	unused bool
 }
 
 // Read implements net.Conn. It closes a connection that isn't to be read any more: http.Server may take the part of a
@@ -99,6 +101,9 @@
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.all.mu.Lock()
+	if c.unused {
+		t = c.all.unusedDeadline(t)
+	}
 	c.readDeadline = t
 	c.all.mu.Unlock()
 	// It may replace that of an ending connection, which the next Read looks for.
@@ -170,6 +175,8 @@
 type connections struct {
 	max     int
 	onLimit func()
+	// headerTimeout and idleTimeout are those of http.Server; see unusedDeadline.
+	headerTimeout, idleTimeout time.Duration
 
 	mu       sync.Mutex
 	open     map[*conn]bool
@@ -214,6 +221,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.state, c.since = http.StateNew, now
+	c.unused = l.headerTimeout > 0 && l.idleTimeout > l.headerTimeout
 	l.open[c] = true
 	if l.draining {
 		l.end(c)
@@ -265,6 +273,11 @@
 	case ending:
 		l.resume(c)
 	}
+	if c.unused {
+		c.unused = false
+		c.readDeadline = now.Add(l.headerTimeout)
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
 	c.receiving = true
 	if c.state != http.StateActive {
 		c.since = now
@@ -272,6 +285,16 @@
 	return true
 }
 
+// unusedDeadline returns the deadline of a connection on which nothing has arrived, in place of that for the head of its
+// first request: clients may open connections ahead, and keep them as long as those that they have used. The time for
+// the head counts from its first bytes, as on a connection that has been used.
+func (l *connections) unusedDeadline(ofHead time.Time) time.Time {
+	if ofHead.IsZero() {
+		return ofHead
+	}
+	return ofHead.Add(l.idleTimeout - l.headerTimeout)
+}
+
 // writes records that a part of a response is written.
 func (l *connections) writes(c *conn) {
 	l.mu.Lock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -49,8 +49,11 @@
 // Start serves on a listener.
 func Start(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, connections: newConnections(cfg.MaxConnections, cfg.OnConnectionClosed)}
+	s.connections.headerTimeout, s.connections.idleTimeout = cfg.HTTP.ReadHeaderTimeout, cfg.HTTP.IdleTimeout
 	s.listener = listener{l, s.connections}
 	if cfg.TLS != nil {
+		// The handshake has a time of its own, which http.Server sets as well.
+		s.connections.idleTimeout = 0
 		s.listener = tls.NewListener(s.listener, cfg.TLS)
 	}
 	cfg.HTTP.ConnState = s.connections.changed
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -192,3 +192,25 @@
 	}
 	g.Expect(handled).To(Equal(1))
 }
+
+// TestConnectionsMayBeOpenedAhead guards against requests on connections that are closed since the first one didn't follow
+// at once.
+func TestConnectionsMayBeOpenedAhead(t *testing.T) {
+	const headerTimeout = 100 * time.Millisecond
+	g := NewWithT(t)
+	l := freeport.Listen(t)
+	s := Start(l, Config{HTTP: &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}})
+	t.Cleanup(func() { _ = s.Close() })
+	ahead, slow := dial(g, l.Addr().String()), dial(g, l.Addr().String())
+	defer ahead.Close()
+	defer slow.Close()
+	fmt.Fprint(slow, "GET / HTTP/1.1\r\n")
+	_, err := slow.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred(), "its head takes longer than it may")
+	time.Sleep(headerTimeout)
+	request(g, ahead)
+	resp, err := http.ReadResponse(bufio.NewReader(ahead), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -478,6 +478,7 @@
 mutant "shutdown: refusals are interrupted" internal/filters/body/body.go 's/^\t\t<-interrupted$//' "./internal/filters/body -run AStopDoesNot"
 mutant "shutdown: responses don't close" internal/filters/drain/drain.go 's/httpserver.CloseAfter(w, closing())/_ = closing/' "./internal/gateway -run ResponsesOfAStopping"
 mutant "shutdown: requests that arrive late are dropped" internal/httpserver/server.go '/^func (s \*Server) Drain/,/^}/s/^\t_ = s.listener.Close()$/\treturn s.cfg.HTTP.Shutdown(ctx)/' "./internal/httpserver -run Arrive"
+mutant "connections: opened ahead for a short time" internal/httpserver/connections.go 's/return ofHead.Add(l.idleTimeout - l.headerTimeout)/return ofHead/' "./internal/httpserver -run OpenedAhead"
 mutant "closing: requests are handled" internal/httpserver/server.go 's/if s.connections.phase(c) == closed {/if s.connections.phase(c) == closed \&\& false {/' "./internal/httpserver -run IsNotHandled"
 mutant "closing: requests are handled whose context has ended" internal/httpserver/server.go 's/if r.Context().Err() != nil {/if false {/' "./internal/httpserver -run WhoseContextHasEnded"
 mutant "closing: bytes are handed on" internal/httpserver/connections.go 's/case n > 0 \&\& !c.all.received(c, time.Now()):/case n > 0 \&\& !c.all.received(c, time.Now()) \&\& false:/' "./internal/httpserver -run WhileTheirConnection"
