gateway: tell which requests a stop failed and cut

Operators couldn't tell which requests a planned stop had cost: a stream that was cut at the end of the grace period was logged as `caller_gone`, since its connection was closed first, and nothing told when a failed request had arrived.

Now the contexts of requests that are still under way at Close end first, with the stop as their cause. `request failed` tells whether the request arrived before the stop, in the drain delay or after the listener was closed, `stopped` counts them all, and stop_requests_total has them by outcome.

TestAStreamThatAStopCutsIsAccountedFor failed on the code before (code=caller_gone, and no counts).

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -352,15 +352,17 @@
 // well.
 func (g *Gateway) onRequest(j *job.Job) {
 	g.metrics.Observe(j)
+	stopped := g.countStopped(j)
 	if j.Outcome == outcome.Complete {
 		g.metrics.ObservePrediction(j)
 		g.logLate(j)
 		return
 	}
-	g.log.Warn("request failed", "request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target, "identity", j.ComputedIdentity(),
+	fields := []any{"request", j.RequestID, "workspace", j.Workspace, "kind", j.Kind, "target", j.Row.Target, "identity", j.ComputedIdentity(),
 		"outcome", j.Outcome, "code", j.Code, "reason", j.Reason, "queued_ms", j.Timings.QueueTime.Milliseconds(),
 		"elapsed_ms", clock.Since(j.ArrivedAt).Milliseconds(), "timeout_ms", j.Row.Timeout.Milliseconds(),
-		"delegate", j.Delegate, "delegated_by", j.DelegatedBy, "table", j.Revision, "fleet", g.fleetRevision())
+		"delegate", j.Delegate, "delegated_by", j.DelegatedBy, "table", j.Revision, "fleet", g.fleetRevision()}
+	g.log.Warn("request failed", append(fields, stopped...)...)
 }
 
 // logLate logs a complete answer that came later than its objectives.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	small    atomic.Bool
 	stopping atomic.Bool
 	intake   shutdown.Intake
+	// stopAccounts tells what became of the requests that a stop met.
+	stopAccounts stopAccounts
 	// doubtful says that the VM was suspended and nobody has told since what is in force.
 	doubtful atomic.Bool
 	// lostDataCenters are those that the log said last were out of reach.
@@ -118,10 +120,13 @@
 	inForce atomic.Pointer[fleet.List]
 	work    context.Context
 	// open ends when the requests must end that the gateway still holds; abort ends it.
-	open     context.Context
-	abort    context.CancelCauseFunc
-	exchange *controllers.Exchange
-	load     *controllers.LoadPoller
+	open  context.Context
+	abort context.CancelCauseFunc
+	// requests is the parent of the contexts of all requests; endRequests ends them at the end of the grace period.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	exchange    *controllers.Exchange
+	load        *controllers.LoadPoller
 	// checking holds the lives of the engines whose state is being read out of turn.
 	checking sync.Map
 	// notices is nil if the platform leaves no port for them.
@@ -161,6 +166,7 @@
 		restored: fleet.RestoreReconciler{EndpointGracePeriod: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat), ClosedGracePeriod: closedHold},
 	}
 	g.open, g.abort = context.WithCancelCause(context.Background())
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.memory = planMemory(vm.Limits, cfg.MaxOpen)
 	g.memory.register(g.metrics)
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
@@ -201,7 +207,7 @@
 	g.stop(work, servers)
 	cancel()
 	loops.Wait()
-	g.log.Info("stopped", "uptime", clock.Since(g.started).Round(time.Millisecond))
+	g.log.Info("stopped", append([]any{"uptime", clock.Since(g.started).Round(time.Millisecond)}, g.stopAccounts.fields()...)...)
 	return nil
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -111,6 +111,7 @@
 	return httpserver.Start(l, httpserver.Config{
 		HTTP: &http.Server{
 			Handler:           h,
+			BaseContext:       func(net.Listener) context.Context { return g.requests },
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       g.cfg.IdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -156,6 +157,7 @@
 func (g *Gateway) stop(ctx context.Context, s *servers) {
 	schedule := shutdown.NewSchedule(clock.Now(), g.vm.Bounds.Grace)
 	g.stopping.Store(true)
+	g.stopAccounts.begin(clock.Now())
 	g.config.Retire()
 	g.dispatcher.UpdateScheduler(func(_ time.Time, s *scheduler.Scheduler) { s.SetStopAt(schedule.Abort) })
 	abort, cancelAbort := clock.WithDeadline(ctx, schedule.Abort)
@@ -171,8 +173,10 @@
 	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
 	pause.For(abort, g.cfg.DrainDelay)
 	g.intake.Close(schedule.Abort)
+	g.stopAccounts.close(clock.Now())
 	if err := s.callers.Drain(open); err != nil {
 		g.log.Warn("requests cut at the end of the grace period", "error", err)
+		g.cut(ctx, s.callers)
 	}
 	_ = s.callers.Close()
 	g.awaitDelegated(open)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -203,3 +203,21 @@
 	suspend(vm.Bounds.Grace)
 	w.expectAnswered(wait())
 }
+
+// TestAStreamThatAStopCutsIsAccountedFor guards against requests of which the log says that their callers had gone.
+func TestAStreamThatAStopCutsIsAccountedFor(t *testing.T) {
+	w := newWorld(t)
+	engine := w.endpoint("engine-1", "engine")
+	engine.Every = longWork
+	vm := w.settings("vm-1")
+	vm.Bounds.Grace = 2 * time.Second
+	e := w.start(vm).waitReady()
+	got := e.begin("r1")
+	w.g.Eventually(func() int { return len(w.ledger.Of("r1")) }, eventually).Should(Equal(1))
+	e.stop()
+	a := <-got
+	w.g.Expect(a.err).To(HaveOccurred())
+	w.g.Expect(a.body).To(Equal(events("r1", 1)))
+	w.g.Eventually(func() []string { return w.logs.with("msg=stopped", "before_incomplete=1") }, eventually).ShouldNot(BeEmpty())
+	w.g.Expect(w.logs.with("request failed", "request=r1", "code=stopping", "arrived=before")).NotTo(BeEmpty())
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -62,6 +62,8 @@
 	ConnectionsLimited prometheus.Counter
 	// LateRequests counts requests that were dropped since they were read at the end of the process.
 	LateRequests prometheus.Counter
+	// Stopped counts requests that ended during a planned stop, by when they arrived and by outcome.
+	Stopped *prometheus.CounterVec
 	// Moves counts generations that were to be moved to another engine, by result.
 	Moves *prometheus.CounterVec
 	// RefusedMoves counts the first copies of generations that were not made, by cause.
@@ -124,6 +126,7 @@
 	m.Connections = counter("endpoint_connections_total", "New connections to endpoints.")
 	m.ConnectionsLimited = counter("connections_limited_total", "Connections to this process that were closed since there were too many.")
 	m.LateRequests = counter("late_requests_total", "Requests that were dropped since they were read at the end of the process.")
+	m.Stopped = counters("stop_requests_total", "Requests that ended during a planned stop, by arrival and outcome.", "arrived", "outcome")
 	m.Notices = counters("prompt_notices_total", "Datagrams about prompts that were sent to engines.", "way")
 	m.Moves = counters("moves_total", "Generations to be moved to another engine, by result.", "result")
 	m.RefusedMoves = counters("move_refusals_total", "Copies of generations that were refused, by cause.", "cause")
@@ -139,7 +142,7 @@
 	m.Delegated = counters("delegated_requests_total", "Requests delegated to peers (out) or by them (in), by outcome.", "direction", "outcome")
 	m.Registry.MustRegister(m.outcomes, m.stall, m.firstToken, m.gaps, m.queueWait, m.preemptions, m.latencyRatio,
 		m.Failures, m.Steps, m.PlatformCalls, m.PlatformErrors, m.Restores, m.Values, m.Leaves, m.Limits, m.Pauses, m.Rejected, m.EndedUnder,
-		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.ConnectionsLimited, m.LateRequests, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
+		m.PeersAsked, m.PeersAnswered, m.PeerTimeouts, m.Delegated, m.Connections, m.ConnectionsLimited, m.LateRequests, m.Stopped, m.Moves, m.RefusedMoves, m.ReservationNotices, m.Notices, m.HandoffPause,
 		m.predictedFirst, m.actualFirst, m.predictedGap, m.actualGap,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerInvariants()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -466,6 +466,7 @@
 mutant "precedence: also where no kind has time to wait" pkg/scheduler/versions.go 's/c.PrecedenceWhereKindsYield = true/c.PrecedenceWhereKindsYield = false/' "./pkg/scheduler -run NeedsTime"
 mutant "precedence: time to wait from a third" pkg/scheduler/precedence.go 's/^const minYieldRatio = 2$/const minYieldRatio = 1/' "./pkg/scheduler -run NeedsTime"
 mutant "precedence: time to wait from three times" pkg/scheduler/precedence.go 's/^const minYieldRatio = 2$/const minYieldRatio = 6/' "./pkg/scheduler -run NeedsTime"
+mutant "shutdown: cut requests have no cause" internal/gateway/listen.go 's/^\t\tg.cut(ctx, s.callers)$//' "./internal/gateway -run AccountedFor"
 mutant "shutdown: no abort" internal/gateway/listen.go 's/^\t\tg.abort(shutdown.ErrStopping)$/\t\t_ = shutdown.ErrStopping/' "./internal/gateway -run AtAStop"
 mutant "shutdown: waiting requests stay" pkg/scheduler/dispatch.go 's/^\ts.refuseBeforeStop(now, q)$//' "./pkg/scheduler -run Outlast"
 mutant "shutdown: what may outlast the stop is taken" pkg/scheduler/shutdown.go 's/^\treturn outcome.Stopping()$/\treturn nil/' "./pkg/scheduler -run Outlast"
