--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -54,9 +54,12 @@
 // Start serves on a listener.
 func Start(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, connections: newConnections(cfg.MaxConnections, cfg.OnConnectionClosed)}
+	s.connections.headerTimeout, s.connections.idleTimeout = cfg.HTTP.ReadHeaderTimeout, cfg.HTTP.IdleTimeout
 	s.connections.heads, s.connections.encrypted, s.connections.onHeadRefused = cfg.HeadMemory, cfg.TLS != nil, cfg.OnHeadRefused
 	s.listener = listener{l, s.connections, cfg.OnAcceptError}
 	if cfg.TLS != nil {
+		// The handshake has a time of its own, which http.Server sets as well.
+		s.connections.idleTimeout = 0
 		s.listener = tls.NewListener(s.listener, cfg.TLS)
 	}
 	cfg.HTTP.ConnState = s.connections.changed
