entry: bound what others can make the process hold

bridgehoist-entry had limits for each message, and none in sum: 2 engines and a service that send without end, while 1,300 callers send large bodies, heads of short fields and bodies that don't come, took it to 1,938 MB (VmHWM; -max-open 1024, an eighth of the default). An engine's head of 64 KB, or one event, was held for each open request; heads of engines and callers weren't bounded in their fields; messages of peers, kept answers and completions had no common bound, and answers that callers don't read were held until they left.

The flag -memory (in MB, 1024 by default) splits the memory as the gateway does (design 0029): callers' bodies and heads, answers and events of endpoints, completions that are kept, answers to tickets, messages of peers, and the number of connections. Heads of engines are bounded to 256 lines and their part of the memory. -unread-timeout cuts off answers that aren't read. The garbage collector works harder from 0.7 of the memory on. A whole answer for which there is no memory ends as may_have_run: a part of it must not appear complete.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
@@ -30,10 +32,16 @@
 	data        []byte
 	closed      bool
 	err         *outcome.Error
+	memory      *membudget.Reservation
 }
 
-// NewLog returns an empty log.
-func NewLog() *Log { return &Log{changed: make(chan struct{})} }
+// NewLog returns an empty log, whose memory is reserved in a budget until the last follower has left. A nil budget is
+// unlimited.
+func NewLog(memory *membudget.Budget) *Log {
+	l := &Log{changed: make(chan struct{}), memory: memory.Reserve()}
+	runtime.AddCleanup(l, (*membudget.Reservation).Release, l.memory)
+	return l
+}
 
 func (l *Log) notify() {
 	close(l.changed)
@@ -50,13 +58,17 @@
 	l.notify()
 }
 
-// Data implements job.Sink.
+// Data implements job.Sink. It returns membudget.ErrExhausted if there is no memory left.
 func (l *Log) Data(part []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.data)+len(part) > MaxBytes {
 		return ErrTooLarge
 	}
+	// The buffer grows by doubling.
+	if !l.memory.Resize(2 * int64(len(l.data)+len(part))) {
+		return membudget.ErrExhausted
+	}
 	l.data = append(l.data, part...)
 	l.notify()
 	return nil
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -18,7 +18,7 @@
 	open, end := context.WithCancelCause(t.Context())
 	ctx, release := shutdown.Abortable(t.Context(), open)
 	defer release()
-	log := NewLog()
+	log := NewLog(nil)
 	log.Header(200, "application/json")
 	end(shutdown.ErrStopping)
 	caller := httptest.NewRecorder()
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -1,9 +1,13 @@
 package engineclient
 
 import (
+	"bytes"
+	"cmp"
 	"net"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 )
 
@@ -15,19 +19,50 @@
 	mu        sync.Mutex
 	recording bool
 	read      []byte
+	// headBytes bounds the head.
+	headBytes int
 }
 
+// maxHeadLines bounds the lines of a head. In memory a field takes far more than its bytes.
+const maxHeadLines = 256
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.recording {
-		c.read = append(c.read, p[:n]...)
+	if !c.recording {
+		return n, err
+	}
+	c.read = append(c.read, p[:n]...)
+	end, _ := finalHead(c.read)
+	if head := c.read[:cmp.Or(end, len(c.read))]; len(head) > c.headBytes || bytes.Count(head, newline) > maxHeadLines {
+		c.read = nil
+		_ = c.Conn.Close()
+		return 0, errHeadTooLarge
 	}
 	return n, err
 }
 
+var newline = []byte("\n")
+
+// finalHead returns the end of the head of an answer that isn't informational, zero if it isn't whole, and whether the
+// head says that the body is coded.
+func finalHead(read []byte) (end int, coded bool) {
+	for {
+		size, coded := upstream.CodedHead(read[end:])
+		if size == 0 {
+			return 0, false
+		}
+		informational := bytes.HasPrefix(read[end+len("HTTP/1.x"):], []byte(" 1"))
+		if end += size; !informational {
+			return end, coded
+		}
+	}
+}
+
 func (c *conn) record() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -38,13 +73,7 @@
 func (c *conn) coded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	head := c.read
+	end, coded := finalHead(c.read)
 	c.recording, c.read = false, nil
-	for {
-		end, coded := upstream.CodedHead(head)
-		if informational := len(head) > len("HTTP/1.x ") && head[len("HTTP/1.x ")] == '1'; !informational || end == 0 {
-			return coded || end == 0
-		}
-		head = head[end:]
-	}
+	return coded || end == 0
 }
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -23,6 +23,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 	"github.com/bridgehoist/bridgehoist/pkg/stream"
@@ -41,31 +42,45 @@
 
 // Client speaks to endpoints.
 type Client struct {
-	http *http.Client
-	said func(from fleet.Endpoint, s Said)
+	http      *http.Client
+	transport *http.Transport
+	// memory bounds what is held of answers; nil is unlimited.
+	memory *membudget.Budget
+	// headBytes bounds the head of an answer.
+	headBytes int
+	said      func(from fleet.Endpoint, s Said)
 }
 
 // New makes a client. said, unless it is nil, is told of each answer by which an endpoint says
 // something of itself, whatever was asked.
 func New(said func(from fleet.Endpoint, s Said)) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{said: said, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &conn{Conn: c}, nil
-			},
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdlePerServer,
-			IdleConnTimeout:     idleTimeout,
-
-			MaxResponseHeaderBytes: maxHeadBytes,
+	out := &Client{said: said, headBytes: maxHeadBytes}
+	out.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c, headBytes: out.headBytes}, nil
 		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerServer,
+		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	out.http = &http.Client{
+		Transport:     out.transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return out
+}
+
+// Limit bounds what is held of answers, and the head of each. It must be called before the first call.
+func (c *Client) Limit(memory *membudget.Budget, headBytes int) {
+	c.memory, c.headBytes = memory, headBytes
+	c.transport.MaxResponseHeaderBytes = int64(headBytes)
 }
 
 // onceBody can be read once; the HTTP client has no way to rewind it.
@@ -132,7 +147,36 @@
 type Stream struct {
 	Generation stream.Generation
 	requestID  string
-	body       io.ReadCloser
+	body       *eventBody
+}
+
+// eventBody reserves memory for the event that is being read.
+type eventBody struct {
+	io.ReadCloser
+	memory *membudget.Reservation
+	size   int64
+}
+
+// Read implements io.Reader. The buffer of an event grows by doubling.
+func (b *eventBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.size += int64(n)
+	if !b.memory.Resize(2 * b.size) {
+		return 0, membudget.ErrExhausted
+	}
+	return n, err
+}
+
+// next releases the memory of an event that has been read.
+func (b *eventBody) next() {
+	b.size = 0
+	b.memory.Release()
+}
+
+// Close implements io.Closer.
+func (b *eventBody) Close() error {
+	b.next()
+	return b.ReadCloser.Close()
 }
 
 // Start asks for a generation.
@@ -153,7 +197,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, refusal(resp)
 	}
-	return open(e, requestID, resp), nil
+	return c.open(e, requestID, resp), nil
 }
 
 // Resume follows a generation again, from an index on.
@@ -170,10 +214,10 @@
 		f.Kind = retry.GenerationLost
 		return nil, f
 	}
-	return open(e, requestID, resp), nil
+	return c.open(e, requestID, resp), nil
 }
 
-func open(e fleet.Endpoint, requestID string, resp *http.Response) *Stream {
+func (c *Client) open(e fleet.Endpoint, requestID string, resp *http.Response) *Stream {
 	return &Stream{
 		Generation: stream.Generation{
 			Endpoint:    e.ID,
@@ -181,7 +225,7 @@
 			ID:          resp.Header.Get(engineapi.HeaderGeneration),
 		},
 		requestID: requestID,
-		body:      resp.Body,
+		body:      &eventBody{ReadCloser: resp.Body, memory: c.memory.Reserve()},
 	}
 }
 
@@ -201,6 +245,7 @@
 		if err != nil {
 			return &attempt.Failure{Kind: retry.LinkLost, Err: err}
 		}
+		s.body.next()
 		if ev.Data == engineapi.DoneData {
 			return nil
 		}
@@ -260,13 +305,18 @@
 	}
 }
 
-// Reply is the answer of a plain service.
+// Reply is the answer of a plain service. Its memory is reserved until it is released.
 type Reply struct {
 	Status      int
 	ContentType string
 	Body        []byte
+
+	memory *membudget.Reservation
 }
 
+// Release gives the memory of the body back.
+func (r *Reply) Release() { r.memory.Release() }
+
 // Call makes one call of a plain service.
 func (c *Client) Call(ctx context.Context, e fleet.Endpoint, requestID, method, path, contentType string, body []byte) (*Reply, *attempt.Failure) {
 	header := http.Header{engineapi.HeaderRequestID: {requestID}}
@@ -288,14 +338,18 @@
 	if got := resp.Header.Get(engineapi.HeaderRequestID); got != "" && got != requestID {
 		return nil, &attempt.Failure{Kind: retry.ProtocolError, Err: errors.New("reply to another request")}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	memory := c.memory.Reserve()
+	data, err := memory.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
-		return nil, &attempt.Failure{Kind: retry.LinkLost, Err: err}
+		memory.Release()
 	}
-	if len(data) > maxReplyBytes {
+	if errors.Is(err, membudget.ErrTooLarge) {
 		return nil, &attempt.Failure{Kind: retry.ProtocolError, Err: errors.New("reply too large")}
 	}
-	return &Reply{resp.StatusCode, resp.Header.Get("Content-Type"), data}, nil
+	if err != nil {
+		return nil, &attempt.Failure{Kind: retry.LinkLost, Err: err}
+	}
+	return &Reply{resp.StatusCode, resp.Header.Get("Content-Type"), data, memory}, nil
 }
 
 // Load reads an endpoint's load report.
--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -27,11 +27,11 @@
 // order.
 func (e *Entry) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(e.relay)
-	run = claim.New(run, e.owner)
+	run = claim.New(run, e.owner, e.cfg.UnreadTimeout)
 	run = quarantined.New(run, e.beliefs.Guard())
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
-	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout, nil)
+	run = body.New(run, int64(e.cfg.MaxBodyBytes), e.cfg.BodyTimeout, e.memory.Bodies)
 	run = bound.New(run, e.cfg.MaxOpen)
 	run = account.New(run, account.Own, e.metrics.Observe)
 	run = drain.New(run, e.open, e.stopping.Load)
@@ -51,7 +51,7 @@
 // relay runs a request whose kind may be repeated.
 func (e *Entry) relay(w http.ResponseWriter, r *http.Request) {
 	j := job.FromRequest(r)
-	sink := respond.NewWriter(w)
+	sink := respond.NewWriter(w).CutUnread(e.cfg.UnreadTimeout)
 	sink.End(j, e.runner.Run(r.Context(), j, sink))
 }
 
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -21,9 +21,12 @@
 	Platform string
 	Policy   string
 
+	// MemoryMB is what the process may use.
+	MemoryMB       int
 	MaxBodyBytes   int
 	MaxOpen        int
 	BodyTimeout    time.Duration
+	UnreadTimeout  time.Duration
 	StallTimeout   time.Duration
 	ExchangeEvery  time.Duration
 	PollEvery      time.Duration
@@ -64,9 +67,11 @@
 	s.StringVar(&c.Operator, "operator", "", "IP:port for operators: health, metrics, status")
 	s.StringVar(&c.Platform, "platform", "", "http://IP:port of the configuration service")
 	s.StringVar(&c.Policy, "policy", PolicyScheduler, "scheduler, round-robin or least-in-flight")
+	s.IntVar(&c.MemoryMB, "memory", 1024, "memory in MB that the process may use, which bounds what others can make it hold")
 	s.IntVar(&c.MaxBodyBytes, "max-body-bytes", 1<<20, "largest body of a request")
 	s.IntVar(&c.MaxOpen, "max-open", 8192, "requests that are open at once")
 	s.DurationVar(&c.BodyTimeout, "body-timeout", 10*time.Second, "time for a caller to send its request")
+	s.DurationVar(&c.UnreadTimeout, "unread-timeout", 10*time.Second, "time after which an answer is cut off that its caller doesn't read")
 	s.DurationVar(&c.StallTimeout, "stall-timeout", 5*time.Second, "time without progress after which a stream's link is taken as lost")
 	s.DurationVar(&c.ExchangeEvery, "exchange-every", time.Second, "interval of the exchange with other entries")
 	s.DurationVar(&c.PollEvery, "poll-every", 2*time.Second, "interval of reading endpoints' load")
@@ -94,6 +99,7 @@
 	s.NeedAddress("operator", c.Operator)
 	s.NeedURL("platform", c.Platform)
 	c.checkPolicy(s)
+	s.NeedInt("memory", c.MemoryMB, 64, 1<<20)
 	s.NeedInt("max-body-bytes", c.MaxBodyBytes, 1, 64<<20)
 	s.NeedInt("max-open", c.MaxOpen, 1, 1_000_000)
 	s.NeedInt("max-tickets", c.MaxTickets, 1, 10_000_000)
@@ -116,6 +122,7 @@
 func (c *Config) checkDurations(s *settings.Set) {
 	const day = 24 * time.Hour
 	s.NeedDuration("body-timeout", c.BodyTimeout, time.Millisecond, time.Hour)
+	s.NeedDuration("unread-timeout", c.UnreadTimeout, 100*time.Millisecond, time.Hour)
 	s.NeedDuration("stall-timeout", c.StallTimeout, 10*time.Millisecond, time.Hour)
 	s.NeedDuration("exchange-every", c.ExchangeEvery, 10*time.Millisecond, time.Minute)
 	s.NeedDuration("poll-every", c.PollEvery, 10*time.Millisecond, time.Minute)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/native"
 	"github.com/bridgehoist/bridgehoist/internal/owner"
@@ -58,6 +59,7 @@
 	stopping atomic.Bool
 
 	metrics    *metrics.Metrics
+	memory     membudget.Plan
 	dispatcher *dispatch.Dispatcher
 	client     *engineclient.Client
 	store      *published.Store
@@ -90,7 +92,10 @@
 	}
 	e.open, e.abort = context.WithCancelCause(context.Background())
 	e.forwarded, e.endForwarded = context.WithCancelCause(context.Background())
+	e.memory = membudget.NewPlan(e.memoryBytes(), 0, cfg.MaxOpen)
+	e.metrics.Memory(e.memory)
 	e.client = engineclient.New(e.onSaid)
+	e.client.Limit(e.memory.Answers, e.memory.HeadBytes)
 	var err error
 	if e.peerTLS, err = cfg.PeerTLS.Load(); err != nil {
 		return nil, err
@@ -113,6 +118,9 @@
 	return e, nil
 }
 
+// memoryBytes is what the process may use.
+func (e *Entry) memoryBytes() int64 { return int64(e.cfg.MemoryMB) * 1e6 }
+
 func identity() (claims.Incarnation, []byte) {
 	var i claims.Incarnation
 	secret := make([]byte, secretBytes)
@@ -142,6 +150,7 @@
 			Dispatcher:   e.dispatcher,
 			Client:       e.client,
 			StallTimeout: e.cfg.StallTimeout,
+			Memory:       e.memory.Answers,
 			OnFailure:    e.metrics.ObserveFailure,
 			OnStep:       e.metrics.ObserveStep,
 			OnBroken:     e.onBroken,
@@ -157,10 +166,13 @@
 }
 
 func (e *Entry) makePeers(incarnation claims.Incarnation, secret []byte) {
+	client := tlsconfig.Client(e.peerTLS)
+	client.Transport = peering.LimitResponses(client.Transport, e.memory.Peers)
 	e.peers = peering.NewClient(peering.Config{
 		ClusterState: e.beliefs,
 		Store:        e.store,
-		HTTP:         tlsconfig.Client(e.peerTLS),
+		HTTP:         client,
+		Memory:       e.memory.Peers,
 		Scheme:       tlsconfig.Scheme(e.peerTLS),
 		Token:        e.cfg.PeerToken,
 		Networks:     e.cfg.networks,
@@ -177,6 +189,7 @@
 		MaxAnswerBytes: e.cfg.MaxAnswerBytes,
 	})
 	e.owner = owner.New(ledger, e.runner.Run, e.peers, e.metrics.ObserveRun)
+	e.owner.LimitMemory(e.memory.Answers)
 }
 
 func (e *Entry) makeControllers() {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -23,6 +25,9 @@
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
+// memoryShare is the share of the memory from which on the garbage collector works harder.
+const memoryShare = 0.7
+
 // Run serves until the context ends, then stops without cutting any request.
 func (e *Entry) Run(ctx context.Context) error {
 	servers, err := e.listen()
@@ -31,7 +36,9 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	debug.SetMemoryLimit(int64(memoryShare * float64(e.memoryBytes())))
 	var loops sync.WaitGroup
+	loops.Go(func() { heap.Bound(work) })
 	loops.Go(func() { e.watchClock(work) })
 	loops.Go(func() { e.dispatcher.Run(work) })
 	loops.Go(func() { e.start(work) })
@@ -102,6 +109,7 @@
 	}
 	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
 	peerService.EndForwarded(e.forwarded)
+	peerService.LimitMemory(e.memory.Peers)
 	s := &servers{}
 	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
 		return nil, err
@@ -120,13 +128,22 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, OnAcceptError: e.onAcceptError, HTTP: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          e.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}}), nil
+	return httpserver.Start(l, httpserver.Config{
+		HTTP: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          e.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		},
+		TLS:                t,
+		MaxConnections:     e.memory.Connections,
+		HeadMemory:         e.memory.Heads,
+		OnHeadRefused:      e.metrics.HeadsRefused.Inc,
+		OnConnectionClosed: e.metrics.ConnectionsLimited.Inc,
+		OnLateRequest:      e.onLateRequest,
+		OnAcceptError:      e.onAcceptError,
+	}), nil
 }
 
 // onAcceptError counts an error of a listener.
--- a/internal/filters/claim/claim.go
+++ b/internal/filters/claim/claim.go
@@ -17,15 +17,15 @@
 // retryAfterFull is when a caller may come back for a ticket.
 const retryAfterFull = 2 * time.Second
 
-// New makes the filter. Requests without a ticket whose kind may be repeated go
+// New makes the filter. An answer is cut off that its caller hasn't read on for the time of unread. Requests without a ticket whose kind may be repeated go
 // on to next.
-func New(next http.Handler, o *owner.Owner) http.Handler {
+func New(next http.Handler, o *owner.Owner, unread time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j := job.FromRequest(r)
 		t, ok := claims.ParseTicket(j.Ticket)
 		switch {
 		case ok:
-			serve(w, r, o, t, j)
+			serve(w, r, o, t, j, unread)
 		case j.Ticket != "":
 			// Damaged on its way: what it stood for may have run.
 			respond.Refuse(w, r, outcome.MayHaveRunf(outcome.CodeTicketInvalid, "the ticket can't be read"))
@@ -63,8 +63,8 @@
 
 // serve answers through the owner. A refusal burns the ticket, so it comes with
 // a new one.
-func serve(w http.ResponseWriter, r *http.Request, o *owner.Owner, t claims.Ticket, j *job.Job) {
-	sink := respond.NewWriter(w)
+func serve(w http.ResponseWriter, r *http.Request, o *owner.Owner, t claims.Ticket, j *job.Job, unread time.Duration) {
+	sink := respond.NewWriter(w).CutUnread(unread)
 	err := o.Serve(r.Context(), t, j, sink)
 	if err != nil && err.Outcome == outcome.NotRun {
 		giveTicket(w, o, j)
--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -18,7 +18,7 @@
 func (g *Gateway) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(g.relay)
 	run = quarantined.New(run, g.beliefs.Guard())
-	run = body.New(run, int64(g.cfg.MaxBodyBytes), g.cfg.BodyTimeout, g.memory.bodies)
+	run = body.New(run, int64(g.cfg.MaxBodyBytes), g.cfg.BodyTimeout, g.memory.Bodies)
 	run = route.New(run, g.tableInForce)
 	run = bound.New(run, g.cfg.MaxOpen)
 	run = account.New(run, g.fill, g.onRequest)
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -30,7 +30,7 @@
 // makeDelegation creates the client for delegated requests and the bound of those of peers.
 func (g *Gateway) makeDelegation() {
 	g.delegated = make(chan struct{}, g.cfg.MaxDelegated)
-	g.delegator = peering.NewDelegator(g.vm.VM, tcpconn.Dialer(peerDialTimeout), g.memory.peers)
+	g.delegator = peering.NewDelegator(g.vm.VM, tcpconn.Dialer(peerDialTimeout), g.memory.Peers)
 }
 
 // run runs a request at an endpoint, or at a peer if this entry can't reach any endpoint of its target.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
@@ -113,7 +114,7 @@
 	// crashes finds out which requests endpoints ended under.
 	crashes *crashwatch.Watcher
 	runner  *runner.Runner
-	memory  memoryPlan
+	memory  membudget.Plan
 	// inForce are the endpoints in force.
 	inForce atomic.Pointer[fleet.List]
 	work    context.Context
@@ -162,14 +163,14 @@
 	}
 	g.open, g.abort = context.WithCancelCause(context.Background())
 	g.memory = planMemory(vm.Limits, cfg.MaxOpen)
-	g.memory.register(g.metrics)
+	g.metrics.Memory(g.memory)
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
 	g.registerPlacements()
 	g.metrics.Levels(g.levelStats)
 	g.pool = upstream.NewPool(g.protocol, upstream.Hooks{Dialed: g.metrics.Connections.Inc, Admit: g.admit, Answered: g.onResponseHead})
-	g.pool.MaxHeadBytes, g.pool.Memory = g.memory.headBytes, g.memory.answers
+	g.pool.MaxHeadBytes, g.pool.Memory = g.memory.HeadBytes, g.memory.Answers
 	g.store = published.New(g.parsers(), g.onValue, g.onFleet)
 	g.store.OnDeferred(g.onDeferred)
 	g.makeExchange()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -65,7 +65,7 @@
 
 func (g *Gateway) listen() (*servers, error) {
 	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
-	exchange.LimitMemory(g.memory.peers)
+	exchange.LimitMemory(g.memory.Peers)
 	callers := g.callers()
 	if !g.cfg.Without.has(mechDelegation) {
 		exchange.ServeDelegated(func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
@@ -88,7 +88,7 @@
 			return nil, err
 		}
 	}
-	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.connections); err != nil {
+	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.Connections); err != nil {
 		return nil, err
 	}
 	if g.cfg.MetricsPort != 0 {
@@ -96,7 +96,7 @@
 			return nil, err
 		}
 	}
-	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.connections); err != nil {
+	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.Connections); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -117,7 +117,7 @@
 			ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 		MaxConnections:     connections,
-		HeadMemory:         g.memory.heads,
+		HeadMemory:         g.memory.Heads,
 		OnHeadRefused:      g.metrics.HeadsRefused.Inc,
 		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
 		OnLateRequest:      g.onLateRequest,
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -51,14 +51,14 @@
 	if g.cfg.Without.has(mechQuarantine) {
 		g.beliefs.Guard().Disable()
 	}
-	g.peersHTTP = &http.Client{Transport: peering.LimitResponses(peerTransport(), g.memory.peers)}
+	g.peersHTTP = &http.Client{Transport: peering.LimitResponses(peerTransport(), g.memory.Peers)}
 	g.peers = peering.NewClient(peering.Config{
 		ClusterState: g.beliefs,
 		Store:        g.store,
 		HTTP:         g.peersHTTP,
 		Scheme:       "http",
 		Traffic:      g.traffic,
-		Memory:       g.memory.peers,
+		Memory:       g.memory.Peers,
 		OnTimeout:    g.onPeerTimeout,
 	})
 	g.makeDelegation()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
@@ -195,6 +196,13 @@
 		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// Memory adds gauges of the memory that is reserved for what others send.
+func (m *Metrics) Memory(p membudget.Plan) {
+	for name, budget := range map[string]*membudget.Budget{"bodies": p.Bodies, "answers": p.Answers, "peers": p.Peers, "heads": p.Heads} {
+		m.Gauge("memory_reserved_"+name+"_bytes", "Memory reserved for "+name+".", func() float64 { return float64(budget.Used()) })
+	}
+}
+
 // Total registers a counter that is read when it is asked for.
 func (m *Metrics) Total(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(
--- a/internal/native/generate.go
+++ b/internal/native/generate.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/answer"
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
@@ -15,6 +16,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
@@ -30,6 +32,7 @@
 	grant   dispatch.Grant
 	asm     stream.Assembler
 	text    strings.Builder
+	memory  *membudget.Reservation
 	usage   *engineapi.Usage
 	reason  string
 	bound   stream.Generation
@@ -43,7 +46,8 @@
 // generate runs a request at an engine, resuming the same generation whenever
 // the link is lost.
 func (p *Performer) generate(ctx context.Context, j *job.Job, sink job.Sink, grant dispatch.Grant) attempt.Result {
-	g := &generation{p: p, j: j, sink: sink, grant: grant, last: clock.Now(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
+	g := &generation{p: p, j: j, sink: sink, grant: grant, memory: p.cfg.Memory.Reserve(), last: clock.Now(), mayBegin: func() bool { return shutdown.BeginResponse(ctx) }}
+	defer g.memory.Release()
 	sent := g.last
 	f := g.link(ctx, g.start)
 	for f != nil && g.mayResume(ctx, f) {
@@ -58,7 +62,7 @@
 	}
 	if f == nil {
 		p.whole(j)
-		g.finish()
+		f = g.finish()
 	} else {
 		p.broken(ctx, j, grant.Endpoint, sent, f)
 		g.abandon()
@@ -157,8 +161,7 @@
 // deliver passes a token on, or keeps it if the answer was asked for at once.
 func (g *generation) deliver(c stream.Chunk) bool {
 	if !g.j.Stream {
-		g.text.WriteString(c.Text)
-		return true
+		return g.keep(c.Text)
 	}
 	if g.asm.Released() == 0 {
 		if !g.mayBegin() {
@@ -175,6 +178,17 @@
 	return true
 }
 
+// keep adds to an answer that was asked for at once; false ends the link.
+func (g *generation) keep(text string) bool {
+	size := g.text.Len() + len(text)
+	if size > answer.MaxBytes || !g.memory.Resize(2*int64(size)) {
+		g.gone = true
+		return false
+	}
+	g.text.WriteString(text)
+	return true
+}
+
 func (g *generation) event(data []byte) error {
 	out := make([]byte, 0, len(data)+8)
 	out = append(out, "data: "...)
@@ -183,21 +197,24 @@
 	return g.sink.Data(out)
 }
 
-// finish writes the end of a complete answer.
-func (g *generation) finish() {
+// finish writes the end of a complete answer. It fails if there is no memory to keep it for its callers.
+func (g *generation) finish() *attempt.Failure {
 	usage := g.usageBody()
 	if !g.j.Stream {
 		g.sink.Header(200, httpapi.ContentJSON)
-		_ = g.sink.Data(completion(g.j, g.text.String(), &g.reason, usage))
+		err := g.sink.Data(completion(g.j, g.text.String(), &g.reason, usage))
 		g.sink.Flush()
-		return
+		return unkept(err)
 	}
 	if g.asm.Released() == 0 {
 		g.sink.Header(200, httpapi.ContentEvents)
 	}
-	_ = g.event(completion(g.j, "", &g.reason, usage))
-	_ = g.event([]byte(engineapi.DoneData))
+	err := g.event(completion(g.j, "", &g.reason, usage))
+	if err == nil {
+		err = g.event([]byte(engineapi.DoneData))
+	}
 	g.sink.Flush()
+	return unkept(err)
 }
 
 func (g *generation) usageBody() *httpapi.Usage {
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bridgehoist/bridgehoist/internal/attempt"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engineclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
@@ -26,6 +29,8 @@
 	// StallTimeout is how long a stream may make no progress before its link is
 	// taken as lost.
 	StallTimeout time.Duration
+	// Memory bounds the answers that are kept until they are whole; nil is unlimited.
+	Memory *membudget.Budget
 	// OnFailure is told of each link that was lost, for metrics.
 	OnFailure func(retry.Failure)
 	// OnStep is told of each resumption, for metrics.
@@ -60,12 +65,15 @@
 		p.broken(ctx, j, grant.Endpoint, start, f)
 		return attempt.Result{Failure: f}
 	}
+	defer reply.Release()
 	if reply.Status < http.StatusMultipleChoices {
 		p.whole(j)
 	}
 	j.Timings.RecordProgress(j.ArrivedAt, start)
 	sink.Header(reply.Status, reply.ContentType)
-	_ = sink.Data(reply.Body)
+	if failure := unkept(sink.Data(reply.Body)); failure != nil {
+		return attempt.Result{Begun: true, Failure: failure}
+	}
 	sink.Flush()
 	return attempt.Result{}
 }
@@ -85,6 +93,15 @@
 	}
 }
 
+// unkept returns a failure if there is no memory to keep a whole answer for its callers. A caller that has gone
+// doesn't change the outcome.
+func unkept(err error) *attempt.Failure {
+	if !errors.Is(err, membudget.ErrExhausted) {
+		return nil
+	}
+	return &attempt.Failure{Kind: retry.CallerGone, Err: err}
+}
+
 func completion(j *job.Job, text string, reason *string, usage *httpapi.Usage) []byte {
 	data, _ := json.Marshal(httpapi.Completion{
 		ID:      j.RequestID,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/answer"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/job"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 
@@ -36,6 +37,8 @@
 	run    RunFunc
 	remote Remote
 	onDone func(*job.Job)
+	// memory bounds the answers of runs; nil is unlimited.
+	memory *membudget.Budget
 	// stopping refuses requests that would have to run.
 	stopping bool
 }
@@ -45,6 +48,9 @@
 	return &Owner{ledger: ledger, runs: map[claims.Key]*answer.Log{}, run: run, remote: remote, onDone: onDone}
 }
 
+// LimitMemory sets the budget for the answers of runs. It must be called before the first request.
+func (o *Owner) LimitMemory(b *membudget.Budget) { o.memory = b }
+
 // Mint returns a new ticket for a workspace, or false if the ledger issues none.
 func (o *Owner) Mint(workspace string) (string, bool) {
 	o.mu.Lock()
@@ -97,7 +103,7 @@
 		return claims.Decision{Action: claims.Refuse, Err: err}, nil
 	}
 	if d.Action == claims.Run {
-		log := answer.NewLog()
+		log := answer.NewLog(o.memory)
 		o.runs[d.Key] = log
 		runJob := *j
 		go o.execute(d.Key, &runJob, log)
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -16,8 +16,10 @@
 
 const (
 	dialTimeout = time.Second
-	idlePerHost = 32
-	idleTimeout = time.Minute
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	idlePerHost  = 32
+	idleTimeout  = time.Minute
 )
 
 // Files names the files of one configuration; without Cert there is no TLS.
@@ -92,6 +94,8 @@
 		TLSClientConfig:     t,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
