gateway, entry: leave descriptors for readiness and for endpoints

Callers' connections were bounded by two thirds of the descriptors that the settings name, and those of peers by as many again; the limit that the system sets wasn't looked at, nor any by the entry. With RLIMIT_NOFILE at 100 and 300 callers that keep their connections, a gateway used all of them: it went on and didn't spin (60 ms of the processor in 2 s), but it answered neither its readiness nor other callers until they left.

Both programs now take half of what the settings and the system allow for callers' connections, since each may need another one to an endpoint, and a quarter of that for those of peers. A listener that lacks descriptors has the system asked again, as the limit may have been lowered since the start, and idle connections are closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,8 @@
 	started  time.Time
 	caughtUp atomic.Bool
 	stopping atomic.Bool
+	// limited are the servers whose connections are bounded.
+	limited atomic.Pointer[servers]
 
 	metrics    *metrics.Metrics
 	memory     membudget.Plan
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -17,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
 	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
@@ -120,6 +122,7 @@
 	if s.callers, err = e.serve(e.cfg.Listen, e.callers(), nil); err != nil {
 		return nil, err
 	}
+	e.limited.Store(s)
 	return s, nil
 }
 
@@ -146,8 +149,15 @@
 	}), nil
 }
 
-// onAcceptError counts an error of a listener.
-func (e *Entry) onAcceptError(error) { e.metrics.AcceptErrors.Inc() }
+// onAcceptError counts an error of a listener. Without descriptors left, there may be fewer of them than at the start.
+func (e *Entry) onAcceptError(err error) {
+	e.metrics.AcceptErrors.Inc()
+	if s := e.limited.Load(); s != nil && errors.Is(err, syscall.EMFILE) {
+		plan := membudget.NewPlan(e.memoryBytes(), 0, e.cfg.MaxOpen)
+		s.callers.Limit(plan.Connections)
+		s.peers.Limit(plan.PeerConnections)
+	}
+}
 
 // onLateRequest logs a request that was dropped at the end of the process.
 func (e *Entry) onLateRequest(r *http.Request) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,8 @@
 	lostDataCenters atomic.Pointer[string]
 	// lastAcceptError is the one of a listener that was logged last.
 	lastAcceptError atomic.Pointer[string]
+	// limited are the servers whose connections are bounded.
+	limited atomic.Pointer[servers]
 	// lastState is the readiness.State that the balancer was told last.
 	lastState atomic.Int32
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -88,7 +89,7 @@
 			return nil, err
 		}
 	}
-	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.Connections); err != nil {
+	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.PeerConnections); err != nil {
 		return nil, err
 	}
 	if g.cfg.MetricsPort != 0 {
@@ -99,6 +100,7 @@
 	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.Connections); err != nil {
 		return nil, err
 	}
+	g.limited.Store(s)
 	return s, nil
 }
 
@@ -125,9 +127,15 @@
 	}), nil
 }
 
-// onAcceptError counts an error of a listener. The log gets the first one of a kind.
+// onAcceptError counts an error of a listener. The log gets the first one of a kind. Without descriptors left, there may be
+// fewer of them than at the start.
 func (g *Gateway) onAcceptError(err error) {
 	g.metrics.AcceptErrors.Inc()
+	if s := g.limited.Load(); s != nil && errors.Is(err, syscall.EMFILE) {
+		plan := planMemory(g.vm.Limits, g.cfg.MaxOpen)
+		s.callers.Limit(plan.Connections)
+		s.peers.Limit(plan.PeerConnections)
+	}
 	if last := g.lastAcceptError.Swap(new(err.Error())); last == nil || *last != err.Error() {
 		g.log.Warn("no connection accepted", "error", err)
 	}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -270,6 +270,20 @@
 	}
 }
 
+// limit changes how many connections there may be, and ends idle ones beyond it.
+func (l *connections) limit(most int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.max = most
+	for len(l.open)-l.ending > l.max {
+		victim := l.longestIdle(now)
+		if victim == nil {
+			return
+		}
+		l.end(victim)
+	}
+}
+
 func (l *connections) longestIdle(now time.Time) (longest *conn) {
 	for c := range l.open {
 		if c.phase == serving && c.idle(now) && (longest == nil || c.since.Before(longest.since)) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -163,6 +163,9 @@
 // drainPoll is the interval at which Drain looks for connections in use.
 const drainPoll = 20 * time.Millisecond
 
+// Limit changes how many connections there may be. Idle ones beyond it are closed.
+func (s *Server) Limit(connections int) { s.connections.limit(connections, time.Now()) }
+
 // Close closes all connections. Requests that it cuts were begun before; no other begins after it.
 func (s *Server) Close() error {
 	_ = s.listener.Close()
--- a/internal/membudget/plan.go
+++ b/internal/membudget/plan.go
@@ -1,5 +1,11 @@
 package membudget
 
+import (
+	"math"
+
+	"golang.org/x/sys/unix"
+)
+
 // Parts of the memory, as divisors. The rest is for the process itself and for garbage.
 const (
 	// bodyPart is for the bodies of callers' requests.
@@ -23,8 +29,11 @@
 	// connectionBytes is what a connection of a caller takes without a request: the server's buffers and
 	// the stack of its goroutine.
 	connectionBytes = 24 << 10
-	// reservedDescriptors is the part of the descriptors that isn't for callers' connections, as a divisor.
-	reservedDescriptors = 3
+	// descriptorPart is the part of the descriptors for callers' connections, as a divisor. Each may need another one
+	// for a connection to an endpoint.
+	descriptorPart = 2
+	// peerConnectionPart is the connections of peers to those of callers, as a divisor.
+	peerConnectionPart = 4
 )
 
 // Plan bounds what others can make a process hold.
@@ -34,16 +43,18 @@
 	Bodies, Heads, Answers, Peers *Budget
 	// HeadBytes bounds the head of one answer.
 	HeadBytes int
-	// Connections bounds those of callers.
-	Connections int
+	// Connections bounds those of callers, and PeerConnections those of peers.
+	Connections, PeerConnections int
 }
 
-// NewPlan splits the memory of a process in bytes among maxOpen requests at once. Without a bound on its descriptors
-// they are zero.
+// NewPlan splits the memory of a process in bytes among maxOpen requests at once, and its descriptors, of which there are
+// as many as the system allows, and no more than descriptors unless that is zero.
 func NewPlan(memory int64, descriptors, maxOpen int) Plan {
 	connections := int(memory / connectionPart / connectionBytes)
-	if descriptors > 0 {
-		connections = min(connections, descriptors-descriptors/reservedDescriptors)
+	for _, limit := range []int{descriptors, allowedDescriptors()} {
+		if limit > 0 {
+			connections = min(connections, limit/descriptorPart)
+		}
 	}
 	return Plan{
 		Bodies:      New(memory / bodyPart),
@@ -52,5 +63,16 @@
 		Peers:       New(memory / peerPart),
 		HeadBytes:   min(max(int(memory/headPart)/maxOpen, minHeadBytes), maxHeadBytes),
 		Connections: max(connections, 1),
+
+		PeerConnections: max(connections/peerConnectionPart, 1),
+	}
+}
+
+// allowedDescriptors returns how many descriptors the system allows the process, or zero if it doesn't tell.
+func allowedDescriptors() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return 0
 	}
+	return int(min(limit.Cur, math.MaxInt32))
 }
