controller: bound what is read of the entry's and engines' answers

A controller read the answers of its entry whole, whatever their size: one that sends without end took it to 1,699 MB (VmHWM) in 2 s. Its client for engines took heads of up to 10 MB.

It reads the entry's answers within a budget of 32 MB and the bounds of peers' messages now, and heads of 64 KB. TestAControllerStaysWithinItsMemory failed before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,7 +24,9 @@
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
+	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
@@ -36,7 +38,12 @@
 
 const (
 	callTimeout   = 2 * time.Second
+	idleTimeout   = 90 * time.Second
 	maxReplyBytes = 1 << 20
+	// maxHeadBytes bounds the head of an engine's answer.
+	maxHeadBytes = 64 << 10
+	// maxHeldBytes bounds what is held of the entry's answers.
+	maxHeldBytes = 32 << 20
 	// maxOperatorConnections bounds those to health and metrics.
 	maxOperatorConnections = 64
 	// maxOrderAge bounds the time between the refresh of the belief and the
@@ -98,13 +105,15 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := membudget.New(maxHeldBytes)
 	peers := tlsconfig.Client(peerTLS)
 	peers.Timeout = callTimeout
+	peers.Transport = peering.LimitResponses(peers.Transport, memory)
 	c := &Controller{
 		cfg:   cfg,
 		log:   logger,
-		entry: peerv1connect.NewPeerServiceClient(peers, tlsconfig.Scheme(peerTLS)+"://"+cfg.EntryPeer),
-		http:  &http.Client{Timeout: callTimeout},
+		entry: peerv1connect.NewPeerServiceClient(peers, tlsconfig.Scheme(peerTLS)+"://"+cfg.EntryPeer, peering.LimitMessages(memory)),
+		http:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}},
 		fleet: register.New(func(b []byte) (*fleet.List, error) { return fleet.Parse(published.Fleet, b) }),
 
 		registry: prometheus.NewRegistry(),
--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/freeport"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/internal/load"
 )
@@ -54,8 +55,8 @@
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"},
 }
 
-// floodAt answers every request at an address without end, until the test ends.
-func floodAt(t *testing.T, g *WithT, address string) {
+// floodAt answers every request at an address without end, by one of some floods, until the test ends.
+func floodAt(t *testing.T, g *WithT, address string, floods [][2]string) {
 	var l net.Listener
 	g.Eventually(func() (err error) {
 		l, err = net.Listen("tcp", address)
@@ -112,7 +113,7 @@
 		}
 		_ = c.procs[name].cmd.Process.Kill()
 		c.waitExit(name)
-		floodAt(t, c.g, address)
+		floodAt(t, c.g, address, floods)
 	}
 	requests := callerRequests()
 	end := time.Now().Add(memoryFor)
@@ -159,3 +160,20 @@
 	}
 	return 0
 }
+
+// TestAControllerStaysWithinItsMemory guards against the same by the entry that a controller asks.
+func TestAControllerStaysWithinItsMemory(t *testing.T) {
+	c := &cluster{t: t, g: NewWithT(t), procs: map[string]*process{}}
+	entry, operator := freeport.Address(t), freeport.Address(t)
+	floodAt(t, c.g, entry, [][2]string{
+		{"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n", "x"},
+		{"HTTP/1.1 200 OK\r\nField: ", "x"},
+	})
+	c.start("controller", "bridgehoist-controller", "-vm", "vm", "-data-center", "hall", "-entry-peer", entry, "-operator", operator, "-every", "20ms")
+	c.waitListening(operator)
+	time.Sleep(memoryFor)
+	peak := c.peak("controller")
+	t.Logf("at most %.1f MB", float64(peak)/1e6)
+	c.g.Expect(peak).To(BeNumerically("<", memoryMB*1_000_000))
+	c.waitListening(operator)
+}
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -92,7 +92,7 @@
 		clear(c.byAddress)
 	}
 	p := peerv1connect.NewPeerServiceClient(c.cfg.HTTP, c.cfg.Scheme+"://"+address,
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes), decompressWithin(c.cfg.Memory), decodeWithin(c.cfg.Memory))
+		LimitMessages(c.cfg.Memory), connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
 	c.byAddress[address] = p
 	return p
 }
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -241,7 +241,7 @@
 	streaming, message := withMessageMemory(call)
 	traced := httptrace.WithClientTrace(streaming, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { sending.connect(i.Conn) }})
 	client := peerv1connect.NewPeerServiceClient(d.http, "http://"+to.Address,
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), decompressWithin(d.memory), decodeWithin(d.memory))
+		LimitMessages(d.memory), connect.WithSendMaxBytes(maxMessageBytes))
 	id := rand.Uint64()
 	stop := context.AfterFunc(ctx, func() {
 		if sending.end() && context.Cause(ctx) == shutdown.ErrStopping {
--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -116,6 +116,12 @@
 	d.memory.Release()
 }
 
+// LimitMessages is the option of clients whose responses are decompressed and decoded within a budget. What arrives is
+// bounded by LimitResponses.
+func LimitMessages(memory *membudget.Budget) connect.ClientOption {
+	return connect.WithClientOptions(connect.WithReadMaxBytes(maxMessageBytes), decompressWithin(memory), decodeWithin(memory))
+}
+
 // LimitResponses returns a transport that reserves memory for what is read of each response, until its
 // body is closed or, for a call with a messageMemory, until the next message.
 func LimitResponses(base http.RoundTripper, memory *membudget.Budget) http.RoundTripper {
