--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -14,7 +16,9 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
+	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
@@ -23,6 +27,9 @@
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 )
 
+// memoryShare is the share of the memory from which on the garbage collector works harder.
+const memoryShare = 0.7
+
 // Run serves until the context ends, then stops without cutting any request.
 func (e *Entry) Run(ctx context.Context) error {
 	servers, err := e.listen()
@@ -31,7 +38,9 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	debug.SetMemoryLimit(int64(memoryShare * float64(e.memoryBytes())))
 	var loops sync.WaitGroup
+	loops.Go(func() { heap.Bound(work) })
 	loops.Go(func() { e.watchClock(work) })
 	loops.Go(func() { e.dispatcher.Run(work) })
 	loops.Go(func() { e.start(work) })
@@ -102,6 +111,7 @@
 	}
 	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
 	peerService.EndForwarded(e.forwarded)
+	peerService.LimitMemory(e.memory.Peers)
 	s := &servers{}
 	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
 		return nil, err
@@ -112,6 +122,7 @@
 	if s.callers, err = e.serve(e.cfg.Listen, e.callers(), nil); err != nil {
 		return nil, err
 	}
+	e.limited.Store(s)
 	return s, nil
 }
 
@@ -120,17 +131,33 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, OnAcceptError: e.onAcceptError, HTTP: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          e.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}}), nil
+	return httpserver.Start(l, httpserver.Config{
+		HTTP: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          e.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		},
+		TLS:                t,
+		MaxConnections:     e.memory.Connections,
+		HeadMemory:         e.memory.Heads,
+		OnHeadRefused:      e.metrics.HeadsRefused.Inc,
+		OnConnectionClosed: e.metrics.ConnectionsLimited.Inc,
+		OnLateRequest:      e.onLateRequest,
+		OnAcceptError:      e.onAcceptError,
+	}), nil
 }
 
-// onAcceptError counts an error of a listener.
-func (e *Entry) onAcceptError(error) { e.metrics.AcceptErrors.Inc() }
+// onAcceptError counts an error of a listener. Without descriptors left, there may be fewer of them than at the start.
+func (e *Entry) onAcceptError(err error) {
+	e.metrics.AcceptErrors.Inc()
+	if s := e.limited.Load(); s != nil && errors.Is(err, syscall.EMFILE) {
+		plan := membudget.NewPlan(e.memoryBytes(), 0, e.cfg.MaxOpen)
+		s.callers.Limit(plan.Connections)
+		s.peers.Limit(plan.PeerConnections)
+	}
+}
 
 // onLateRequest logs a request that was dropped at the end of the process.
 func (e *Entry) onLateRequest(r *http.Request) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -65,7 +66,7 @@
 
 func (g *Gateway) listen() (*servers, error) {
 	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
-	exchange.LimitMemory(g.memory.peers)
+	exchange.LimitMemory(g.memory.Peers)
 	callers := g.callers()
 	if !g.cfg.Without.has(mechDelegation) {
 		exchange.ServeDelegated(func(from string, w http.ResponseWriter, r *http.Request) *outcome.Error {
@@ -88,7 +89,7 @@
 			return nil, err
 		}
 	}
-	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.connections); err != nil {
+	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.PeerConnections); err != nil {
 		return nil, err
 	}
 	if g.cfg.MetricsPort != 0 {
@@ -96,9 +97,10 @@
 			return nil, err
 		}
 	}
-	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.connections); err != nil {
+	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.Connections); err != nil {
 		return nil, err
 	}
+	g.limited.Store(s)
 	return s, nil
 }
 
@@ -118,7 +120,7 @@
 			ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 		MaxConnections:     connections,
-		HeadMemory:         g.memory.heads,
+		HeadMemory:         g.memory.Heads,
 		OnHeadRefused:      g.metrics.HeadsRefused.Inc,
 		OnConnectionClosed: g.metrics.ConnectionsLimited.Inc,
 		OnLateRequest:      g.onLateRequest,
@@ -126,9 +128,15 @@
 	}), nil
 }
 
-// onAcceptError counts an error of a listener. The log gets the first one of a kind.
+// onAcceptError counts an error of a listener. The log gets the first one of a kind. Without descriptors left, there may be
+// fewer of them than at the start.
 func (g *Gateway) onAcceptError(err error) {
 	g.metrics.AcceptErrors.Inc()
+	if s := g.limited.Load(); s != nil && errors.Is(err, syscall.EMFILE) {
+		plan := planMemory(g.vm.Limits, g.cfg.MaxOpen)
+		s.callers.Limit(plan.Connections)
+		s.peers.Limit(plan.PeerConnections)
+	}
 	if last := g.lastAcceptError.Swap(new(err.Error())); last == nil || *last != err.Error() {
 		g.log.Warn("no connection accepted", "error", err)
 	}
