daemons: wait for addresses that can't be had yet

Operators saw processes that didn't start: a daemon that found one of its ports taken, as by its predecessor that still serves out its grace period, exited with 1, and so it did again each time that it was started into the same condition. A gateway didn't serve either while another process had the port of its metrics or notices, without which it can serve.

Readiness (gateway) and the operators' address (entry) are listened on first and answer "not ready" meanwhile; callers' last. Metrics and notices of the gateway, and health and metrics of the controller, are served in the background as soon as they can.

--- a/cmd/bridgehoist-standin/main.go
+++ b/cmd/bridgehoist-standin/main.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/daemon"
@@ -18,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/standin"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/platform"
 	platformstandin "github.com/bridgehoist/bridgehoist/platform/standin"
 )
@@ -53,7 +54,7 @@
 		set.NeedAddress("listen", *listen)
 		set.NeedText("table", *table)
 		set.NeedText("fleet", *fleet)
-	}, func(ctx context.Context) error {
+	}, func(ctx context.Context, logger *log.Logger) error {
 		p := platformstandin.New()
 		for name, file := range map[string]string{published.Fleet: *fleet, published.Table: *table} {
 			content, err := os.ReadFile(file)
@@ -62,7 +63,7 @@
 			}
 			p.Put(platform.OwnPrefix+name, content)
 		}
-		return serve(ctx, *listen, p.Handler(), nil)
+		return serve(ctx, logger, *listen, p.Handler(), nil)
 	})
 }
 
@@ -84,13 +85,13 @@
 		set.NeedAddress("listen", *listen)
 		set.NeedInt("capacity-tokens", model.CapacityTokens, 1, 1<<30)
 		set.NeedInt("max-running", model.MaxRunning, 1, 1<<20)
-	}, func(ctx context.Context) error {
+	}, func(ctx context.Context, logger *log.Logger) error {
 		cfg.Model = model
 		if *models != "" {
 			cfg.Loaded = strings.Split(*models, ",")
 		}
 		e := standin.NewEngine(cfg)
-		return serve(ctx, *listen, e.Handler(), e.Run)
+		return serve(ctx, logger, *listen, e.Handler(), e.Run)
 	})
 }
 
@@ -98,24 +99,25 @@
 	set := settings.New("bridgehoist-standin service")
 	listen := set.String("listen", "", "IP:port")
 	latency := set.Duration("latency", 10*time.Millisecond, "duration of a call")
-	run(set, func() { set.NeedAddress("listen", *listen) }, func(ctx context.Context) error {
-		return serve(ctx, *listen, standin.NewService(*latency).Handler(), nil)
+	run(set, func() { set.NeedAddress("listen", *listen) }, func(ctx context.Context, logger *log.Logger) error {
+		return serve(ctx, logger, *listen, standin.NewService(*latency).Handler(), nil)
 	})
 }
 
 // run runs a stand-in as a daemon.
-func run(set *settings.Set, check func(), serve func(context.Context) error) {
+func run(set *settings.Set, check func(), serve func(context.Context, *log.Logger) error) {
 	daemon.Main(set, os.Stderr, &daemon.LogLines, check, func(ctx context.Context, p *daemon.Process) error {
-		p.IgnoreHangups(p.Logger("standin", ""))
-		return serve(ctx)
+		logger := p.Logger("standin", "")
+		p.IgnoreHangups(logger)
+		return serve(ctx, logger)
 	})
 }
 
 // serve runs until the process is told to stop.
-func serve(ctx context.Context, listen string, h http.Handler, background func(context.Context)) error {
-	l, err := net.Listen("tcp", listen)
+func serve(ctx context.Context, logger *log.Logger, listen string, h http.Handler, background func(context.Context)) error {
+	l, err := waitfor.Listener(ctx, logger, listen)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return nil
 	}
 	if background != nil {
 		go background(ctx)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,9 +9,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -27,6 +27,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/pkg/fencing"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/register"
@@ -115,16 +116,9 @@
 
 // Run works until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp", c.cfg.Operator)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc(operatorapi.PathHealth, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.Handle(operatorapi.PathMetrics, promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout}
-	go func() { _ = server.Serve(l) }()
-	defer server.Close()
+	var operators sync.WaitGroup
+	operators.Go(func() { c.serveOperators(ctx) })
+	defer operators.Wait()
 	t := time.NewTicker(c.cfg.Every)
 	defer t.Stop()
 	for {
@@ -132,11 +126,27 @@
 		select {
 		case <-t.C:
 		case <-ctx.Done():
+			c.log.Info("stopped")
 			return nil
 		}
 	}
 }
 
+// serveOperators serves health and metrics until the context ends. Orders don't wait for the address.
+func (c *Controller) serveOperators(ctx context.Context) {
+	l, err := waitfor.Listener(ctx, c.log, c.cfg.Operator)
+	if err != nil {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(operatorapi.PathHealth, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.Handle(operatorapi.PathMetrics, promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout}
+	defer server.Close()
+	go func() { _ = server.Serve(l) }()
+	<-ctx.Done()
+}
+
 // Reconcile gives the orders that are due, if this controller is the orderer.
 func (c *Controller) Reconcile(ctx context.Context) {
 	b, ok := c.refresh(ctx)
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
@@ -18,6 +16,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -25,7 +24,11 @@
 
 // Run serves until the context ends, then stops without cutting any request.
 func (e *Entry) Run(ctx context.Context) error {
-	servers, err := e.listen()
+	servers, err := e.listen(ctx)
+	if err != nil && ctx.Err() != nil {
+		e.log.Info("stopped before all addresses were free")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -95,7 +98,9 @@
 	callers, peers, operators *httpserver.Server
 }
 
-func (e *Entry) listen() (*servers, error) {
+// listen listens on all addresses, as soon as they can be had. Operators come first, so that they see a state
+// meanwhile, and callers last.
+func (e *Entry) listen(ctx context.Context) (*servers, error) {
 	opTLS, err := e.cfg.OperatorTLS.Load()
 	if err != nil {
 		return nil, err
@@ -103,22 +108,37 @@
 	peerService := peering.NewServer(e.beliefs, e.store, e.owner, e.peerJob, e.traffic)
 	peerService.EndForwarded(e.forwarded)
 	s := &servers{}
-	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
-		return nil, err
-	}
-	if s.peers, err = e.serve(e.cfg.Peer, peerService.Handler(e.cfg.PeerToken), e.peerTLS); err != nil {
-		return nil, err
-	}
-	if s.callers, err = e.serve(e.cfg.Listen, e.callers(), nil); err != nil {
-		return nil, err
+	for _, l := range []struct {
+		server  **httpserver.Server
+		address string
+		handler http.Handler
+		tls     *tls.Config
+	}{
+		{&s.operators, e.cfg.Operator, e.operators(), opTLS},
+		{&s.peers, e.cfg.Peer, peerService.Handler(e.cfg.PeerToken), e.peerTLS},
+		{&s.callers, e.cfg.Listen, e.callers(), nil},
+	} {
+		if *l.server, err = e.serve(ctx, l.address, l.handler, l.tls); err != nil {
+			s.close()
+			return nil, err
+		}
 	}
 	return s, nil
 }
 
-func (e *Entry) serve(address string, h http.Handler, t *tls.Config) (*httpserver.Server, error) {
-	l, err := net.Listen("tcp", address)
+// close closes those that are open.
+func (s *servers) close() {
+	for _, server := range []*httpserver.Server{s.callers, s.peers, s.operators} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+func (e *Entry) serve(ctx context.Context, address string, h http.Handler, t *tls.Config) (*httpserver.Server, error) {
+	l, err := waitfor.Listener(ctx, e.log, address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	return httpserver.Start(l, httpserver.Config{TLS: t, OnLateRequest: e.onLateRequest, HTTP: &http.Server{
 		Handler:           h,
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -57,12 +57,12 @@
 func TestAResponseToAPeerIsWrittenBeforeTheStopEnds(t *testing.T) {
 	g := NewWithT(t)
 	e := newEntry(t, nil)
-	servers, err := e.listen()
+	servers, err := e.listen(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 	_ = servers.peers.Close()
 	arrived, respond := make(chan struct{}), make(chan struct{})
 	address := freeport.Address(t)
-	servers.peers, err = e.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	servers.peers, err = e.serve(t.Context(), address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(arrived)
 		<-respond
 		_, _ = io.WriteString(w, "whole")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,9 +181,9 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.work = work
-	servers, err := g.listen()
+	servers, err := g.listen(ctx)
 	if err != nil {
-		return err
+		return g.notStarted(ctx, err)
 	}
 	var loops sync.WaitGroup
 	if g.notices != nil {
@@ -203,6 +203,15 @@
 	return nil
 }
 
+// notStarted ends a gateway that didn't get its addresses, which is well if it was told to stop meanwhile.
+func (g *Gateway) notStarted(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	g.log.Info("stopped before all addresses were free", "uptime", clock.Since(g.started).Round(time.Millisecond))
+	return nil
+}
+
 func (g *Gateway) awaitStop(ctx context.Context, reload <-chan platform.Settings) {
 	for {
 		select {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
@@ -20,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
 	"github.com/bridgehoist/bridgehoist/platform"
@@ -60,10 +59,22 @@
 
 // servers are the listeners; metrics may be nil.
 type servers struct {
-	callers, readiness, peers, metrics *httpserver.Server
+	callers, readiness, peers *httpserver.Server
+	metrics                   *lateServer
 }
 
-func (g *Gateway) listen() (*servers, error) {
+// close closes those that are open.
+func (s *servers) close() {
+	for _, server := range []*httpserver.Server{s.callers, s.readiness, s.peers} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+// listen listens on all addresses, and waits for those without which the entry can't serve. Readiness comes first, so
+// that the balancer is told meanwhile, and callers last. Metrics and notices are served as soon as they can.
+func (g *Gateway) listen(ctx context.Context) (*servers, error) {
 	exchange := peering.NewServer(g.beliefs, g.store, nil, nil, g.traffic)
 	exchange.LimitMemory(g.memory.peers)
 	callers := g.callers()
@@ -75,38 +86,76 @@
 		g.beliefs.AcceptDelegated()
 	}
 	s := &servers{}
-	var err error
-	if s.readiness, err = g.serve(g.vm.Readiness, g.readiness(), maxOtherConnections); err != nil {
+	if err := g.makeNotices(); err != nil {
 		return nil, err
 	}
-	if address := noticeAddress(g.vm); address != "" {
-		g.notices, err = notices.New(notices.Config{
-			Listen: address, OnPromptSent: g.onPromptSent, OnPromptPrefilled: g.onPromptPrefilled, OnSpeed: g.onSpeed, OnLoads: g.onLoads, Now: clock.Now, Log: g.log,
-			OnReservations: g.onReservations, OnInvalid: g.onInvalidNotice, OnReader: g.onReader,
-		})
-		if err != nil {
+	for _, l := range []struct {
+		server      **httpserver.Server
+		address     string
+		handler     http.Handler
+		connections int
+	}{
+		{&s.readiness, g.vm.Readiness, g.readiness(), maxOtherConnections},
+		{&s.peers, g.vm.Peers, exchange.Handler(""), g.memory.connections},
+		{&s.callers, g.vm.Callers, callers, g.memory.connections},
+	} {
+		var err error
+		if *l.server, err = g.serve(ctx, l.address, l.handler, l.connections); err != nil {
+			s.close()
 			return nil, err
 		}
 	}
-	if s.peers, err = g.serve(g.vm.Peers, exchange.Handler(""), g.memory.connections); err != nil {
-		return nil, err
-	}
 	if g.cfg.MetricsPort != 0 {
-		if s.metrics, err = g.serve(addressOn(g.vm, g.cfg.MetricsPort), g.metricsHandler(), maxOtherConnections); err != nil {
-			return nil, err
-		}
-	}
-	if s.callers, err = g.serve(g.vm.Callers, callers, g.memory.connections); err != nil {
-		return nil, err
+		s.metrics = g.serveLate(addressOn(g.vm, g.cfg.MetricsPort), g.metricsHandler(), maxOtherConnections)
 	}
 	return s, nil
 }
 
-// serve listens on an address for at most so many connections at once.
-func (g *Gateway) serve(address string, h http.Handler, connections int) (*httpserver.Server, error) {
-	l, err := net.Listen("tcp", address)
+func (g *Gateway) makeNotices() (err error) {
+	address := noticeAddress(g.vm)
+	if address == "" {
+		return nil
+	}
+	g.notices, err = notices.New(notices.Config{
+		Listen: address, OnPromptSent: g.onPromptSent, OnPromptPrefilled: g.onPromptPrefilled, OnSpeed: g.onSpeed, OnLoads: g.onLoads, Now: clock.Now, Log: g.log,
+		OnReservations: g.onReservations, OnInvalid: g.onInvalidNotice, OnReader: g.onReader,
+	})
+	return err
+}
+
+// lateServer serves on an address once it can be had.
+type lateServer struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func (g *Gateway) serveLate(address string, h http.Handler, connections int) *lateServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &lateServer{cancel: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(s.ended)
+		server, err := g.serve(ctx, address, h, connections)
+		if err != nil {
+			return
+		}
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	return s
+}
+
+// Close ends the server, or its wait.
+func (s *lateServer) Close() error {
+	s.cancel()
+	<-s.ended
+	return nil
+}
+
+// serve listens on an address for at most so many connections at once, as soon as it can be had.
+func (g *Gateway) serve(ctx context.Context, address string, h http.Handler, connections int) (*httpserver.Server, error) {
+	l, err := waitfor.Listener(ctx, g.log, address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	return httpserver.Start(l, httpserver.Config{
 		HTTP: &http.Server{
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 )
 
 const (
@@ -77,8 +79,10 @@
 
 // Notifier sends and receives notices. It is safe for concurrent use.
 type Notifier struct {
-	cfg  Config
-	conn *net.UDPConn
+	cfg     Config
+	address netip.AddrPort
+	// conn is nil until the address could be had.
+	conn atomic.Pointer[net.UDPConn]
 
 	mu sync.Mutex
 	// peers holds the notice addresses of the other entries by data centre.
@@ -91,22 +95,39 @@
 	sentInSecond  int
 }
 
-// New opens the socket for notices.
+// New opens the socket for notices. If the address can't be had yet, Run opens it as soon as it can.
 func New(cfg Config) (*Notifier, error) {
 	address, err := netip.ParseAddrPort(cfg.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "notices")
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, errors.Wrap(err, "notices")
+	n := &Notifier{cfg: cfg, address: address}
+	_ = n.open()
+	return n, nil
+}
+
+func (n *Notifier) open() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.address))
+	if err == nil {
+		n.conn.Store(conn)
+	}
+	return err
+}
+
+// awaitOpen opens the socket if New couldn't, and returns it, or nil if the context ends before.
+func (n *Notifier) awaitOpen(ctx context.Context) *net.UDPConn {
+	if n.conn.Load() == nil {
+		_, _ = waitfor.Success(ctx, n.cfg.Log, "address", n.address.String(), func() (struct{}, error) { return struct{}{}, n.open() })
 	}
-	return &Notifier{cfg: cfg, conn: conn}, nil
+	return n.conn.Load()
 }
 
 // Address returns the address that the notifier listens on.
 func (n *Notifier) Address() netip.AddrPort {
-	return n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	if conn := n.conn.Load(); conn != nil {
+		return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	return n.address
 }
 
 // SetPeers replaces the addresses of the other entries, by data centre. With broadcast every
@@ -190,8 +211,12 @@
 		n.cfg.Log.Error("notice not encoded", "bytes", len(data), "error", err)
 		return 0
 	}
+	conn := n.conn.Load()
+	if conn == nil {
+		return 0
+	}
 	for _, peer := range peers {
-		if _, err := n.conn.WriteToUDPAddrPort(data, peer); err != nil {
+		if _, err := conn.WriteToUDPAddrPort(data, peer); err != nil {
 			n.cfg.Log.Debug("notice not sent", "peer", peer, "error", err)
 			continue
 		}
@@ -219,11 +244,15 @@
 
 // Run receives notices until the context ends, then closes the socket.
 func (n *Notifier) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
+	conn := n.awaitOpen(ctx)
+	if conn == nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagramBytes)
 	for {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
+		size, _, err := conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return
 		}
