gateway: wait for a valid settings file, and keep the settings at a reload that brings none

Operators saw gateways that didn't start, or that exited again and again: a settings file that was missing, empty or half written at that moment ended the process with 1. Files that are JSON but say nothing (null, {}) were taken, at a reload as well; an empty address made the gateway listen on a random port. A device or pipe without an end was read without a bound.

The file is now read with a bound of 1 MiB and without waiting for the writer of a pipe, and checked: the VM's name, the data centre, the three addresses (IP:port, not 0, no two the same) and the store's must be there. Until they are, the gateway reads it again at intervals of 20 to 250 ms and logs why; SIGTERM ends it with 0 meanwhile. A reload of a file that isn't valid is refused with a log line. A field that isn't needed to serve and can't be right, also one of another type, gets a default and a log line.

--- a/cmd/bridgehoist-gateway/main.go
+++ b/cmd/bridgehoist-gateway/main.go
@@ -18,6 +18,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/gateway"
 	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/platform"
 )
 
@@ -38,24 +39,37 @@
 }
 
 func run(ctx context.Context, p *daemon.Process, cfg gateway.Config) error {
-	vm, err := platform.ReadSettings(platform.SettingsPath())
+	logger := p.Logger(component, "")
+	vm, err := waitfor.Success(ctx, logger, "settings", platform.SettingsPath(), func() (platform.Settings, error) {
+		return read(ctx, logger)
+	})
 	if err != nil {
-		return err
+		logger.Info("stopped before the settings were valid")
+		return nil
 	}
 	if vm.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(vm.Limits.MemoryBytes)))
 	}
-	logger := p.Logger(component, vm.VM)
+	logger = p.Logger(component, vm.VM)
 	go heap.Bound(ctx)
 	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, p.Hangups, logger))
 }
 
+// read reads the settings file and logs what isn't used of it.
+func read(ctx context.Context, logger *log.Logger) (platform.Settings, error) {
+	s, findings, err := platform.ReadSettings(ctx, platform.SettingsPath())
+	if err == nil && len(findings) > 0 {
+		logger.Warn("settings not used", "findings", findings)
+	}
+	return s, err
+}
+
 // reloads reads the settings file again at each SIGHUP.
 func reloads(ctx context.Context, hup <-chan os.Signal, logger *log.Logger) <-chan platform.Settings {
 	out := make(chan platform.Settings)
 	go func() {
 		for range hup {
-			s, err := platform.ReadSettings(platform.SettingsPath())
+			s, err := read(ctx, logger)
 			if err != nil {
 				logger.Error("settings not reloaded", "error", err)
 				continue
