entry, controller: wait for TLS files that aren't valid yet

Operators saw an entry or a controller exit with 1 when it started before its certificate, key or authorities were written. They now wait for the files, as for addresses: the log tells why, and SIGTERM ends the process with 0 meanwhile.

--- a/cmd/bridgehoist-controller/main.go
+++ b/cmd/bridgehoist-controller/main.go
@@ -18,6 +18,10 @@
 	daemon.Main(set, os.Stderr, &daemon.LogLines, func() { cfg.Check(set) }, func(ctx context.Context, p *daemon.Process) error {
 		logger := p.Logger("controller", cfg.VM)
 		p.IgnoreHangups(logger)
+		if cfg.PeerTLS.Await(ctx, logger) != nil {
+			logger.Info("stopped before the TLS files were valid")
+			return nil
+		}
 		c, err := controller.New(cfg, logger)
 		if err != nil {
 			return err
--- a/cmd/bridgehoist-entry/main.go
+++ b/cmd/bridgehoist-entry/main.go
@@ -9,6 +9,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/entry"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	"github.com/bridgehoist/bridgehoist/internal/tlsconfig"
 )
 
 func main() {
@@ -18,6 +19,12 @@
 	daemon.Main(set, os.Stderr, &daemon.LogLines, func() { cfg.Check(set) }, func(ctx context.Context, p *daemon.Process) error {
 		logger := p.Logger("entry", cfg.VM)
 		p.IgnoreHangups(logger)
+		for _, files := range []tlsconfig.Files{cfg.PeerTLS, cfg.OperatorTLS} {
+			if files.Await(ctx, logger) != nil {
+				logger.Info("stopped before the TLS files were valid")
+				return nil
+			}
+		}
 		e, err := entry.New(cfg, logger)
 		if err != nil {
 			return err
--- a/internal/hostfaults/settings_test.go
+++ b/internal/hostfaults/settings_test.go
@@ -1,10 +1,19 @@
 package hostfaults
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -82,3 +91,43 @@
 		})
 	}
 }
+
+func TestTLSFilesAreWaitedFor(t *testing.T) {
+	for _, name := range []string{"entry", "controller"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(daemons[name](t), func(p *process) phases {
+				dir := t.TempDir()
+				cert, key := filepath.Join(dir, "cert"), filepath.Join(dir, "key")
+				p.args = append(p.args, "-peer-tls-cert", cert, "-peer-tls-key", key, "-peer-tls-ca", cert)
+				// The address of peers answers no plain HTTP.
+				p.essential = slices.Delete(p.essential, min(1, len(p.essential)), min(2, len(p.essential)))
+				if err := os.WriteFile(cert, nil, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				return phases{lift: func() { writeCertificate(t, cert, key) }}
+			})
+		})
+	}
+}
+
+func writeCertificate(t *testing.T, certFile, keyFile string) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, block := range map[string]*pem.Block{certFile: {Type: "CERTIFICATE", Bytes: cert}, keyFile: {Type: "PRIVATE KEY", Bytes: key}} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -2,16 +2,19 @@
 package tlsconfig
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 )
 
 const (
@@ -85,6 +88,13 @@
 	return c, nil
 }
 
+// Await waits until the files can be loaded, as while they are being written. It returns the context's error if that ends
+// first.
+func (f *Files) Await(ctx context.Context, logger *log.Logger) error {
+	_, err := waitfor.Success(ctx, logger, "TLS files", f.Cert, f.Load)
+	return err
+}
+
 // Client makes the HTTP client of the peer traffic.
 func Client(t *tls.Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
