--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,7 @@
 		defer lines.Close(logFlush)
 		stdlog.SetOutput(lines)
 		p := &Process{Hangups: earlysignals.Hangups(), out: lines}
-		err := run(stopContext(), p)
+		err := run(p.stopContext(s.Name()), p)
 		if err != nil {
 			p.Logger(s.Name(), "").Error("ended", "error", err)
 		}
@@ -65,10 +65,11 @@
 }
 
 // stopContext returns a context that ends at SIGTERM or SIGINT.
-func stopContext() context.Context {
+func (p *Process) stopContext(program string) context.Context {
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
-		<-earlysignals.Stops()
+		s := <-earlysignals.Stops()
+		p.Logger(program, "").Info("told to stop", "signal", s)
 		stop()
 	}()
 	return ctx
