--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -22,6 +21,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
+	"github.com/bridgehoist/bridgehoist/internal/waitfor"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/scheduler"
@@ -32,7 +32,11 @@
 
 // Run serves until the context ends, then stops without cutting any request.
 func (e *Entry) Run(ctx context.Context) error {
-	servers, err := e.listen()
+	servers, err := e.listen(ctx)
+	if err != nil && ctx.Err() != nil {
+		e.log.Info("stopped before all addresses were free")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -104,7 +108,9 @@
 	callers, peers, operators *httpserver.Server
 }
 
-func (e *Entry) listen() (*servers, error) {
+// listen listens on all addresses, as soon as they can be had. Operators come first, so that they see a state
+// meanwhile, and callers last.
+func (e *Entry) listen(ctx context.Context) (*servers, error) {
 	opTLS, err := e.cfg.OperatorTLS.Load()
 	if err != nil {
 		return nil, err
@@ -113,23 +119,38 @@
 	peerService.EndForwarded(e.forwarded)
 	peerService.LimitMemory(e.memory.Peers)
 	s := &servers{}
-	if s.operators, err = e.serve(e.cfg.Operator, e.operators(), opTLS); err != nil {
-		return nil, err
-	}
-	if s.peers, err = e.serve(e.cfg.Peer, peerService.Handler(e.cfg.PeerToken), e.peerTLS); err != nil {
-		return nil, err
-	}
-	if s.callers, err = e.serve(e.cfg.Listen, e.callers(), nil); err != nil {
-		return nil, err
+	for _, l := range []struct {
+		server  **httpserver.Server
+		address string
+		handler http.Handler
+		tls     *tls.Config
+	}{
+		{&s.operators, e.cfg.Operator, e.operators(), opTLS},
+		{&s.peers, e.cfg.Peer, peerService.Handler(e.cfg.PeerToken), e.peerTLS},
+		{&s.callers, e.cfg.Listen, e.callers(), nil},
+	} {
+		if *l.server, err = e.serve(ctx, l.address, l.handler, l.tls); err != nil {
+			s.close()
+			return nil, err
+		}
 	}
 	e.limited.Store(s)
 	return s, nil
 }
 
-func (e *Entry) serve(address string, h http.Handler, t *tls.Config) (*httpserver.Server, error) {
-	l, err := net.Listen("tcp", address)
+// close closes those that are open.
+func (s *servers) close() {
+	for _, server := range []*httpserver.Server{s.callers, s.peers, s.operators} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+func (e *Entry) serve(ctx context.Context, address string, h http.Handler, t *tls.Config) (*httpserver.Server, error) {
+	l, err := waitfor.Listener(ctx, e.log, address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	return httpserver.Start(l, httpserver.Config{
 		HTTP: &http.Server{
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -257,7 +257,7 @@
 	bad := pick(r, []struct {
 		name string
 		data []byte
-	}{{"empty", nil}, {"half", good[:len(good)/2]}, {"null", []byte("null")}, {"without fields", []byte("{}")}, {"of wrong types", []byte(`{"NodeName":[],"Listen":7}`)}, {settingsGone, nil}})
+	}{{"empty", nil}, {"half", good[:len(good)/2]}, {"null", []byte("null")}, {"without fields", []byte("{}")}, {"of wrong types", standin.MistypedSettingsFile()}, {settingsGone, nil}})
 	g.host.writing.Lock()
 	defer g.host.writing.Unlock()
 	if bad.name == settingsGone {
