--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,9 @@
 
 # Long runs with fresh seeds, which are printed: the fault soak over processes, and the
 # random runs in virtual time. SOAK_SEED=S repeats one of the soak's.
+# SOAK_STOPS=N is how many stops meet requests at every moment of their grace period.
 soak:
-	SOAK_SEEDS=$${SOAK_SEEDS:-20} $(GO) test -count=1 -v -timeout 60m ./internal/soak ./internal/proof ./pkg/stream ./pkg/retry
+	SOAK_SEEDS=$${SOAK_SEEDS:-20} SOAK_STOPS=$${SOAK_STOPS:-8} $(GO) test -count=1 -v -timeout 60m ./internal/soak ./internal/proof ./pkg/stream ./pkg/retry
 
 # Each mechanism switched off in a scratch copy must turn a test red.
 mutants:
--- a/internal/soak/grace_test.go
+++ b/internal/soak/grace_test.go
@@ -30,6 +30,8 @@
 	warmUp int
 	// silent endpoints begin streams and don't go on.
 	silent bool
+	// gateways is how many stop at the same time.
+	gateways int
 }
 
 // abort returns when the gateway begins to answer what is left, counted from its signal.
@@ -239,18 +241,18 @@
 	}
 }
 
-// run stops a gateway.
-func (s graceStop) run(t *testing.T, number uint64) (run graceRun) {
+// run stops gateways, and returns what became of each.
+func (s graceStop) run(t *testing.T, number uint64) []graceRun {
 	w := newWorldWithGrace(t, seed{number: number}, s.grace, func(store http.Handler) http.Handler { return store },
 		"-drain-delay", s.drainDelay.String(), "-body-timeout", "5s")
 	for _, e := range w.servers() {
 		e.Work, e.Every, e.Prefill, e.Scale = s.runTime, s.runTime*4/5/streamEvents, s.runTime/5, drawScale
 	}
-	g := w.gateways[0]
+	stopping := w.gateways[:s.gateways]
 	var all sync.WaitGroup
-	for _, kind := range []string{kindPlain, kindSafe, kindStream} {
-		for range s.warmUp {
-			all.Go(func() { g.call(&http.Client{Timeout: callerTimeout}, kind) })
+	for i := range s.warmUp {
+		for _, kind := range []string{kindPlain, kindSafe, kindStream} {
+			all.Go(func() { stopping[i%len(stopping)].call(&http.Client{Timeout: callerTimeout}, kind) })
 		}
 	}
 	all.Wait()
@@ -268,34 +270,39 @@
 	var at time.Time
 	signalled := func() time.Time { <-begun; return at }
 	var mu sync.Mutex
-	for range s.callers {
+	runs := make([]graceRun, len(stopping))
+	for i := range s.callers {
 		c := s.drawGraceCaller(w.rand)
+		i %= len(stopping)
 		all.Go(func() {
-			got := c.play(g, signalled)
+			got := c.play(stopping[i], signalled)
 			mu.Lock()
 			defer mu.Unlock()
-			run.results = append(run.results, got...)
+			runs[i].results = append(runs[i].results, got...)
 		})
 	}
 	// All kept connections have been opened and used once.
 	time.Sleep(2 * time.Second)
 	at = time.Now()
-	ended := g.signal(syscall.SIGTERM)
-	close(begun)
-	all.Go(func() { run.closed = g.awaitClosed().Sub(at) })
-	select {
-	case <-ended:
-	case <-time.After(s.grace):
-		t.Errorf("the process still runs %v after its signal", s.grace)
-		<-ended
-	}
-	run.ended = time.Since(at)
-	if code := g.cmd.ProcessState.ExitCode(); code != 0 {
-		t.Errorf("the process ended with %d", code)
+	for i, g := range stopping {
+		ended := g.signal(syscall.SIGTERM)
+		all.Go(func() {
+			select {
+			case <-ended:
+			case <-time.After(s.grace):
+				t.Errorf("%s still runs %v after its signal", g.vm.VM, s.grace)
+				<-ended
+			}
+			runs[i].w, runs[i].ended = w, time.Since(at)
+			if code := g.cmd.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("%s ended with %d", g.vm.VM, code)
+			}
+		})
+		all.Go(func() { runs[i].closed = g.awaitClosed().Sub(at) })
 	}
+	close(begun)
 	all.Wait()
-	run.w = w
-	return run
+	return runs
 }
 
 // check holds what became of the requests against what callers are promised.
@@ -341,10 +348,10 @@
 // SOAK_STOPS=N runs N stops with the usual grace period, of fresh seeds.
 func TestRequestsAtEveryMomentOfTheGracePeriod(t *testing.T) {
 	t.Parallel()
-	stop := graceStop{grace: 4 * time.Second, drainDelay: 1500 * time.Millisecond, runTime: 600 * time.Millisecond, callers: 200, warmUp: 10}
+	stop := graceStop{grace: 4 * time.Second, drainDelay: 1500 * time.Millisecond, runTime: 600 * time.Millisecond, callers: 200, warmUp: 10, gateways: 1}
 	seeds := []uint64{1}
 	if n, _ := strconv.Atoi(os.Getenv("SOAK_STOPS")); n > 0 {
-		stop = graceStop{grace: usualGrace, drainDelay: 3 * time.Second, runTime: 1500 * time.Millisecond, callers: 300, warmUp: 20}
+		stop = graceStop{grace: usualGrace, drainDelay: 3 * time.Second, runTime: 1500 * time.Millisecond, callers: 300, warmUp: 20, gateways: 1}
 		seeds = nil
 		for range n {
 			seeds = append(seeds, rand.Uint64())
@@ -354,12 +361,17 @@
 	for i, number := range seeds {
 		t.Run(strconv.FormatUint(number, 10), func(t *testing.T) {
 			stop.silent = i%3 == 2
-			run := stop.run(t, number)
-			counts := stop.check(t, run)
-			for key, n := range counts {
-				total[key] += n
+			stop.gateways = 1
+			if i%4 == 3 {
+				stop.gateways = gateways
+			}
+			for _, run := range stop.run(t, number) {
+				counts := stop.check(t, run)
+				for key, n := range counts {
+					total[key] += n
+				}
+				t.Logf("closed after %v, ended after %v, %v", run.closed, run.ended, counts)
 			}
-			t.Logf("closed after %v, ended after %v, %v", run.closed, run.ended, counts)
 		})
 	}
 	t.Logf("all stops: %v", total)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -471,7 +471,7 @@
 mutant "shutdown: waiting requests stay" pkg/scheduler/dispatch.go 's/^\ts.refuseBeforeStop(now, q)$//' "./pkg/scheduler -run Outlast"
 mutant "shutdown: what may outlast the stop is taken" pkg/scheduler/shutdown.go 's/^\treturn outcome.Stopping()$/\treturn nil/' "./pkg/scheduler -run Outlast"
 mutant "shutdown: the mean run time decides" pkg/scheduler/run_time.go 's/longRunDeviations = 4/longRunDeviations = 0/' "./pkg/scheduler -run Outlast"
-mutant "shutdown: requests are taken after the drain delay" internal/filters/drain/drain.go 's/if !intake.Takes(.*{$/if false {/' "./internal/filters/drain -run Late"
+mutant "shutdown: requests are taken after the drain delay" internal/filters/drain/drain.go 's/Deadline()) {$/Deadline()) \&\& w == nil {/' "./internal/filters/drain -run Late"
 mutant "shutdown: delegated requests aren't withdrawn" internal/peering/delegation.go 's/^\t\t\twithdraw(call, client, id)$//' "./internal/gateway -run DelegatedRequestsHeldAtAStop"
 mutant "shutdown: withdrawn requests are served" internal/peering/withdraw.go 's/if slices.Contains(d.withdrawn\[:\], id) {/if false \&\& slices.Contains(d.withdrawn[:], id) {/' "./internal/peering -run AfterItsWithdrawal"
 mutant "shutdown: ended requests are delegated" internal/peering/delegation.go 's/^\tif s.ended {$/\tif false {/' "./internal/peering -run ConnectionOpens"
