gateway: a stop without a configured grace period serves what runs

Callers saw, if the settings hold no grace period: every request under way was answered with 504, or cut, at the moment of SIGTERM.

Cause: a missing value was read as a grace period of zero, so that Abort and Close came at once. Now 8 s are assumed.

TestAStopWithoutAGracePeriodServesWhatRuns failed on the code before (504 in place of 200 after 10 ms of a run of 300 ms).

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -40,6 +40,8 @@
 	peerIdleTotal   = 32
 	// farewellTimeout is for telling the peers.
 	farewellTimeout = 300 * time.Millisecond
+	// assumedGrace is the grace period if the settings hold none.
+	assumedGrace = 8 * time.Second
 	// maxOtherConnections bounds those to readiness and to metrics.
 	maxOtherConnections = 64
 	// listenerCloseGrace is for closing the listener of the peers.
@@ -155,7 +157,11 @@
 // stop ends the gateway: unready at once, serve what the balancer still sends, let open requests end or
 // answer them, and tell the peers.
 func (g *Gateway) stop(ctx context.Context, s *servers) {
-	schedule := shutdown.NewSchedule(clock.Now(), g.vm.Bounds.Grace)
+	grace := g.vm.Bounds.Grace
+	if grace <= 0 {
+		grace = assumedGrace
+	}
+	schedule := shutdown.NewSchedule(clock.Now(), grace)
 	g.stopping.Store(true)
 	g.stopAccounts.begin(clock.Now())
 	g.config.Retire()
@@ -170,7 +176,7 @@
 		cancel()
 	})
 	g.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
-	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", g.vm.Bounds.Grace)
+	g.log.Info("stopping", "drain_delay", g.cfg.DrainDelay, "grace", grace)
 	pause.For(abort, g.cfg.DrainDelay)
 	g.intake.Close(schedule.Abort)
 	g.stopAccounts.close(clock.Now())
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -221,3 +221,18 @@
 	w.g.Eventually(func() []string { return w.logs.with("msg=stopped", "before_incomplete=1") }, eventually).ShouldNot(BeEmpty())
 	w.g.Expect(w.logs.with("request failed", "request=r1", "code=stopping", "arrived=before")).NotTo(BeEmpty())
 }
+
+// TestAStopWithoutAGracePeriodServesWhatRuns guards against stops that end all requests at once since the settings hold no
+// grace period.
+func TestAStopWithoutAGracePeriodServesWhatRuns(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("desk-1", "desk").Work = 300 * time.Millisecond
+	vm := w.settings("vm-1")
+	vm.Bounds.Grace = 0
+	e := w.start(vm).waitReady()
+	wait := e.callAll(1)
+	w.g.Eventually(func() int { return len(w.ledger.Runs()) }, eventually).Should(Equal(1))
+	e.stop()
+	a := wait()["r0"]
+	w.g.Expect(a.status, a.err).To(Equal(http.StatusOK))
+}
