--- a/internal/peering/memory.go
+++ b/internal/peering/memory.go
@@ -30,11 +30,39 @@
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
 			_, _ = io.CopyN(io.Discard, body, maxMessageBytes)
 		}
-		r.Body = readCloser{exhaustedReader{held.CountReader(body, maxMessageBytes), rest}, body}
+		r.Body = readCloser{exhaustedReader{held.CountReader(decompressed(r), maxMessageBytes), rest}, body}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// decompressed returns the decompressed body of a request, which isn't marked as compressed any more: a decompressor of
+// connect holds its memory only until it has ended.
+func decompressed(r *http.Request) io.Reader {
+	const header = "Content-Encoding"
+	if r.Header.Get(header) != gzipName {
+		return r.Body
+	}
+	r.Header.Del(header)
+	r.ContentLength = -1
+	return &gzipBody{src: r.Body}
+}
+
+// gzipBody decompresses what is read of src.
+type gzipBody struct {
+	src io.Reader
+	z   *gzip.Reader
+}
+
+// Read implements io.Reader.
+func (b *gzipBody) Read(p []byte) (n int, err error) {
+	if b.z == nil {
+		if b.z, err = gzip.NewReader(b.src); err != nil {
+			return 0, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	return b.z.Read(p)
+}
+
 // restTimeout bounds the time to read the rest of a body for which there is no memory.
 const restTimeout = 500 * time.Millisecond
 
