gateway, entry: use no more processors at once than the memory allows

The memory that a process takes under load grew with the processors of its machine: more is allocated until a garbage collection ends, and the runtime keeps caches for each processor. With GOMAXPROCS at 192 (on 8 cores, so that collections are late too) an entry with -memory 134 went to 691, 415 and 213 MB in three runs of its flood test, and a gateway to 130 of 134 MB; with 8 they stayed below 115.

An entry's bodies get a twelfth of the memory instead of a fifth, since the prompt and the engine's request are copies of them.

--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -105,6 +105,8 @@
 
 // TestAnEntryStaysWithinItsMemory guards against processes that run out of memory by what others send without end.
 func TestAnEntryStaysWithinItsMemory(t *testing.T) {
+	// On large machines the runtime uses more memory.
+	t.Setenv("GOMAXPROCS", "192")
 	c := newCluster(t, 2, 2, "-max-open", fmt.Sprint(memoryOpen), "-memory", fmt.Sprint(memoryMB))
 	for i, address := range append(c.engines, c.service) {
 		name := fmt.Sprintf("engine-%d", i)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,7 @@
 	e.open, e.abort = context.WithCancelCause(context.Background())
 	e.forwarded, e.endForwarded = context.WithCancelCause(context.Background())
 	e.memory = membudget.NewPlan(e.memoryBytes(), 0, cfg.MaxOpen)
+	e.memory.Bodies = membudget.New(e.memoryBytes() / bodyPart)
 	e.metrics.Memory(e.memory)
 	e.client = engineclient.New(e.onSaid)
 	e.client.Limit(e.memory.Answers, e.memory.HeadBytes)
@@ -120,6 +121,10 @@
 	return e, nil
 }
 
+// bodyPart is the part of the memory for callers' bodies, as a divisor. It is smaller than that of a gateway, since the
+// prompt in a body, and the engine's request with it, are copies.
+const bodyPart = 12
+
 // memoryBytes is what the process may use.
 func (e *Entry) memoryBytes() int64 { return int64(e.cfg.MemoryMB) * 1e6 }
 
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -38,6 +38,7 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	heap.LimitProcessors(e.memoryBytes())
 	debug.SetMemoryLimit(int64(memoryShare * float64(e.memoryBytes())))
 	var loops sync.WaitGroup
 	loops.Go(func() { heap.Bound(work) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
+	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
@@ -186,6 +187,9 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.work = work
+	if g.vm.Limits.MemoryBytes > 0 {
+		heap.LimitProcessors(g.vm.Limits.MemoryBytes)
+	}
 	servers, err := g.listen()
 	if err != nil {
 		return err
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -106,6 +106,8 @@
 
 // TestGatewaysStayWithinTheirMemory guards against processes that are killed for what others send without end.
 func TestGatewaysStayWithinTheirMemory(t *testing.T) {
+	// On large machines the runtime uses more memory.
+	t.Setenv("GOMAXPROCS", "192")
 	cases := memoryCases
 	if os.Getenv("SOAK_MEMORY") == "all" {
 		for _, answer := range slices.Sorted(maps.Keys(floodAnswers)) {
