peering: count packed numbers of messages by what they take

The parts of a message counted 16 bytes for each number of a packed list, which takes 4 or 8, and 32 for each text.

Packed lists count with what decoding them allocates.

TestPartsOfMessagesAreNotOverestimated failed before: 568,272 bytes counted for 397,416 allocated.

--- a/internal/peering/decoded.go
+++ b/internal/peering/decoded.go
@@ -23,7 +23,9 @@
 const (
 	// listElementBytes is what an element of a list takes besides its content, with room for the list to grow.
 	listElementBytes = 32
-	// numberBytes is what a number in a list takes.
+	// textBytes is what a single text takes besides its content.
+	textBytes = 16
+	// numberBytes is what a number takes that is an element of a list by itself, with room for the list to grow.
 	numberBytes = 16
 	// maxUnreservedBytes is what the parts of a message may take whose memory isn't reserved.
 	maxUnreservedBytes = 64 << 10
@@ -134,27 +136,35 @@
 	case field.Message() != nil:
 		return listElementBytes + partBytes(content, field.Message())
 	case field.Kind() == protoreflect.StringKind || field.Kind() == protoreflect.BytesKind:
-		return listElementBytes
+		if field.IsList() {
+			return listElementBytes
+		}
+		return textBytes
 	case field.IsList():
-		return numberBytes * int64(numbers(content, field.Kind()))
+		return packedBytes(content, field.Kind())
 	}
 	return 0
 }
 
-// numbers returns how many numbers a packed list holds.
-func numbers(content []byte, kind protoreflect.Kind) (count int) {
+// packedBytes returns what the numbers of a packed list take. Their list is made for all of them at once; counting more
+// than it takes would use up the budget before there is garbage enough for a collection.
+func packedBytes(content []byte, kind protoreflect.Kind) int64 {
 	switch kind {
-	case protoreflect.Fixed32Kind, protoreflect.Sfixed32Kind, protoreflect.FloatKind:
-		return len(content) / 4
-	case protoreflect.Fixed64Kind, protoreflect.Sfixed64Kind, protoreflect.DoubleKind:
-		return len(content) / 8
+	case protoreflect.Fixed32Kind, protoreflect.Sfixed32Kind, protoreflect.FloatKind,
+		protoreflect.Fixed64Kind, protoreflect.Sfixed64Kind, protoreflect.DoubleKind:
+		return int64(len(content))
 	}
+	count := int64(0)
 	for _, b := range content {
 		if b < 0x80 {
 			count++
 		}
 	}
-	return count
+	switch kind {
+	case protoreflect.Int64Kind, protoreflect.Sint64Kind, protoreflect.Uint64Kind:
+		return 8 * count
+	}
+	return 4 * count
 }
 
 // structSizes holds the sizes of the structs of messages by their names.
--- a/internal/peering/decoded_test.go
+++ b/internal/peering/decoded_test.go
@@ -86,3 +86,17 @@
 	g.Expect(partBytes(data, m.ProtoReflect().Descriptor()) + int64(len(data))).To(BeNumerically(">=", after.HeapAlloc-before.HeapAlloc))
 	runtime.KeepAlive(m)
 }
+
+// TestPartsOfMessagesAreNotOverestimated guards against a budget that ordinary messages use up before there is garbage
+// enough for a collection.
+func TestPartsOfMessagesAreNotOverestimated(t *testing.T) {
+	g := NewWithT(t)
+	data, err := proto.Marshal(ordinaryExchange(500))
+	g.Expect(err).NotTo(HaveOccurred())
+	m := &peerv1.ExchangeRequest{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	g.Expect(proto.Unmarshal(data, m)).To(Succeed())
+	runtime.ReadMemStats(&after)
+	g.Expect(float64(partBytes(data, m.ProtoReflect().Descriptor()))).To(BeNumerically("<=", 1.1*float64(after.TotalAlloc-before.TotalAlloc)))
+}
