peering: bound lists of numbers that come in many parts

A message of a peer may split a packed list into parts, and decoding copies the whole list for each further one. A message of 600 KB, which is next to nothing when compressed, with 200,000 parts of one number took 32.5 s of a core to decode, one with 50,000 parts 2.0 s; 1 million had room in the peers' budget, and the time grows with the square. The exchange's timeout doesn't end it.

What is copied of a list for each part now counts as memory of the message: the same messages are refused after 7 and 3 ms.

The case "list in parts" of TestMessagesThatExpandAreRefused failed before: not refused.

--- a/internal/peering/decoded.go
+++ b/internal/peering/decoded.go
@@ -105,6 +105,7 @@
 // read adds nothing: decoding it fails.
 func partBytes(data []byte, of protoreflect.MessageDescriptor) int64 {
 	total := structBytes(of)
+	var packed packedLists
 	for len(data) > 0 {
 		number, kind, n := protowire.ConsumeTag(data)
 		if n < 0 {
@@ -116,13 +117,33 @@
 			break
 		}
 		if field := of.Fields().ByNumber(number); field != nil {
-			total += fieldBytes(data[:size], kind, field)
+			bytes := fieldBytes(data[:size], kind, field)
+			total += bytes
+			if field.IsPacked() {
+				copied := packed.add(number, bytes)
+				if kind == protowire.BytesType {
+					total += copied
+				}
+			}
 		}
 		data = data[size:]
 	}
 	return total
 }
 
+// packedLists holds the sizes of the lists of numbers of a message, by the numbers of their fields. Fields that share a
+// place are counted as one list.
+type packedLists [32]int64
+
+// add adds a part of a list, and returns the size before. If the part is packed, decoding it copies the list, so that the
+// time for a list in many parts grows with their square.
+func (p *packedLists) add(number protowire.Number, bytes int64) (before int64) {
+	list := &p[int(number)%len(p)]
+	before = *list
+	*list += bytes
+	return before
+}
+
 // fieldBytes returns what a value of a field takes besides what is part of its message.
 func fieldBytes(data []byte, kind protowire.Type, field protoreflect.FieldDescriptor) int64 {
 	if kind != protowire.BytesType {
--- a/internal/peering/decoded_test.go
+++ b/internal/peering/decoded_test.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
@@ -24,6 +25,15 @@
 	return m
 }
 
+// listInParts has a packed list in so many parts of one number.
+func listInParts(parts int) *peerv1.NodeRecord {
+	field := (&peerv1.NodeRecord{}).ProtoReflect().Descriptor().Fields().ByName("usage_in_flight").Number()
+	part := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), []byte{1})
+	r := &peerv1.NodeRecord{}
+	r.ProtoReflect().SetUnknown(bytes.Repeat(part, parts))
+	return r
+}
+
 // TestMessagesThatExpandAreRefused guards against messages that decode to many times their size.
 func TestMessagesThatExpandAreRefused(t *testing.T) {
 	const empty = 1 << 20
@@ -43,6 +53,7 @@
 		"records":         {bytes.Repeat([]byte{5<<3 | 2, 0}, empty), true},
 		"leaves":          {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{Leaves: make([]*peerv1.Leave, empty)}}}), true},
 		"numbers":         {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{UsageInFlight: make([]uint32, empty)}}}), true},
+		"list in parts":   {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{listInParts(20_000)}}), true},
 		"single numbers":  {bytes.Repeat([]byte{9<<3 | 5, 0, 0, 0, 0}, empty), true},
 		"texts":           {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{Inherited: make([][]byte, empty)}}}), true},
 		"broken off":      {append(bytes.Repeat([]byte{5<<3 | 2, 0}, empty), 5<<3|2, 9), true},
