httpserver: don't take a pipelined request's body for fields

Callers that pipeline could get a 431 for a sound request: if all of its head but the last line arrived with the request before, the guard of heads took its end for an empty line before a head, and the body that came with it for fields, at most 4 KB of it at a time. Seen with a body of 512 short lines, for each of the four places at which the end can be split; found by review.

After an empty first line, a head that exceeds its lines is refused when more of it has to be read: http.Server reads no more once a head is whole. One read holds 4 KB, and its lines still count for the memory of heads.

TestPipelinedHeadsAreServed failed before (4 of 5 cases: 431).

--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -30,6 +30,9 @@
 	bytes, lines int
 	// ended is set once its last line has arrived, and blank while the line that arrives is empty.
 	ended, blank bool
+	// led says that an empty line came first. It may be the last one of a head that began before the response to the
+	// request before, so that what follows is a body.
+	led bool
 }
 
 // take counts bytes of the head, or of what follows it. If they exceed a bound, refusal is the response. The lines of an
@@ -38,12 +41,15 @@
 	if h.ended {
 		return ""
 	}
+	if h.lines > maxHeadLines {
+		return tooManyFields
+	}
 	h.bytes += len(data)
 	if !encrypted {
 		h.countLines(data)
 	}
 	switch {
-	case h.lines > maxHeadLines:
+	case h.lines > maxHeadLines && !h.led:
 		return tooManyFields
 	case !h.memory.Resize(int64(copies*h.bytes + lineBytes*h.lines)):
 		return noHeadMemory
@@ -64,6 +70,7 @@
 		}
 		// Empty lines may precede the first.
 		h.ended = h.blank && h.lines > 0
+		h.led = h.led || h.blank && h.lines == 0
 		if !h.blank {
 			h.lines++
 		}
--- a/internal/httpserver/head_test.go
+++ b/internal/httpserver/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -61,3 +62,41 @@
 		})
 	}
 }
+
+// TestPipelinedHeadsAreServed guards against bodies that are taken for fields when only the end of a head arrives after the
+// response before.
+func TestPipelinedHeadsAreServed(t *testing.T) {
+	const first = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	const second = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2048\r\n\r\n"
+	body := strings.Repeat("abc\n", 512)
+	for end := range len("\r\n\r\n") + 1 {
+		t.Run(strconv.Itoa(end), func(t *testing.T) {
+			g := NewWithT(t)
+			l := freeport.Listen(t)
+			s := Start(l, Config{HeadMemory: membudget.New(1 << 20), HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+			})}})
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(g, l.Addr().String())
+			defer c.Close()
+			answers := bufio.NewReader(c)
+			split := len(second) - end
+			for _, piece := range []string{first + second[:split], second[split:] + body} {
+				_, err := io.WriteString(c, piece)
+				g.Expect(err).NotTo(HaveOccurred())
+				resp, err := http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+				g.Expect(resp.Body.Close()).To(Succeed())
+			}
+		})
+	}
+}
+
+// TestAnEmptyLineDoesNotLiftTheBoundOfAHead guards against heads that evade their bound.
+func TestAnEmptyLineDoesNotLiftTheBoundOfAHead(t *testing.T) {
+	g := NewWithT(t)
+	h := headGuard{memory: membudget.New(1 << 20).Reserve(), blank: true}
+	g.Expect(h.take([]byte("\r\nGET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", maxHeadLines)), false)).To(BeEmpty())
+	g.Expect(h.take([]byte("a:\r\n"), false)).To(Equal(tooManyFields))
+}
