entry: answer repeats of requests with tickets after the drain delay

Callers saw: in a planned stop of an entry, a request that was repeated with its ticket after the drain delay got 504 `stopping`, although its run had ended and the entry held the answer. Attaching to a run that goes on, and forwarding to another owner, were refused in the same way.

Cause: the filter that refuses late requests stood before the one that looks at tickets.

TestLateTicketsAreAnsweredOrRefused failed before (504 in place of the answer, and 504 in place of 503).

--- a/internal/entry/chain.go
+++ b/internal/entry/chain.go
@@ -27,8 +27,9 @@
 // order.
 func (e *Entry) callers() http.Handler {
 	var run http.Handler = http.HandlerFunc(e.relay)
-	run = claim.New(run, e.owner, e.cfg.UnreadTimeout)
+	// What has a ticket may have an answer already, and the owner decides.
 	run = drain.RefuseLate(run, &e.intake)
+	run = claim.New(run, e.owner, e.cfg.UnreadTimeout)
 	run = quarantined.New(run, e.beliefs.Guard())
 	run = classify.New(run, e.store.Table)
 	run = identify.New(run, e.lookupKey)
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -179,7 +179,7 @@
 	e.beliefs.SetNodeState(peerv1.NodeState_NODE_STATE_LEAVING)
 	e.log.Info("stopping", "drain_delay", e.cfg.DrainDelay)
 	pause.For(abort, e.cfg.DrainDelay)
-	e.intake.Close(schedule.Abort)
+	e.closeIntake(schedule.Abort)
 	drain, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
 	defer cancel()
 	err := s.callers.Drain(drain)
@@ -202,6 +202,12 @@
 	_ = s.operators.Close()
 }
 
+// closeIntake takes only requests from now on that end before abort.
+func (e *Entry) closeIntake(abort time.Time) {
+	e.intake.Close(abort)
+	e.owner.StopLate(abort)
+}
+
 func (e *Entry) handOver(ctx context.Context) {
 	if !e.owner.Freeze(ctx) {
 		invariant.Check(false, invariant.DrainCutsNothing, "runs of tickets were open at the end of the stop")
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/freeport"
+	"github.com/bridgehoist/bridgehoist/internal/httpapi"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
 )
 
@@ -93,3 +95,46 @@
 	g.Expect(<-answer).To(Equal("whole"))
 	<-stopped
 }
+
+// TestLateTicketsAreAnsweredOrRefused guards against answers that are kept for a ticket and not given once the listener is
+// closed, and against runs that begin then.
+func TestLateTicketsAreAnsweredOrRefused(t *testing.T) {
+	g := NewWithT(t)
+	engine := fastEngine()
+	t.Cleanup(engine.Close)
+	e := newEntry(t, nil, strings.TrimPrefix(engine.URL, "http://"))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	g.Eventually(e.ready, "10s").Should(BeTrue())
+	mint := func() string {
+		ticket, ok := e.owner.Mint("w")
+		g.Expect(ok).To(BeTrue())
+		return ticket
+	}
+	send := func(ticket string) (int, string) {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+e.cfg.Listen+httpapi.PathCompletions, strings.NewReader(`{"model":"m","prompt":"p","max_tokens":1}`))
+		req.Header.Set("Authorization", "Bearer key")
+		req.Header.Set(httpapi.HeaderKind, "k")
+		req.Header.Set(httpapi.HeaderTicket, ticket)
+		resp, err := http.DefaultClient.Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode, string(body)
+	}
+	early, late := mint(), mint()
+	status, whole := send(early)
+	g.Expect(status).To(Equal(http.StatusOK))
+	e.closeIntake(time.Now().Add(time.Hour))
+	status, again := send(early)
+	g.Expect(status).To(Equal(http.StatusOK), again)
+	g.Expect(again).To(Equal(whole))
+	status, refusal := send(late)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), refusal)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -39,8 +39,9 @@
 	onDone func(*job.Job)
 	// memory bounds the answers of runs; nil is unlimited.
 	memory *membudget.Budget
-	// stopping refuses requests that would have to run.
+	// stopping refuses requests that would have to run, and stopAt, if set, those whose deadline is later.
 	stopping bool
+	stopAt   time.Time
 }
 
 // New returns an owner. onDone is called after each run has ended.
@@ -96,7 +97,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := o.ledger.Begin(clock.Now(), t, j.Workspace, digest(j))
-	if d.Action == claims.Run && o.stopping {
+	if d.Action == claims.Run && (o.stopping || !o.stopAt.IsZero() && j.Deadline().After(o.stopAt)) {
 		err := outcome.Stopping()
 		// A delayed duplicate must not run after this refusal either, here or at the successor.
 		o.ledger.Finish(clock.Now(), d.Key, nil, err)
@@ -193,6 +194,13 @@
 	o.stopping = true
 }
 
+// StopLate makes the owner begin no more runs whose deadline is later than at. Repeats are answered as after Stop.
+func (o *Owner) StopLate(at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopAt = at
+}
+
 // Freeze waits until no run is open, then freezes the ledger permanently so that
 // none can start. It returns false if ctx is done first.
 func (o *Owner) Freeze(ctx context.Context) bool {
