--- a/internal/peering/decoded_test.go
+++ b/internal/peering/decoded_test.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
@@ -24,6 +25,15 @@
 	return m
 }
 
+// listInParts has a packed list in so many parts of one number.
+func listInParts(parts int) *peerv1.NodeRecord {
+	field := (&peerv1.NodeRecord{}).ProtoReflect().Descriptor().Fields().ByName("usage_in_flight").Number()
+	part := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), []byte{1})
+	r := &peerv1.NodeRecord{}
+	r.ProtoReflect().SetUnknown(bytes.Repeat(part, parts))
+	return r
+}
+
 // TestMessagesThatExpandAreRefused guards against messages that decode to many times their size.
 func TestMessagesThatExpandAreRefused(t *testing.T) {
 	const empty = 1 << 20
@@ -43,6 +53,7 @@
 		"records":         {bytes.Repeat([]byte{5<<3 | 2, 0}, empty), true},
 		"leaves":          {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{Leaves: make([]*peerv1.Leave, empty)}}}), true},
 		"numbers":         {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{UsageInFlight: make([]uint32, empty)}}}), true},
+		"list in parts":   {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{listInParts(20_000)}}), true},
 		"single numbers":  {bytes.Repeat([]byte{9<<3 | 5, 0, 0, 0, 0}, empty), true},
 		"texts":           {encode(&peerv1.ExchangeRequest{Records: []*peerv1.NodeRecord{{Inherited: make([][]byte, empty)}}}), true},
 		"broken off":      {append(bytes.Repeat([]byte{5<<3 | 2, 0}, empty), 5<<3|2, 9), true},
@@ -86,3 +97,17 @@
 	g.Expect(partBytes(data, m.ProtoReflect().Descriptor()) + int64(len(data))).To(BeNumerically(">=", after.HeapAlloc-before.HeapAlloc))
 	runtime.KeepAlive(m)
 }
+
+// TestPartsOfMessagesAreNotOverestimated guards against a budget that ordinary messages use up before there is garbage
+// enough for a collection.
+func TestPartsOfMessagesAreNotOverestimated(t *testing.T) {
+	g := NewWithT(t)
+	data, err := proto.Marshal(ordinaryExchange(500))
+	g.Expect(err).NotTo(HaveOccurred())
+	m := &peerv1.ExchangeRequest{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	g.Expect(proto.Unmarshal(data, m)).To(Succeed())
+	runtime.ReadMemStats(&after)
+	g.Expect(float64(partBytes(data, m.ProtoReflect().Descriptor()))).To(BeNumerically("<=", 1.1*float64(after.TotalAlloc-before.TotalAlloc)))
+}
