--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,12 +30,14 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
+	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
 	"github.com/bridgehoist/bridgehoist/internal/runner"
+	"github.com/bridgehoist/bridgehoist/internal/shutdown"
 	"github.com/bridgehoist/bridgehoist/internal/upstream"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 	"github.com/bridgehoist/bridgehoist/pkg/invariant"
@@ -84,12 +86,17 @@
 	// small says that the fleet is so small that all tell each other all.
 	small    atomic.Bool
 	stopping atomic.Bool
+	intake   shutdown.Intake
+	// stopAccounts tells what became of the requests that a stop met.
+	stopAccounts stopAccounts
 	// doubtful says that the VM was suspended and nobody has told since what is in force.
 	doubtful atomic.Bool
 	// lostDataCenters are those that the log said last were out of reach.
 	lostDataCenters atomic.Pointer[string]
 	// lastAcceptError is the one of a listener that was logged last.
 	lastAcceptError atomic.Pointer[string]
+	// limited are the servers whose connections are bounded.
+	limited atomic.Pointer[servers]
 	// lastState is the readiness.State that the balancer was told last.
 	lastState atomic.Int32
 
@@ -113,15 +120,18 @@
 	// crashes finds out which requests endpoints ended under.
 	crashes *crashwatch.Watcher
 	runner  *runner.Runner
-	memory  memoryPlan
+	memory  membudget.Plan
 	// inForce are the endpoints in force.
 	inForce atomic.Pointer[fleet.List]
 	work    context.Context
 	// open ends when the requests must end that the gateway still holds; abort ends it.
-	open     context.Context
-	abort    context.CancelCauseFunc
-	exchange *controllers.Exchange
-	load     *controllers.LoadPoller
+	open  context.Context
+	abort context.CancelCauseFunc
+	// requests is the parent of the contexts of all requests; endRequests ends them at the end of the grace period.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	exchange    *controllers.Exchange
+	load        *controllers.LoadPoller
 	// checking holds the lives of the engines whose state is being read out of turn.
 	checking sync.Map
 	// notices is nil if the platform leaves no port for them.
@@ -161,15 +171,16 @@
 		restored: fleet.RestoreReconciler{EndpointGracePeriod: max(minCopyHold, copyHoldHeartbeats*vm.Heartbeat), ClosedGracePeriod: closedHold},
 	}
 	g.open, g.abort = context.WithCancelCause(context.Background())
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.memory = planMemory(vm.Limits, cfg.MaxOpen)
-	g.memory.register(g.metrics)
+	g.metrics.Memory(g.memory)
 	policy := scheduler.Version(scheduler.ForwardingVersion).Disable(cfg.Without...)
 	policy.DataCenter = vm.DataCenter
 	g.dispatcher = dispatch.New(scheduler.New(policy))
 	g.registerPlacements()
 	g.metrics.Levels(g.levelStats)
 	g.pool = upstream.NewPool(g.protocol, upstream.Hooks{Dialed: g.metrics.Connections.Inc, Admit: g.admit, Answered: g.onResponseHead})
-	g.pool.MaxHeadBytes, g.pool.Memory = g.memory.headBytes, g.memory.answers
+	g.pool.MaxHeadBytes, g.pool.Memory = g.memory.HeadBytes, g.memory.Answers
 	g.store = published.New(g.parsers(), g.onValue, g.onFleet)
 	g.store.OnDeferred(g.onDeferred)
 	g.makeExchange()
@@ -201,7 +212,7 @@
 	g.stop(work, servers)
 	cancel()
 	loops.Wait()
-	g.log.Info("stopped", "uptime", clock.Since(g.started).Round(time.Millisecond))
+	g.log.Info("stopped", append([]any{"uptime", clock.Since(g.started).Round(time.Millisecond)}, g.stopAccounts.fields()...)...)
 	return nil
 }
 
