--- a/internal/hostfaults/settings_test.go
+++ b/internal/hostfaults/settings_test.go
@@ -86,7 +86,9 @@
 			t.Parallel()
 			play(daemons["gateway"](t), func(p *process) phases {
 				p.write(standin.OddSettings(p.vm)[name])
-				return phases{}
+				return phases{serving: func() {
+					p.await("the log names the field", func() bool { return strings.Contains(p.buffer.String(), "settings not used") })
+				}}
 			})
 		})
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -538,4 +538,12 @@
 mutant "cut answers: calls without a body" internal/engineclient/engineclient.go 's/^\tif body == nil {$/\tif false {/' ./internal/engineclient
 mutant "cut answers: delegated parts" internal/peering/delegation.go 's/^\tcase started:$/\tcase false:/' "./internal/peering -run TestAResponseOfAPeerCut"
 
+hf="./internal/hostfaults -run"
+mutant "daemons: a log without a reader ends them" internal/earlysignals/earlysignals.go 's/^\tsignal.Ignore(syscall.SIGPIPE)$//' "$hf Streams"
+mutant "daemons: SIGHUP before main ends them" internal/earlysignals/constructor.go 's/signal(SIGHUP, SIG_IGN);//' "$hf Hangups"
+mutant "daemons: SIGHUP isn't caught" internal/earlysignals/earlysignals.go 's/^\tsignal.Notify(hangups, syscall.SIGHUP)$//' "$hf BadSettings"
+mutant "daemons: taken addresses aren't waited for" internal/waitfor/waitfor.go 's/if !pause.For(ctx, wait) {/if pause.For(ctx, wait) || true {/' "$hf Ports"
+mutant "settings: unchecked" platform/settings.go 's/if err := s.checkEssential(); err != nil {/if err := s.checkEssential(); false {/' "$hf BadSettings"
+mutant "settings: odd fields are taken" platform/settings.go 's/if s.Bounds.Grace <= 0 {/if false {/' "$hf OddSettings"
+
 exit $green
