daemons: small stacks for threads

Where the system bounds the data of a process (RLIMIT_DATA) to the memory of its VM, a gateway ended at its start on a machine with 8 cores: "runtime/cgo: pthread_create failed" or "cannot allocate memory". Its resident memory was 18 MB.

Cause: with cgo each thread of the runtime gets a stack of the size to which the system limits stacks, 8 MB by default, and all of it counts as data. 14 threads under load: VmData 198 MB, VmHWM 27 MB, with 134 MB allowed.

A constructor makes the default stack of threads 256 KB; goroutines have stacks of their own.

TestGatewaysRunWithinALimitOfTheirData failed before (the process ended); with fewer cores there are fewer threads, and it may pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,8 @@
 	"github.com/bridgehoist/bridgehoist/internal/earlysignals"
 	"github.com/bridgehoist/bridgehoist/internal/logging"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
+	// Limits the stacks of threads.
+	_ "github.com/bridgehoist/bridgehoist/internal/threadstacks"
 )
 
 const (
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -33,6 +33,8 @@
 	over       bool
 	// suspended is for how long it believes to have been suspended.
 	suspended time.Duration
+	// wrap, if set, makes the command of a process, in place of exec.Command.
+	wrap func(program string, args ...string) *exec.Cmd
 	// host is nil unless the run has a supervisor.
 	host *supervisor
 }
@@ -71,7 +73,11 @@
 	}
 	g.life++
 	g.restarting = false
-	cmd := exec.Command(gatewayBinary, append([]string{"-drain-delay", "300ms"}, g.w.flags...)...)
+	command := exec.Command
+	if g.wrap != nil {
+		command = g.wrap
+	}
+	cmd := command(gatewayBinary, append([]string{"-drain-delay", "300ms"}, g.w.flags...)...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file, "SOAK_SUSPENDED="+g.suspendedFile())
 	out, err := os.OpenFile(g.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
