--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/dispatch"
 	"github.com/bridgehoist/bridgehoist/internal/engines"
 	"github.com/bridgehoist/bridgehoist/internal/evacuate"
+	"github.com/bridgehoist/bridgehoist/internal/heap"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
@@ -194,9 +195,12 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.work = work
-	servers, err := g.listen()
+	if g.vm.Limits.MemoryBytes > 0 {
+		heap.LimitProcessors(g.vm.Limits.MemoryBytes)
+	}
+	servers, err := g.listen(ctx)
 	if err != nil {
-		return err
+		return g.notStarted(ctx, err)
 	}
 	var loops sync.WaitGroup
 	if g.notices != nil {
@@ -216,6 +220,15 @@
 	return nil
 }
 
+// notStarted ends a gateway that didn't get its addresses, which is well if it was told to stop meanwhile.
+func (g *Gateway) notStarted(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	g.log.Info("stopped before all addresses were free", "uptime", clock.Since(g.started).Round(time.Millisecond))
+	return nil
+}
+
 func (g *Gateway) awaitStop(ctx context.Context, reload <-chan platform.Settings) {
 	for {
 		select {
