--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -30,7 +30,7 @@
 	memoryOpen = 1024
 	// memoryCallers is how many callers load it at once.
 	memoryCallers = 1300
-	memoryFor     = 2 * time.Second
+	memoryFor     = time.Second
 )
 
 // shortFields returns a head of so many bytes in fields of a few bytes, each of which takes far more in memory.
