gateway: don't wait for addresses that the settings no longer name

Found by review, with an address that the VM doesn't have: corrected after 1 s, it didn't serve.

While it waits, the settings are read again each second, and other addresses make it begin anew.

TestOtherAddressesInTheSettingsEndTheWait failed without this (not serving after 30 s).

--- a/cmd/bridgehoist-gateway/main.go
+++ b/cmd/bridgehoist-gateway/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/daemon"
 	"github.com/bridgehoist/bridgehoist/internal/gateway"
@@ -39,6 +40,19 @@
 }
 
 func run(ctx context.Context, p *daemon.Process, cfg gateway.Config) error {
+	go heap.Bound(ctx)
+	reload := reloads(ctx, p.Hangups, p.Logger(component, ""))
+	for {
+		err := serve(ctx, p, cfg, reload)
+		if !errors.Is(err, gateway.ErrAddressesChanged) {
+			return err
+		}
+		p.Logger(component, "").Warn("starting anew", "reason", err)
+	}
+}
+
+// serve runs a gateway by the settings in force.
+func serve(ctx context.Context, p *daemon.Process, cfg gateway.Config, reload <-chan platform.Settings) error {
 	logger := p.Logger(component, "")
 	vm, err := waitfor.Success(ctx, logger, "settings", platform.SettingsPath(), func() (platform.Settings, error) {
 		return read(ctx, logger)
@@ -50,9 +64,12 @@
 	if vm.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(vm.Limits.MemoryBytes)))
 	}
-	logger = p.Logger(component, vm.VM)
-	go heap.Bound(ctx)
-	return gateway.New(cfg, vm, logger).Run(ctx, reloads(ctx, p.Hangups, logger))
+	g := gateway.New(cfg, vm, p.Logger(component, vm.VM))
+	g.RereadWhileWaiting(func() (platform.Settings, error) {
+		s, _, err := platform.ReadSettings(ctx, platform.SettingsPath())
+		return s, err
+	})
+	return g.Run(ctx, reload)
 }
 
 // read reads the settings file and logs what isn't used of it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/controllers"
@@ -34,6 +35,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/metrics"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
+	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/internal/peering"
 	"github.com/bridgehoist/bridgehoist/internal/published"
 	"github.com/bridgehoist/bridgehoist/internal/relay"
@@ -96,6 +98,8 @@
 	lostDataCenters atomic.Pointer[string]
 	// lastAcceptError is the one of a listener that was logged last.
 	lastAcceptError atomic.Pointer[string]
+	// reread reads the settings again; nil if they don't change.
+	reread func() (platform.Settings, error)
 	// limited are the servers whose connections are bounded.
 	limited atomic.Pointer[servers]
 	// lastState is the readiness.State that the balancer was told last.
@@ -198,7 +202,13 @@
 	if g.vm.Limits.MemoryBytes > 0 {
 		heap.LimitProcessors(g.vm.Limits.MemoryBytes)
 	}
-	servers, err := g.listen(ctx)
+	waiting, stopWaiting := context.WithCancelCause(ctx)
+	go g.watchAddresses(waiting, stopWaiting)
+	servers, err := g.listen(waiting)
+	if err != nil && waiting.Err() != nil {
+		err = context.Cause(waiting)
+	}
+	stopWaiting(nil)
 	if err != nil {
 		return g.notStarted(ctx, err)
 	}
@@ -220,6 +230,24 @@
 	return nil
 }
 
+// ErrAddressesChanged is returned by Run if the settings name other addresses while it waits for those that it was given.
+var ErrAddressesChanged = errors.New("the settings name other addresses")
+
+// rereadInterval is how often the settings are read again while the gateway waits for its addresses.
+const rereadInterval = time.Second
+
+// RereadWhileWaiting has Run read the settings again while it waits for its addresses.
+func (g *Gateway) RereadWhileWaiting(read func() (platform.Settings, error)) { g.reread = read }
+
+// watchAddresses ends the wait for the addresses if other ones are in force.
+func (g *Gateway) watchAddresses(ctx context.Context, stop context.CancelCauseFunc) {
+	for g.reread != nil && pause.For(ctx, rereadInterval) {
+		if s, err := g.reread(); err == nil && !s.SameAddresses(g.vm) {
+			stop(ErrAddressesChanged)
+		}
+	}
+}
+
 // notStarted ends a gateway that didn't get its addresses, which is well if it was told to stop meanwhile.
 func (g *Gateway) notStarted(ctx context.Context, err error) error {
 	if ctx.Err() == nil {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -107,6 +107,9 @@
 		var err error
 		if *l.server, err = g.serve(ctx, l.address, l.handler, l.connections); err != nil {
 			s.close()
+			if g.notices != nil {
+				g.notices.Close()
+			}
 			return nil, err
 		}
 	}
--- a/internal/hostfaults/ports_test.go
+++ b/internal/hostfaults/ports_test.go
@@ -72,6 +72,20 @@
 	p.awaitEnd()
 }
 
+// TestOtherAddressesInTheSettingsEndTheWait guards against gateways that wait for ever for an address that the settings no
+// longer name.
+func TestOtherAddressesInTheSettingsEndTheWait(t *testing.T) {
+	play(daemons["gateway"](t), func(p *process) phases {
+		wrong := p.vm
+		wrong.Callers = "192.0.2.1:8740" // RFC 5737
+		p.write(standin.SettingsFile(wrong))
+		return phases{lift: func() {
+			p.await("it logs that it waits", func() bool { return strings.Contains(p.buffer.String(), wrong.Callers) })
+			p.valid()
+		}}
+	})
+}
+
 // hold takes a port. A process that is being started may hold a copy of a socket that was just closed, for a moment.
 func hold(t *testing.T, address string) net.Listener {
 	l, err := net.Listen("tcp", address)
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -123,6 +123,13 @@
 	return n.conn.Load()
 }
 
+// Close closes the socket of a notifier that doesn't run.
+func (n *Notifier) Close() {
+	if conn := n.conn.Load(); conn != nil {
+		conn.Close()
+	}
+}
+
 // Address returns the address that the notifier listens on.
 func (n *Notifier) Address() netip.AddrPort {
 	if conn := n.conn.Load(); conn != nil {
