logging: the lines that tell why a process ends aren't dropped

After a burst of lines the rate limit dropped "told to stop" and "ended" as well, and Close reported none of the dropped lines, so that a log didn't tell why its process ended.

These lines pass the limit now, and Close tells how many were dropped.

TestTheLastLinesOfABurstAreWritten would have failed before at both expectations; the means to write such a line didn't exist.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,12 +32,17 @@
 type Process struct {
 	// Hangups delivers SIGHUP; those that arrive while one waits are dropped.
 	Hangups <-chan os.Signal
-	out     io.Writer
+	out     *logging.Bounded
 }
 
 // Logger makes the logger of a component.
 func (p *Process) Logger(component, vm string) *log.Logger { return logging.New(p.out, component, vm) }
 
+// ends makes the logger of the lines that tell why a process ends, whatever else is logged.
+func (p *Process) ends(program string) *log.Logger {
+	return logging.New(p.out.Unlimited(), program, "")
+}
+
 // IgnoreHangups logs that SIGHUP changes nothing. It is for daemons that get their settings from their start alone.
 func (p *Process) IgnoreHangups(logger *log.Logger) {
 	go func() {
@@ -58,7 +63,7 @@
 		p := &Process{Hangups: earlysignals.Hangups(), out: lines}
 		err := run(p.stopContext(s.Name()), p)
 		if err != nil {
-			p.Logger(s.Name(), "").Error("ended", "error", err)
+			p.ends(s.Name()).Error("ended", "error", err)
 		}
 		return err
 	})
@@ -71,7 +76,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		s := <-earlysignals.Stops()
-		p.Logger(program, "").Info("told to stop", "signal", s)
+		p.ends(program).Info("told to stop", "signal", s)
 		stop()
 	}()
 	return ctx
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -53,6 +53,10 @@
 		b.dropped.Add(1)
 		return len(line), nil
 	}
+	return b.enqueue(line)
+}
+
+func (b *Bounded) enqueue(line []byte) (int, error) {
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
@@ -61,6 +65,14 @@
 	return len(line), nil
 }
 
+// Unlimited returns a writer of rare lines that the number of lines a second doesn't bound.
+func (b *Bounded) Unlimited() io.Writer { return unlimited{b} }
+
+type unlimited struct{ *Bounded }
+
+// Write implements io.Writer.
+func (u unlimited) Write(line []byte) (int, error) { return u.enqueue(line) }
+
 func (b *Bounded) allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -91,15 +103,21 @@
 	defer close(b.done)
 	told := uint64(0)
 	toldAt := time.Now()
+	tell := func() {
+		if n := b.dropped.Load(); n > told {
+			_, _ = fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" count=%d total=%d\n", n-told, n)
+			told, toldAt = n, time.Now()
+		}
+	}
 	for line := range b.lines {
 		if line == nil {
+			tell()
 			return
 		}
 		// Nowhere is left to report a log that can't be written.
 		_, _ = w.Write(line)
-		if n := b.dropped.Load(); n > told && time.Since(toldAt) >= reportEvery {
-			_, _ = fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" count=%d total=%d\n", n-told, n)
-			told, toldAt = n, time.Now()
+		if time.Since(toldAt) >= reportEvery {
+			tell()
 		}
 	}
 }
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -39,3 +39,17 @@
 	g.Expect(b.Dropped()).To(BeNumerically(">", 0))
 	b.Close(time.Millisecond)
 }
+
+// TestTheLastLinesOfABurstAreWritten guards against a log that doesn't tell why its process ended.
+func TestTheLastLinesOfABurstAreWritten(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	b := logging.NewBounded(&out, 10)
+	for range 100 {
+		_, _ = b.Write([]byte("line\n"))
+	}
+	_, _ = b.Unlimited().Write([]byte("told to stop\n"))
+	b.Close(10 * time.Second)
+	g.Expect(out.String()).To(ContainSubstring("told to stop\n"))
+	g.Expect(out.String()).To(ContainSubstring("log lines dropped"))
+}
