settings: one default for the grace period

The check of the settings assumed 5 s where the settings hold none, and the gateway 8 s, which OPERATIONS named and the program never used, as the check comes first. Both use the shorter one now: a longer one than the platform's would end requests without an answer.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -42,8 +42,6 @@
 	peerIdleTotal   = 32
 	// farewellTimeout is for telling the peers.
 	farewellTimeout = 300 * time.Millisecond
-	// assumedGrace is the grace period if the settings hold none.
-	assumedGrace = 8 * time.Second
 	// maxOtherConnections bounds those to readiness and to metrics.
 	maxOtherConnections = 64
 	// listenerCloseGrace is for closing the listener of the peers.
@@ -231,7 +229,7 @@
 func (g *Gateway) stop(ctx context.Context, s *servers) {
 	grace := g.vm.Bounds.Grace
 	if grace <= 0 {
-		grace = assumedGrace
+		grace = platform.DefaultGrace
 	}
 	schedule := shutdown.NewSchedule(clock.Now(), grace)
 	g.stopping.Store(true)
