gateway: an address for peers without an IP doesn't end the process

A gateway whose settings name the address for peers as localhost:8748 or :8748 ended with 1 ("notices: unable to parse IP"), although the check of the settings takes such addresses and nothing depends on notices. It serves without them now and logs so. Found by reading the change again, shown with the program.

TestAnAddressForPeersWithoutAnIPEndsNoGateway failed before (the process ended).

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -89,9 +89,7 @@
 		g.beliefs.AcceptDelegated()
 	}
 	s := &servers{}
-	if err := g.makeNotices(); err != nil {
-		return nil, err
-	}
+	g.makeNotices()
 	for _, l := range []struct {
 		server      **httpserver.Server
 		address     string
@@ -118,16 +116,21 @@
 	return s, nil
 }
 
-func (g *Gateway) makeNotices() (err error) {
+// makeNotices opens the socket for notices. Nothing depends on them, so an address that can't be one of theirs is logged.
+func (g *Gateway) makeNotices() {
 	address := noticeAddress(g.vm)
 	if address == "" {
-		return nil
+		return
 	}
-	g.notices, err = notices.New(notices.Config{
+	n, err := notices.New(notices.Config{
 		Listen: address, OnPromptSent: g.onPromptSent, OnPromptPrefilled: g.onPromptPrefilled, OnSpeed: g.onSpeed, OnLoads: g.onLoads, Now: clock.Now, Log: g.log,
 		OnReservations: g.onReservations, OnInvalid: g.onInvalidNotice, OnReader: g.onReader,
 	})
-	return err
+	if err != nil {
+		g.log.Warn("no notices are sent or received", "address", address, "error", err)
+		return
+	}
+	g.notices = n
 }
 
 // lateServer serves on an address once it can be had.
--- a/internal/hostfaults/ports_test.go
+++ b/internal/hostfaults/ports_test.go
@@ -86,6 +86,16 @@
 	})
 }
 
+// TestAnAddressForPeersWithoutAnIPEndsNoGateway guards against gateways that end since notices need an IP.
+func TestAnAddressForPeersWithoutAnIPEndsNoGateway(t *testing.T) {
+	play(daemons["gateway"](t), func(p *process) phases {
+		p.vm.Peers = strings.Replace(p.vm.Peers, "127.0.0.1", "localhost", 1)
+		p.optional, p.essential[2] = nil, p.vm.Peers
+		p.write(standin.SettingsFile(p.vm))
+		return phases{}
+	})
+}
+
 // hold takes a port. A process that is being started may hold a copy of a socket that was just closed, for a moment.
 func hold(t *testing.T, address string) net.Listener {
 	l, err := net.Listen("tcp", address)
