--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -117,10 +117,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// refuse answers a request whose head isn't read to its end, and closes the connection.
+// refuse answers a request whose head isn't read to its end, and closes the connection. On an encrypted one the response
+// would be no part of the encrypted bytes, so it is only closed.
 func (c *conn) refuse(response string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(arrivedTimeout))
-	_, _ = io.WriteString(c.Conn, response)
+	if !c.all.encrypted {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(arrivedTimeout))
+		_, _ = io.WriteString(c.Conn, response)
+	}
 	c.linger()
 	_ = c.Conn.Close()
 }
--- a/internal/httpserver/head_test.go
+++ b/internal/httpserver/head_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -100,3 +103,20 @@
 	g.Expect(h.take([]byte("\r\nGET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", maxHeadLines)), false)).To(BeEmpty())
 	g.Expect(h.take([]byte("a:\r\n"), false)).To(Equal(tooManyFields))
 }
+
+// TestARefusedHeadOnAnEncryptedConnectionIsNotAnsweredInPlainText guards against bytes that are no part of the encrypted ones.
+func TestARefusedHeadOnAnEncryptedConnectionIsNotAnsweredInPlainText(t *testing.T) {
+	g := NewWithT(t)
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	l := freeport.Listen(t)
+	s := Start(l, Config{HeadMemory: membudget.New(64 << 10), TLS: certified.TLS, HTTP: &http.Server{Handler: http.NotFoundHandler()}})
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("x", 64<<10))
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(errors.As(err, new(tls.RecordHeaderError))).To(BeFalse(), "%v", err)
+}
