hostfaults: force what the tests of a start need

A fault at the start was lifted after 150 ms, so that a daemon that starts later than that never met it; it is lifted now once the log tells that the daemon waits.

--- a/internal/hostfaults/faults_test.go
+++ b/internal/hostfaults/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -29,8 +30,7 @@
 	do := f(p)
 	p.start()
 	if do.lift != nil {
-		time.Sleep(faultTime)
-		p.alive("at its start")
+		p.await("it logs that it waits", func() bool { return strings.Contains(p.buffer.String(), "waiting for ") })
 		do.lift()
 	}
 	p.awaitServing()
@@ -173,17 +173,23 @@
 	})
 }
 
-// TestHangupsWhileADaemonStartsDontEndIt: from when the kernel shows that SIGHUP isn't at its default action.
+// TestHangupsWhileADaemonStartsDontEndIt holds the daemon after the start of the runtime and before its packages are
+// initialized, by a trace that nobody reads.
 func TestHangupsWhileADaemonStartsDontEndIt(t *testing.T) {
 	for name, make := range daemons {
 		t.Run(name, func(t *testing.T) {
 			p := make(t)
+			p.env = append(p.env, "GODEBUG=inittrace=1")
+			trace := p.pipe()
+			p.fill()
 			p.start()
 			p.await("SIGHUP has another action", func() bool { return p.handles(syscall.SIGHUP) })
 			for range 300 {
 				p.signal(syscall.SIGHUP)
 				time.Sleep(100 * time.Microsecond)
 			}
+			p.alive("by SIGHUP")
+			go func() { _, _ = io.Copy(io.Discard, trace) }()
 			p.awaitServing()
 			p.signal(syscall.SIGTERM)
 			p.awaitEnd()
--- a/internal/hostfaults/process_test.go
+++ b/internal/hostfaults/process_test.go
@@ -29,10 +29,8 @@
 	// patience bounds every wait; only the order of events counts.
 	patience = 30 * time.Second
 	poll     = 5 * time.Millisecond
-	// faultTime is how long a fault lasts at the start.
-	faultTime = 150 * time.Millisecond
-	grace     = 3 * time.Second
-	table     = "workspace,kind,target,weight,priority,max_in_flight,max_queued,max_queue_time,timeout,idempotent\n*,k,desk,1,3,1,1,1s,1s,yes\n"
+	grace    = 3 * time.Second
+	table    = "workspace,kind,target,weight,priority,max_in_flight,max_queued,max_queue_time,timeout,idempotent\n*,k,desk,1,3,1,1,1s,1s,yes\n"
 )
 
 var binaries string
