--- a/internal/filters/claim/claim.go
+++ b/internal/filters/claim/claim.go
@@ -17,8 +17,8 @@
 // retryAfterFull is when a caller may come back for a ticket.
 const retryAfterFull = 2 * time.Second
 
-// New makes the filter. An answer is cut off that its caller hasn't read on for the time of unread. Requests without a ticket whose kind may be repeated go
-// on to next.
+// New makes the filter. Requests without a ticket whose kind may be repeated go on to next. An answer is cut off if its
+// caller doesn't read on for the time unread.
 func New(next http.Handler, o *owner.Owner, unread time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		j := job.FromRequest(r)
