upstream: a body that is reset during its upload isn't whole

Callers got a part of an answer as a whole one: an endpoint answered a long upload at once with a head without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: Linux reports the reset of a connection once, to whichever of its reader and its writer asks first. The goroutine that writes the rest of the upload got it, and the reader then read a clean end of data, which ends a body without a length. The result of the upload was looked at only to decide whether the connection is kept.

A body that ends with its connection is whole now only once its upload has ended without an error (RFC 9112, section 8: complete unless the connection indicated an error). While the upload is written this isn't known, so the end of the body waits for it; the end of the request's context closes the connection and with it ends the wait. An endpoint that answers early, half-closes and reads on has given a whole answer. Bodies with a length or in chunks tell their end by themselves and wait for nothing. An answer that nobody wants isn't read if its connection can't be kept, so that refusals don't wait either.

TestABodyWithoutLengthIsWholeIfItsUploadEndsWell forces both orders of reader and writer; its four cases with an error failed before.

--- a/internal/truncation/gateway_test.go
+++ b/internal/truncation/gateway_test.go
@@ -74,8 +74,8 @@
 	{name: "resumable", kind: standin.Stream, endpoints: pairSize, engine: true, resumable: true},
 }
 
-// start starts a gateway and the endpoints of all workers.
-func start(t *testing.T, l *ledger) *process {
+// start starts a gateway and the endpoints of all workers; serve starts an endpoint and returns its address.
+func start(t *testing.T, serve func(*testing.T) string) *process {
 	store := standin.New()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
@@ -93,7 +93,7 @@
 				config.Services = append(config.Services, target)
 			}
 			for n := range s.endpoints {
-				e := &standin.Endpoint{ID: fmt.Sprintf("%s-%d", target, n), Address: l.serve(t)}
+				e := &standin.Endpoint{ID: fmt.Sprintf("%s-%d", target, n), Address: serve(t)}
 				store.Put(platform.EndpointPrefix+e.ID, standin.Record(e, target, "dc", false))
 			}
 		}
@@ -204,7 +204,7 @@
 	unasked int
 }
 
-func (c *caller) send(id, key, path string, header map[string]string) (r result) {
+func (c *caller) send(id, key, path string, header map[string]string, body []byte) (r result) {
 	if c.conn == nil {
 		conn, err := net.Dial("tcp", c.address)
 		if err != nil {
@@ -212,7 +212,7 @@
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.address+path, bytes.NewReader([]byte("body")))
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.address+path, bytes.NewReader(body))
 	if err != nil {
 		return result{err: err}
 	}
@@ -232,8 +232,8 @@
 		c.close()
 		return result{err: err}
 	}
-	body, err := io.ReadAll(resp.Body)
-	r = result{status: resp.StatusCode, body: string(body), err: err, unasked: c.reader.Buffered()}
+	got, err := io.ReadAll(resp.Body)
+	r = result{status: resp.StatusCode, body: string(got), err: err, unasked: c.reader.Buffered()}
 	r.signature = resp.Header.Get(platform.HeaderSignature)
 	if err != nil || resp.Close {
 		c.close()
--- a/internal/truncation/truncation_test.go
+++ b/internal/truncation/truncation_test.go
@@ -85,6 +85,9 @@
 // silentWait is the time limit in ms of callers whose answer falls silent.
 const silentWait = "500"
 
+// smallBody is that of the requests.
+var smallBody = []byte("body")
+
 // first is the answer that is cut first.
 const first = "length"
 
@@ -104,7 +107,7 @@
 // TestAnAnswerCutAtAnyByteIsNotWhole guards against parts of answers that callers take for whole, and second runs.
 func TestAnAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
 	l := &ledger{runs: map[string][]run{}}
-	p := start(t, l)
+	p := start(t, l.serve)
 	tryAll(t, p, p.vm.Callers, l, cuts())
 }
 
@@ -112,7 +115,7 @@
 func TestADelegatedAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
 	l := &ledger{runs: map[string][]run{}}
 	delegated := slices.DeleteFunc(cuts(), func(c cut) bool { return c.service != "plain" && c.service != "stream" })
-	p := start(t, l)
+	p := start(t, l.serve)
 	tryAll(t, p, p.delegate(t), l, delegated)
 }
 
@@ -166,11 +169,11 @@
 		if one.resume != "" {
 			header[platform.HeaderResumeFrom] = one.resume
 		}
-		whole := c.send("before-"+id, key, path, before)
+		whole := c.send("before-"+id, key, path, before, smallBody)
 		if whole.status != http.StatusServiceUnavailable && (whole.err != nil || !strings.Contains(whole.body, "before-"+id)) {
 			t.Errorf("%s: the request before: %+v", one.name(), whole)
 		}
-		got := c.send(id, key, path, header)
+		got := c.send(id, key, path, header, smallBody)
 		runs := l.of(id)
 		if len(runs) == 0 && (got.status == http.StatusServiceUnavailable || one.end == silence && got.status == http.StatusGatewayTimeout) {
 			time.Sleep(20 * time.Millisecond)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -181,6 +181,7 @@
 	conn     *conn
 	body     io.ReadCloser
 	release  func() bool
+	upload   *upload
 	reusable bool
 	ended    bool
 }
@@ -226,7 +227,7 @@
 		return fail(retry.NotSent, context.Cause(ctx))
 	}
 	sent := clock.Now()
-	written, err := p.write(c, r, s)
+	upload, err := p.write(c, r, s)
 	if err != nil {
 		return fail(retry.NotSent, err)
 	}
@@ -240,10 +241,10 @@
 	if err != nil {
 		return fail(kindOf(err), err)
 	}
-	whole := written()
 	resp.life = e.Instance()
 	resp.release = release
-	resp.reusable = resp.reusable && whole
+	resp.upload = upload
+	resp.reusable = resp.reusable && upload.complete()
 	return resp, nil
 }
 
@@ -258,9 +259,8 @@
 	return retry.LinkLost
 }
 
-// write sends the request. An error means that nothing has left. The function
-// that it returns reports whether all has been written by now.
-func (p *Pool) write(c *conn, r *Request, s Sending) (written func() bool, err error) {
+// write sends the request, the end of a large one in the background. An error means that nothing has left.
+func (p *Pool) write(c *conn, r *Request, s Sending) (*upload, error) {
 	var buf bytes.Buffer
 	p.head(&buf, r, s)
 	if len(r.Body) <= writeAtOnce {
@@ -270,25 +270,13 @@
 	if n == 0 && err != nil {
 		return nil, err
 	}
-	if err != nil {
-		return func() bool { return false }, nil
-	}
-	if len(r.Body) <= writeAtOnce {
-		return func() bool { return true }, nil
+	if err != nil || len(r.Body) <= writeAtOnce {
+		return endedUpload(err), nil
 	}
-	done := make(chan error, 1)
-	go func() {
+	return startUpload(func() error {
 		_, err := c.Write(r.Body)
-		done <- err
-	}()
-	return func() bool {
-		select {
-		case err := <-done:
-			return err == nil
-		default:
-			return false
-		}
-	}, nil
+		return err
+	}), nil
 }
 
 func (p *Pool) head(buf *bytes.Buffer, r *Request, s Sending) {
@@ -400,13 +388,20 @@
 // maxKeepSeconds bounds what an endpoint says of that, so that it is in range as a time.
 const maxKeepSeconds = 24 * 60 * 60
 
-// Read reads the body. It returns io.EOF only at the end of a whole body.
+// Read reads the body. It returns io.EOF only at the end of a whole body, which may have to wait for the end of the
+// upload if the body isn't framed.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.ended = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if !r.Framed {
+		if err := r.upload.wait(); err != nil {
+			return n, errors.Wrap(err, "the connection broke during the upload")
+		}
+	}
+	r.ended = true
+	return n, io.EOF
 }
 
 // discardTimeout bounds the wait for the rest of an answer that nobody wants: that of a
@@ -421,6 +416,10 @@
 // Discard ends the exchange without the answer. The connection stays good if the rest of
 // the answer is short and there.
 func (r *Response) Discard() {
+	if !r.reusable {
+		r.Close()
+		return
+	}
 	if r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
 		// If it breaks off, the connection isn't kept.
 		_, _ = io.CopyN(io.Discard, r, maxDiscardBytes)
--- /dev/null
+++ b/internal/upstream/upload_test.go
@@ -0,0 +1,150 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+)
+
+// largeBody isn't written at once.
+var largeBody = []byte(strings.Repeat("b", 1<<20))
+
+// uploadConn is a connection whose answer is there at once, and ends cleanly. The writing of a large body ends when the
+// test says so, or when the connection is closed.
+type uploadConn struct {
+	answer io.Reader
+	// ended is closed when a read has got the end of the answer.
+	ended   chan struct{}
+	onEnd   sync.Once
+	written chan error
+	closed  chan struct{}
+	onClose sync.Once
+}
+
+func newUploadConn(answer string) *uploadConn {
+	return &uploadConn{answer: strings.NewReader(answer), ended: make(chan struct{}), written: make(chan error, 1), closed: make(chan struct{})}
+}
+
+func (c *uploadConn) Read(p []byte) (int, error) {
+	n, err := c.answer.Read(p)
+	if err == io.EOF {
+		c.onEnd.Do(func() { close(c.ended) })
+	}
+	return n, err
+}
+
+func (c *uploadConn) Write(p []byte) (int, error) {
+	if len(p) < len(largeBody) {
+		return len(p), nil
+	}
+	select {
+	case err := <-c.written:
+		return len(p), err
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *uploadConn) Close() error {
+	c.onClose.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (*uploadConn) LocalAddr() net.Addr              { return nil }
+func (*uploadConn) RemoteAddr() net.Addr             { return nil }
+func (*uploadConn) SetDeadline(time.Time) error      { return nil }
+func (*uploadConn) SetReadDeadline(time.Time) error  { return nil }
+func (*uploadConn) SetWriteDeadline(time.Time) error { return nil }
+
+// readDuringUpload sends a large request on a connection, and calls end once the end of the answer has been read.
+func readDuringUpload(ctx context.Context, t *testing.T, c *uploadConn, end func()) (body string, err error) {
+	pool := newPool()
+	pool.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
+	go func() {
+		<-c.ended
+		end()
+	}()
+	r := request("a")
+	r.Body = largeBody
+	resp, failure := pool.Do(ctx, fleet.Endpoint{ID: "e"}, r, upstream.Sending{})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer resp.Close()
+	data, err := io.ReadAll(resp)
+	return string(data), err
+}
+
+const unframedAnswer = "HTTP/1.1 200 OK\r\nOf: a\r\n\r\npart"
+
+// TestABodyWithoutLengthIsWholeIfItsUploadEndsWell guards against parts of answers whose reset only the writer gets.
+func TestABodyWithoutLengthIsWholeIfItsUploadEndsWell(t *testing.T) {
+	for name, uploadErr := range map[string]error{"reset": syscall.ECONNRESET, "reset after FIN": syscall.EPIPE, "read to its end": nil} {
+		for _, order := range []string{"upload first", "answer first"} {
+			t.Run(name+", "+order, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newUploadConn(unframedAnswer)
+				end := func() { c.written <- uploadErr }
+				if order == "upload first" {
+					end()
+					end = func() {}
+				}
+				body, err := readDuringUpload(t.Context(), t, c, end)
+				g.Expect(body).To(Equal("part"))
+				if uploadErr == nil {
+					g.Expect(err).NotTo(HaveOccurred())
+				} else {
+					g.Expect(err).To(MatchError(uploadErr))
+				}
+			})
+		}
+	}
+}
+
+// TestABodyWithoutLengthDoesNotOutlastItsRequest guards against a reader that waits for an upload which nobody reads.
+func TestABodyWithoutLengthDoesNotOutlastItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := newUploadConn(unframedAnswer)
+	_, err := readDuringUpload(ctx, t, c, cancel)
+	g.Expect(err).To(MatchError(net.ErrClosed))
+}
+
+// TestAFramedBodyDoesNotAwaitItsUpload guards against whole answers that are lost since their requests aren't read.
+func TestAFramedBodyDoesNotAwaitItsUpload(t *testing.T) {
+	for name, framing := range map[string]string{
+		"length": "Content-Length: 4\r\n\r\npart",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newUploadConn("HTTP/1.1 200 OK\r\nOf: a\r\n" + framing)
+			g.Expect(readDuringUpload(t.Context(), t, c, func() {})).To(Equal("part"))
+		})
+	}
+}
+
+// TestDiscardingAnAnswerDoesNotAwaitItsUpload guards against refusals that are held up by uploads which nobody reads.
+func TestDiscardingAnAnswerDoesNotAwaitItsUpload(t *testing.T) {
+	g := NewWithT(t)
+	c := newUploadConn(unframedAnswer)
+	pool := newPool()
+	pool.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
+	r := request("a")
+	r.Body = largeBody
+	resp, failure := pool.Do(t.Context(), fleet.Endpoint{ID: "e"}, r, upstream.Sending{})
+	g.Expect(failure).To(BeNil())
+	resp.Discard()
+	g.Expect(c.closed).To(BeClosed())
+}
