upstream, engineclient: an answer with an invalid head is a protocol error

Callers got answers of servers in trouble whose heads aren't HTTP. Status 000 and 099 (and 101, which nobody asked for) were skipped as informational, and a body that looked like an answer was passed on in their place; 600, 999 and HTTP/2.7 were passed on; a line like "X Part: a" or "X-Part : a" was passed on or dropped, and after "Content-Length : 3" or "Transfer-Encoding : chunked" the caller got a body that wasn't the server's. A 503 with such a line proved that nothing had run.

Cause: net/http reads more than RFC 9110 and 9112 allow, and nothing looked at the head itself. Package responsehead judges the bytes of a head now: version, status (100 to 599 but for 101), reason, names and values of fields, and transfer codings of HTTP/1.0, which were checked in two other places before. Both interfaces ask it about each head, also about informational ones and those of surplus answers, before an ID, a limit, a leave or "not run" of it is used. An invalid one ends the connection with a protocol error, which says that the request may have run. A blank before the colon is rejected, not removed. Folded lines, lines that end with LF only, a missing reason and bytes above 127 are read as before; lengths and codings stay with net/http.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzCopied -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRegistryBytes -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzStoreAnswer -fuzztime $${FUZZTIME:-20s} ./platform
+	$(GO) test -run '^$$' -fuzz FuzzParse$$ -fuzztime $${FUZZTIME:-20s} ./pkg/responsehead
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime $${FUZZTIME:-20s} ./platform
 	$(GO) test -run '^$$' -fuzz FuzzResume -fuzztime $${FUZZTIME:-20s} ./internal/filters/route
 	$(GO) test -run '^$$' -fuzz FuzzRecord$$ -fuzztime $${FUZZTIME:-20s} ./internal/peering
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -8,11 +8,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bridgehoist/bridgehoist/internal/upstream"
+	"github.com/bridgehoist/bridgehoist/pkg/responsehead"
 )
 
-// conn records what is read until the head of an answer is known. net/http drops the field that tells how the body of
-// an answer is coded; of HTTP/1.0 it ignores the field too, and takes the coded bytes for the body.
+// conn records the heads of answers as they were sent, which net/http doesn't show.
 type conn struct {
 	net.Conn
 
@@ -48,17 +47,20 @@
 
 var newline = []byte("\n")
 
-// finalHead returns the end of the head of an answer that isn't informational, zero if it isn't whole, and whether the
-// head says that the body is coded.
-func finalHead(read []byte) (end int, coded bool) {
+// errHeadMissing means that an answer wasn't read from its connection after its request was sent.
+var errHeadMissing = errors.New("the answer came before its request")
+
+// finalHead returns the end of the head of an answer that isn't informational, or of the first head that isn't valid,
+// with its error; zero if it isn't whole.
+func finalHead(read []byte) (end int, err error) {
 	for {
-		size, coded := upstream.CodedHead(read[end:])
-		if size == 0 {
-			return 0, false
+		length := responsehead.Length(read[end:])
+		if length == 0 {
+			return 0, errHeadMissing
 		}
-		informational := bytes.HasPrefix(read[end+len("HTTP/1.x"):], []byte(" 1"))
-		if end += size; !informational {
-			return end, coded
+		head, err := responsehead.Parse(read[end : end+length])
+		if end += length; err != nil || !head.Informational() {
+			return end, err
 		}
 	}
 }
@@ -69,11 +71,11 @@
 	c.recording, c.read = true, nil
 }
 
-// coded ends the recording, and reports whether the body of the answer is coded.
-func (c *conn) coded() bool {
+// checkHead ends the recording, and returns an error unless the answer has a valid head.
+func (c *conn) checkHead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	end, coded := finalHead(c.read)
+	_, err := finalHead(c.read)
 	c.recording, c.read = false, nil
-	return coded || end == 0
+	return err
 }
--- a/internal/engineclient/engineclient.go
+++ b/internal/engineclient/engineclient.go
@@ -112,9 +112,9 @@
 		return nil, &attempt.Failure{Kind: retry.NotSent, Err: err}
 	}
 	if err == nil {
-		if coded := via.Load().coded(); coded && !resp.ProtoAtLeast(1, 1) {
+		if err := via.Load().checkHead(); err != nil {
 			resp.Body.Close()
-			return nil, &attempt.Failure{Kind: retry.ProtocolError, Err: errors.New("an answer of HTTP/1.0 with a coded body")}
+			return nil, &attempt.Failure{Kind: retry.ProtocolError, Err: err}
 		}
 		c.tell(to, resp)
 		return resp, nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"context"
 	"net"
-	"regexp"
+	"slices"
 	"syscall"
 	"time"
 
@@ -34,10 +34,12 @@
 	// has carried one without an ID; see mayCarry.
 	carried   map[uint64]bool
 	anonymous bool
-	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headErr
-	// is the error that the connection ended with meanwhile.
+	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headRead
+	// holds what has been read since the answer before, and headErr is the error that the connection ended with
+	// meanwhile.
 	headLimited bool
 	headLeft    int
+	headRead    []byte
 	headErr     error
 }
 
@@ -90,48 +92,18 @@
 // errHeadTooLarge means that the head of an answer exceeds its limit.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
-// limitHead limits what is read until unlimitHead: a head of so many bytes, and the part of the body that
-// is read ahead.
-func (c *conn) limitHead(bytes int) {
+// beginHead limits what is read until endHead: a head of so many bytes, and the part of the body that is read ahead.
+func (c *conn) beginHead(bytes int) {
 	c.headLimited, c.headLeft, c.headErr = true, bytes+readBufferBytes, nil
+	// All that is buffered can be peeked.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.headRead = slices.Clone(buffered)
 }
 
-func (c *conn) unlimitHead() { c.headLimited = false }
+func (c *conn) endHead() { c.headLimited, c.headRead = false, nil }
 
-// headEnd is the end of a head, and codingField the name of the field that tells how a body is coded.
-var (
-	headEnd     = regexp.MustCompile(`\n\r?\n`)
-	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
-)
-
-// CodedHead returns the end of the head of an answer, zero if it isn't whole, and whether the head says that the body
-// is coded.
-func CodedHead(head []byte) (end int, coded bool) {
-	found := headEnd.FindIndex(head)
-	if found == nil {
-		return 0, false
-	}
-	return found[1], codingField.Match(head[:found[1]])
-}
-
-// codedHTTP10 reports whether the next answer is one of HTTP/1.0 whose body is coded. That version has no such
-// codings: net/http ignores the field and takes the coded bytes for the body. A head that doesn't fit into the
-// buffer counts as one with the field.
-func (c *conn) codedHTTP10() bool {
-	const version = "HTTP/1.0"
-	for {
-		head, _ := c.reader.Peek(c.reader.Buffered())
-		if n := min(len(head), len(version)); string(head[:n]) != version[:n] {
-			return false
-		}
-		if end, coded := CodedHead(head); end > 0 {
-			return coded
-		}
-		if _, err := c.reader.Peek(len(head) + 1); err != nil {
-			return errors.Is(err, bufio.ErrBufferFull)
-		}
-	}
-}
+// head returns the head once it has been parsed: what has been read but for the part of the body.
+func (c *conn) head() []byte { return c.headRead[:len(c.headRead)-c.reader.Buffered()] }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
@@ -143,6 +115,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	c.headRead = append(c.headRead, p[:n]...)
 	if err != nil {
 		c.headErr = err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,7 @@
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
+	"github.com/bridgehoist/bridgehoist/pkg/responsehead"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
 
@@ -330,21 +331,21 @@
 	return nil, errors.Wrap(errNotAnAnswer, "too many answers to other requests")
 }
 
-// readHead reads the status line and the fields of the next answer.
+// readHead reads the status line and the fields of the next answer. Nothing of a head that isn't valid is used.
 func (p *Pool) readHead(c *conn, r *Request) (*http.Response, error) {
-	c.limitHead(cmp.Or(p.MaxHeadBytes, defaultHeadBytes))
-	defer c.unlimitHead()
+	c.beginHead(cmp.Or(p.MaxHeadBytes, defaultHeadBytes))
+	defer c.endHead()
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
-	if c.codedHTTP10() {
-		return nil, errors.Wrap(errNotAnAnswer, "an answer of HTTP/1.0 with a coded body")
-	}
 	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	if err != nil && c.headErr != nil {
 		// The end of the connection leaves a line that is cut off, which is reported as a malformed one.
 		return nil, errors.Wrap(c.headErr, "in the head of an answer")
 	}
+	if err == nil {
+		_, err = responsehead.Parse(c.head())
+	}
 	if err != nil {
 		return nil, errors.Wrap(errNotAnAnswer, err.Error())
 	}
