clients: read responses of peers, the store and operators checked too

The same two causes acted wherever else a response is read through http.Transport: calls of peers (delegated requests among them, whose uploads may be long), the platform's store, the controller's orders, the load tool and bridgehoistctl. A list of the store, or its era, was believed from a head with "X Part: a" or "Content-Length : 3".

All of them use httpclient now. Reports, moves and health of endpoints go through package upstream, which checks by itself. make lint (scripts/check-http-clients.sh) rejects clients that use http.Transport alone. bridgehoistctl uses no proxy of its environment any more, and HTTP/1.1 only; operator addresses are those of VMs.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	bash scripts/check-wire-names.sh
+	bash scripts/check-http-clients.sh
 
 # The compiler and the plugins are Go tools of this module.
 generate:
--- a/cmd/bridgehoistctl/main.go
+++ b/cmd/bridgehoistctl/main.go
@@ -19,6 +19,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/pkg/table"
@@ -182,6 +183,9 @@
 	return b
 }
 
+// client calls operator addresses.
+var client = &http.Client{Transport: httpclient.New(&http.Transport{})}
+
 // get reads JSON from an operator address; a nil result only checks the status.
 func get(ctx context.Context, base, path string, q url.Values, result any) error {
 	if base == "" {
@@ -193,7 +197,7 @@
 	if err != nil {
 		return settings.UsageError(err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/cmd/bridgehoistctl/why.go
+++ b/cmd/bridgehoistctl/why.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return nil, settings.UsageError(err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	peerv1 "github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1"
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
@@ -114,7 +115,7 @@
 		cfg:   cfg,
 		log:   logger,
 		entry: peerv1connect.NewPeerServiceClient(peers, tlsconfig.Scheme(peerTLS)+"://"+cfg.EntryPeer, peering.LimitMessages(memory)),
-		http:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}},
+		http:  &http.Client{Timeout: callTimeout, Transport: httpclient.New(&http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout})},
 		fleet: register.New(func(b []byte) (*fleet.List, error) { return fleet.Parse(published.Fleet, b) }),
 
 		registry: prometheus.NewRegistry(),
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -14,6 +14,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/httpserver"
 	"github.com/bridgehoist/bridgehoist/internal/notices"
 	"github.com/bridgehoist/bridgehoist/internal/operatorapi"
@@ -48,8 +49,8 @@
 	listenerCloseGrace = 100 * time.Millisecond
 )
 
-func peerTransport() *http.Transport {
-	return &http.Transport{
+func peerTransport() http.RoundTripper {
+	return httpclient.New(&http.Transport{
 		DialContext:         tcpconn.Dialer(peerDialTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: peerIdleConns,
@@ -57,7 +58,7 @@
 		IdleConnTimeout:     peerIdle,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // servers are the listeners; metrics may be nil.
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/engineapi"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/standin"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
@@ -44,7 +45,7 @@
 	return &Client{
 		entries: entries,
 		tag:     tag,
-		http:    &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		http:    &http.Client{Timeout: callTimeout, Transport: httpclient.New(&http.Transport{MaxIdleConnsPerHost: 256})},
 	}
 }
 
@@ -301,9 +302,10 @@
 
 // Runs adds up how often each request ran at the given stand-ins.
 func Runs(standins []string) (map[string]int, error) {
+	client := &http.Client{Timeout: callTimeout, Transport: httpclient.New(&http.Transport{DisableKeepAlives: true})}
 	total := map[string]int{}
 	for _, s := range standins {
-		resp, err := http.Get(s + "/control/runs")
+		resp, err := client.Get(s + "/control/runs")
 		if err != nil {
 			return nil, errors.Wrap(err, "runs")
 		}
--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -20,6 +20,7 @@
 	"github.com/bridgehoist/bridgehoist/gen/bridgehoist/peer/v1/peerv1connect"
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/httpapi"
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/job"
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/shutdown"
@@ -220,7 +221,7 @@
 // a kept one may have died without a reset, and a request that was lost on it can't be repeated. memory
 // bounds what is held of responses; nil is unlimited.
 func NewDelegator(fromVM string, dial tcpconn.DialContext, memory *membudget.Budget) *Delegator {
-	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	transport := httpclient.New(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes})
 	return &Delegator{fromVM: fromVM, http: &http.Client{Transport: LimitResponses(transport, memory)}, memory: memory}
 }
 
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"github.com/bridgehoist/bridgehoist/internal/httpclient"
 	"github.com/bridgehoist/bridgehoist/internal/settings"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
 	"github.com/bridgehoist/bridgehoist/internal/waitfor"
@@ -99,14 +100,14 @@
 
 // Client makes the HTTP client of the peer traffic.
 func Client(t *tls.Config) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpclient.New(&http.Transport{
 		DialContext:         tcpconn.Dialer(dialTimeout),
 		TLSClientConfig:     t,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
 // Scheme gives the scheme of an address with or without TLS.
