responsehead: read lines in place

Parse split each head into lines and lowered each name in memory of its own. It cuts line after line off now; no behaviour changes. FuzzParse, 10 s, and the tests are green.

--- a/pkg/responsehead/responsehead.go
+++ b/pkg/responsehead/responsehead.go
@@ -36,22 +36,22 @@
 	Framed bool
 }
 
+// IsFinalStatus reports whether a response with a status ends an exchange.
+func IsFinalStatus(status int) bool { return minFinalStatus <= status && status <= maxStatus }
+
 // Informational reports whether the head of another response follows.
 func (h Head) Informational() bool { return h.Status < minFinalStatus }
 
 // Length returns the length of the head that data begins with, including the empty line that ends it; zero if the head
 // isn't complete.
 func Length(data []byte) int {
-	for at := 0; ; {
-		end := bytes.IndexByte(data[at:], '\n')
-		if end < 0 {
-			return 0
-		}
-		line := withoutCR(data[at : at+end])
-		if at += end + 1; len(line) == 0 {
-			return at
+	for rest := data; bytes.IndexByte(rest, '\n') >= 0; {
+		var line []byte
+		if line, rest = cutLine(rest); len(line) == 0 {
+			return len(data) - len(rest)
 		}
 	}
+	return 0
 }
 
 // Parse reads a whole head. The error says why it isn't valid.
@@ -59,39 +59,41 @@
 	if Length(data) != len(data) {
 		return Head{}, errors.New("a head that isn't complete")
 	}
-	lines := bytes.Split(data, []byte("\n"))
-	for i := range lines {
-		lines[i] = withoutCR(lines[i])
-	}
-	h, version10, err := parseStatusLine(lines[0])
+	line, rest := cutLine(data)
+	h, version10, err := parseStatusLine(line)
 	if err != nil {
 		return Head{}, err
 	}
 	h.Framed = h.Informational() || h.Status == statusNoContent || h.Status == statusNotModified
-	for i, line := range lines[1:] {
-		if len(line) == 0 {
-			break
+	for first := true; ; first = false {
+		if line, rest = cutLine(rest); len(line) == 0 {
+			return h, nil
 		}
-		name, err := parseFieldLine(line, i == 0)
+		name, err := parseFieldLine(line, first)
 		if err != nil {
 			return Head{}, err
 		}
-		switch strings.ToLower(string(name)) {
-		case "transfer-encoding":
+		coded := bytes.EqualFold(name, transferEncoding)
+		if coded && version10 {
 			// RFC 9112, section 6.1: the framing of such a response is faulty.
-			if version10 {
-				return Head{}, errors.New("a transfer coding in a response of HTTP/1.0")
-			}
-			h.Framed = true
-		case "content-length":
-			h.Framed = true
+			return Head{}, errors.New("a transfer coding in a response of HTTP/1.0")
 		}
+		h.Framed = h.Framed || coded || bytes.EqualFold(name, contentLength)
 	}
-	return h, nil
 }
 
-// withoutCR removes the CR of a line's end. A line may also end with LF only (RFC 9112, section 2.2).
-func withoutCR(line []byte) []byte { return bytes.TrimSuffix(line, []byte("\r")) }
+// The fields that frame a body.
+var (
+	transferEncoding = []byte("Transfer-Encoding")
+	contentLength    = []byte("Content-Length")
+)
+
+// cutLine returns the first line of data without its end, and what follows. A line may also end with LF only (RFC 9112,
+// section 2.2).
+func cutLine(data []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(data, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
 
 // parseStatusLine reads a line like "HTTP/1.1 200 OK" (RFC 9112, section 4). Some servers omit the blank before an empty
 // reason.
