peering: an invalid status that a peer passes on isn't passed on further

While entries are updated, a peer of an earlier version may serve a delegated request and pass on any status that its endpoint sent. Statuses of 600 and more went on to the caller, and one below 100 made net/http panic in the delegating entry. They are a lost delegate now, of whose request nobody knows whether it ran. Invalid names of fields are dropped by net/http when the response is written.

TestAnInvalidStatusOfAPeerIsNotPassedOn failed before (panic: invalid WriteHeader code).

--- a/internal/peering/delegation.go
+++ b/internal/peering/delegation.go
@@ -28,6 +28,7 @@
 	"github.com/bridgehoist/bridgehoist/pkg/claims"
 	"github.com/bridgehoist/bridgehoist/pkg/membership"
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
+	"github.com/bridgehoist/bridgehoist/pkg/responsehead"
 )
 
 // An entry that reaches no endpoint of a target delegates the requests for it to a peer that does.
@@ -329,6 +330,10 @@
 		return true, failure
 	case msg.GetHead() != nil:
 		r.head = msg.GetHead()
+		// Peers of earlier versions pass on any status of an endpoint.
+		if status := int(r.head.GetStatus()); !responsehead.IsFinalStatus(status) {
+			return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the peer sent an invalid status: %d", status)
+		}
 		return false, nil
 	case r.head == nil:
 		return true, outcome.MayHaveRunf(outcome.CodeDelegateLost, "the peer sent data before the head")
--- a/internal/peering/delegation_test.go
+++ b/internal/peering/delegation_test.go
@@ -159,6 +159,20 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// TestAnInvalidStatusOfAPeerIsNotPassedOn guards against answers of endpoints that a peer of an earlier version passes on.
+func TestAnInvalidStatusOfAPeerIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{-1, 99, 101, 600, 999, 1000} {
+		g := NewWithT(t)
+		server := serveDelegated(t, func(_ string, w http.ResponseWriter, _ *http.Request) *outcome.Error {
+			w.WriteHeader(status)
+			return nil
+		})
+		_, err := delegateTo(server.Listener.Addr().String())
+		g.Expect(err).NotTo(BeNil(), "%d", status)
+		g.Expect(err.Outcome).To(Equal(outcome.MayHaveRun), "%d", status)
+	}
+}
+
 // TestADelegatedRequestIsReleasedOnceItsResponseIsWritten guards against stops that cut a response that is being written.
 func TestADelegatedRequestIsReleasedOnceItsResponseIsWritten(t *testing.T) {
 	g := NewWithT(t)
