--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -18,7 +19,7 @@
 
 // post sends a request over a connection and returns the body of the response.
 func post(ctx context.Context, t *testing.T, c net.Conn, body io.Reader) (string, error) {
-	client := &http.Client{Transport: New(&http.Transport{
+	client := &http.Client{Timeout: testTimeout, Transport: New(&http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil },
 	})}
 	t.Cleanup(client.CloseIdleConnections)
@@ -38,6 +39,8 @@
 const (
 	unframedAnswer = "HTTP/1.1 200 OK\r\n\r\npart"
 	uploadBytes    = 1 << 20
+	// testTimeout ends requests that would wait for ever.
+	testTimeout = 20 * time.Second
 )
 
 // TestABodyWithoutLengthIsWholeIfItsUploadEndsWell guards against parts of responses whose reset only the writer gets.
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -15,11 +16,16 @@
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
 )
 
+// testTimeout ends reads that would wait for ever.
+const testTimeout = 20 * time.Second
+
 // largeBody isn't written at once.
 var largeBody = []byte(strings.Repeat("b", 1<<20))
 
 // readDuringUpload sends a large request on a connection, and calls end once the end of the answer has been read.
 func readDuringUpload(ctx context.Context, t *testing.T, c *scriptedconn.Conn, end func()) (body string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, testTimeout)
+	defer cancel()
 	pool := newPool()
 	pool.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
 	go func() {
@@ -95,8 +101,11 @@
 	pool.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
 	r := request("a")
 	r.Body = largeBody
-	resp, failure := pool.Do(t.Context(), fleet.Endpoint{ID: "e"}, r, upstream.Sending{})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	resp, failure := pool.Do(ctx, fleet.Endpoint{ID: "e"}, r, upstream.Sending{})
 	g.Expect(failure).To(BeNil())
 	resp.Discard()
 	g.Expect(c.Closed).To(BeClosed())
+	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 }
