--- a/internal/engineclient/cut_test.go
+++ b/internal/engineclient/cut_test.go
@@ -60,29 +60,20 @@
 			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
 				g := NewWithT(t)
 				var end atomic.Int64
-				l := freeport.Listen(t)
-				t.Cleanup(func() { l.Close() })
-				go func() {
-					for {
-						c, err := l.Accept()
-						if err != nil {
-							return
-						}
-						req, err := http.ReadRequest(bufio.NewReader(c))
-						if err == nil {
-							_, _ = io.Copy(io.Discard, req.Body)
-							_, _ = io.WriteString(c, tc.answer[:end.Load()])
-						}
-						if reset {
-							_ = c.(*net.TCPConn).SetLinger(0)
-						}
-						c.Close()
+				address := freeport.Serve(t, func(c *net.TCPConn) {
+					req, err := http.ReadRequest(bufio.NewReader(c))
+					if err == nil {
+						_, _ = io.Copy(io.Discard, req.Body)
+						_, _ = io.WriteString(c, tc.answer[:end.Load()])
 					}
-				}()
+					if reset {
+						_ = c.SetLinger(0)
+					}
+				})
 				client := New(nil)
 				for at := range len(tc.answer) {
 					end.Store(int64(at))
-					whole, f := tc.ask(client, fleet.Endpoint{ID: "e", Address: l.Addr().String()})
+					whole, f := tc.ask(client, fleet.Endpoint{ID: "e", Address: address})
 					if whole {
 						g.Expect(at).To(BeNumerically(">", strings.LastIndex(tc.answer, tc.last)), "%q", tc.answer[:at])
 						continue
--- a/internal/engineclient/heads_test.go
+++ b/internal/engineclient/heads_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -33,23 +34,14 @@
 	for name, text := range answers {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			l := freeport.Listen(t)
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.Copy(io.Discard, req.Body)
-						_, _ = io.WriteString(c, text)
-					}
-					c.Close()
+			address := freeport.Serve(t, func(c *net.TCPConn) {
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, text)
 				}
-			}()
+			})
 			client := New(func(_ fleet.Endpoint, s Said) { t.Errorf("believed: %+v", s) })
-			to := fleet.Endpoint{ID: "e", Address: l.Addr().String()}
+			to := fleet.Endpoint{ID: "e", Address: address}
 			_, call := client.Call(t.Context(), to, "r", http.MethodPost, "/", "", []byte("x"))
 			_, start := client.Start(t.Context(), to, "r", &engineapi.CompletionRequest{})
 			g.Expect(call).NotTo(BeNil())
--- a/internal/engineclient/uploads_test.go
+++ b/internal/engineclient/uploads_test.go
@@ -48,29 +48,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			l := freeport.Listen(t)
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					r := bufio.NewReader(c)
-					req, err := http.ReadRequest(r)
-					if err == nil && tc.readFirst {
-						_, err = io.Copy(io.Discard, req.Body)
-					}
-					if err == nil {
-						_, _ = io.WriteString(c, tc.reply)
-						tc.end(c.(*net.TCPConn), r)
-					}
-					c.Close()
+			address := freeport.Serve(t, func(c *net.TCPConn) {
+				r := bufio.NewReader(c)
+				req, err := http.ReadRequest(r)
+				if err == nil && tc.readFirst {
+					_, err = io.Copy(io.Discard, req.Body)
 				}
-			}()
+				if err == nil {
+					_, _ = io.WriteString(c, tc.reply)
+					tc.end(c, r)
+				}
+			})
 			client := New(nil)
 			for range calls {
-				reply, f := client.Call(t.Context(), fleet.Endpoint{ID: "e", Address: l.Addr().String()}, "r", http.MethodPost, "/", "", make([]byte, 4<<20))
+				reply, f := client.Call(t.Context(), fleet.Endpoint{ID: "e", Address: address}, "r", http.MethodPost, "/", "", make([]byte, 4<<20))
 				if tc.whole {
 					g.Expect(f).To(BeNil())
 					g.Expect(reply.Body).To(BeEquivalentTo("part"))
--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -65,6 +65,25 @@
 	return nil
 }
 
+// Serve calls handle for each connection to the address that it returns, and closes the connection then.
+func Serve(tb testing.TB, handle func(c *net.TCPConn)) (address string) {
+	l := Listen(tb)
+	tb.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // reserve keeps a port for this process. The kernel gives it up when the process ends.
 func reserve(port int) (release func(), ok bool) {
 	name := filepath.Join(os.TempDir(), fmt.Sprintf("bridgehoist-test-port-%d", port))
--- a/internal/peering/delegation_cut_test.go
+++ b/internal/peering/delegation_cut_test.go
@@ -16,30 +16,11 @@
 	"github.com/bridgehoist/bridgehoist/pkg/outcome"
 )
 
-// accept serves each connection that comes in at the address that it returns.
-func accept(t *testing.T, serve func(c *net.TCPConn)) string {
-	l := freeport.Listen(t)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // recorded returns the bytes of the response of a peer that serves a delegated request by h.
 func recorded(t *testing.T, h DelegateHandler) []byte {
 	server := serveDelegated(t, h)
 	response := make(chan []byte, 1)
-	_, _ = delegateTo(accept(t, func(c *net.TCPConn) {
+	_, _ = delegateTo(freeport.Serve(t, func(c *net.TCPConn) {
 		to, err := net.Dial("tcp", server.Listener.Addr().String())
 		if err != nil {
 			return
@@ -82,7 +63,7 @@
 				g := NewWithT(t)
 				var end atomic.Int64
 				complete := 0
-				address := accept(t, func(c *net.TCPConn) {
+				address := freeport.Serve(t, func(c *net.TCPConn) {
 					req, err := http.ReadRequest(bufio.NewReader(c))
 					if err != nil {
 						return
--- a/internal/truncation/endpoint_test.go
+++ b/internal/truncation/endpoint_test.go
@@ -70,23 +70,9 @@
 }
 
 // serve starts an endpoint and returns its address.
-func (l *ledger) serve(t *testing.T) string {
-	listener := freeport.Listen(t)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go l.serveConn(c.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
-}
+func (l *ledger) serve(t *testing.T) string { return freeport.Serve(t, l.serveConn) }
 
 func (l *ledger) serveConn(c *net.TCPConn) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for kept := false; ; {
 		req, err := http.ReadRequest(r)
--- a/internal/truncation/scripted_test.go
+++ b/internal/truncation/scripted_test.go
@@ -59,9 +59,8 @@
 	reached sync.Map
 }
 
-// answer answers one request, and ends the connection.
+// answer answers one request. The connection is closed afterwards.
 func (e *scriptedEndpoint) answer(c *net.TCPConn) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	req, err := http.ReadRequest(r)
 	if err != nil {
@@ -91,20 +90,7 @@
 }
 
 // serve starts an endpoint and returns its address.
-func (e *scriptedEndpoint) serve(t *testing.T) string {
-	listener := freeport.Listen(t)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.answer(c.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
-}
+func (e *scriptedEndpoint) serve(t *testing.T) string { return freeport.Serve(t, e.answer) }
 
 // sendAll sends some requests for each of the answers. Endpoints whose answers fail get no requests for a while, so that
 // the requests go to those of all workers in turn.
