responsehead: read heads as they arrive

The copy of a head that was kept to be judged, some 30 KB with what is read ahead, came on top of what the memory plan allows the answers of all open requests. Parser judges bytes as they arrive and holds only the beginning of a line; package upstream and httpclient feed it what they read. An invalid byte is known at once, and heads that drip aren't scanned again with each read.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -33,10 +33,12 @@
 	writeErr error
 
 	mu sync.Mutex
-	// reading is set until the head of the response is known, and heads holds what has been read until then.
-	reading bool
-	heads   []byte
-	// head is the final one, and headErr says why it isn't valid.
+	// reading is set until the final head of the response is known. headBytes and headLines are the size of the heads
+	// read until then.
+	reading              bool
+	parser               responsehead.Parser
+	headBytes, headLines int
+	// head is the final one, and headErr says why there is none.
 	head    responsehead.Head
 	headErr error
 	// written is closed when the request has been written, or couldn't be.
@@ -53,7 +55,7 @@
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.heads = true, nil
+	c.reading, c.parser, c.headBytes, c.headLines = true, responsehead.Parser{}, 0, 0
 	c.head, c.headErr = responsehead.Head{}, errUnsolicited
 	c.written = make(chan struct{})
 }
@@ -92,33 +94,27 @@
 	return n, err
 }
 
-// readHeads reads along until the final head of a response, or one that isn't valid.
+// readHeads reads along until the final head of a response has ended, or one isn't valid.
 func (c *conn) readHeads(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.reading {
-		return nil
-	}
-	c.heads = append(c.heads, data...)
-	end := 0
-	for c.reading {
-		length := responsehead.Length(c.heads[end:])
-		if length == 0 {
-			end = len(c.heads)
-			break
+	for c.reading && len(data) > 0 {
+		n, err := c.parser.Feed(data)
+		c.headBytes += n
+		c.headLines += bytes.Count(data[:n], []byte("\n"))
+		data = data[n:]
+		switch {
+		case err != nil:
+			c.reading, c.headErr = false, err
+		case c.headBytes > c.maxHeadBytes || c.headLines > maxHeadLines:
+			c.reading, c.headErr = false, errHeadTooLarge
+			return errHeadTooLarge
+		case !c.parser.Done():
+		case c.parser.Head().Informational():
+			c.parser = responsehead.Parser{}
+		default:
+			c.reading, c.head, c.headErr = false, c.parser.Head(), nil
 		}
-		c.head, c.headErr = responsehead.Parse(c.heads[end : end+length])
-		c.reading = c.headErr == nil && c.head.Informational()
-		end += length
-	}
-	if end > c.maxHeadBytes || bytes.Count(c.heads[:end], []byte("\n")) > maxHeadLines {
-		c.reading, c.heads, c.headErr = false, nil, errHeadTooLarge
-		return errHeadTooLarge
-	}
-	if c.reading {
-		c.headErr = errUnsolicited
-	} else {
-		c.heads = nil
 	}
 	return nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"slices"
 	"syscall"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"github.com/bridgehoist/bridgehoist/internal/clock"
 	"github.com/bridgehoist/bridgehoist/internal/tcpconn"
+	"github.com/bridgehoist/bridgehoist/pkg/responsehead"
 )
 
 // dialTimeout is for a new connection: some round trips between data centres. A lost opening
@@ -34,13 +34,14 @@
 	// has carried one without an ID; see mayCarry.
 	carried   map[uint64]bool
 	anonymous bool
-	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headRead
-	// holds what has been read since the answer before, and headErr is the error that the connection ended with
-	// meanwhile.
+	// headLimited is set while the head of an answer is read, of which headLeft bytes may still come. headErr
+	// is the error that the connection ended with meanwhile.
 	headLimited bool
 	headLeft    int
-	headRead    []byte
 	headErr     error
+	// head reads along, and headInvalid says why the head isn't valid.
+	head        responsehead.Parser
+	headInvalid error
 }
 
 // Dialer opens a TCP connection.
@@ -95,15 +96,28 @@
 // beginHead limits what is read until endHead: a head of so many bytes, and the part of the body that is read ahead.
 func (c *conn) beginHead(bytes int) {
 	c.headLimited, c.headLeft, c.headErr = true, bytes+readBufferBytes, nil
+	c.head, c.headInvalid = responsehead.Parser{}, nil
 	// All that is buffered can be peeked.
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	c.headRead = slices.Clone(buffered)
+	c.checkHead(buffered)
 }
 
-func (c *conn) endHead() { c.headLimited, c.headRead = false, nil }
+func (c *conn) endHead() { c.headLimited = false }
 
-// head returns the head once it has been parsed: what has been read but for the part of the body.
-func (c *conn) head() []byte { return c.headRead[:len(c.headRead)-c.reader.Buffered()] }
+// headError returns why the head that has been read isn't valid.
+func (c *conn) headError() error {
+	if c.headInvalid == nil && !c.head.Done() {
+		return errors.New("the head doesn't end")
+	}
+	return c.headInvalid
+}
+
+// checkHead reads along what may be a part of the head.
+func (c *conn) checkHead(data []byte) {
+	if c.headInvalid == nil {
+		_, c.headInvalid = c.head.Feed(data)
+	}
+}
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
@@ -115,7 +129,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
-	c.headRead = append(c.headRead, p[:n]...)
+	c.checkHead(p[:n])
 	if err != nil {
 		c.headErr = err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,7 +19,6 @@
 	"github.com/bridgehoist/bridgehoist/internal/membudget"
 	"github.com/bridgehoist/bridgehoist/internal/pause"
 	"github.com/bridgehoist/bridgehoist/pkg/fleet"
-	"github.com/bridgehoist/bridgehoist/pkg/responsehead"
 	"github.com/bridgehoist/bridgehoist/pkg/retry"
 )
 
@@ -344,7 +343,7 @@
 		return nil, errors.Wrap(c.headErr, "in the head of an answer")
 	}
 	if err == nil {
-		_, err = responsehead.Parse(c.head())
+		err = c.headError()
 	}
 	if err != nil {
 		return nil, errors.Wrap(errNotAnAnswer, err.Error())
--- a/pkg/responsehead/responsehead.go
+++ b/pkg/responsehead/responsehead.go
@@ -42,109 +42,158 @@
 // Informational reports whether the head of another response follows.
 func (h Head) Informational() bool { return h.Status < minFinalStatus }
 
-// Length returns the length of the head that data begins with, including the empty line that ends it; zero if the head
-// isn't complete.
-func Length(data []byte) int {
-	for rest := data; bytes.IndexByte(rest, '\n') >= 0; {
-		var line []byte
-		if line, rest = cutLine(rest); len(line) == 0 {
-			return len(data) - len(rest)
+// position is what the next byte of a head is a part of.
+type position int
+
+const (
+	statusLine position = iota
+	// fieldStart is the first byte of a line after the status line.
+	fieldStart
+	fieldName
+	fieldValue
+	end
+)
+
+// prefixBytes is how much of a status line and of a name is looked at: more than those that mean something have.
+const prefixBytes = 20
+
+// Parser reads a head as it arrives. It holds none of it but the beginning of a line. The zero value is ready for use.
+type Parser struct {
+	at   position
+	head Head
+	// version10 says that the response is one of HTTP/1.0.
+	version10 bool
+	// prefix is the beginning of the status line, or of the name of a field.
+	prefix [prefixBytes]byte
+	length int
+	// fields says that there has been a field, and cr that the last byte was a CR.
+	fields, cr bool
+}
+
+// Done reports whether the head has ended.
+func (p *Parser) Done() bool { return p.at == end }
+
+// Head returns what the head says, once it has ended.
+func (p *Parser) Head() Head { return p.head }
+
+// Feed reads the next bytes up to the end of the head, and returns how many belong to it. The error says why the head isn't
+// valid; the parser can't be used after one.
+func (p *Parser) Feed(data []byte) (n int, err error) {
+	for n < len(data) && !p.Done() && err == nil {
+		b := data[n]
+		n++
+		switch {
+		case b == '\n':
+			// A line may also end with LF only (RFC 9112, section 2.2).
+			p.cr = false
+			err = p.endLine()
+		case p.cr:
+			err = errors.New("a CR within a line")
+		case b == '\r':
+			p.cr = true
+		default:
+			err = p.next(b)
 		}
 	}
-	return 0
+	return n, err
 }
 
-// Parse reads a whole head. The error says why it isn't valid.
-func Parse(data []byte) (Head, error) {
-	if Length(data) != len(data) {
-		return Head{}, errors.New("a head that isn't complete")
-	}
-	line, rest := cutLine(data)
-	h, version10, err := parseStatusLine(line)
-	if err != nil {
-		return Head{}, err
-	}
-	h.Framed = h.Informational() || h.Status == statusNoContent || h.Status == statusNotModified
-	for first := true; ; first = false {
-		if line, rest = cutLine(rest); len(line) == 0 {
-			return h, nil
+// next reads a byte that ends no line.
+func (p *Parser) next(b byte) error {
+	blank := b == ' ' || b == '\t'
+	switch p.at {
+	case fieldStart:
+		p.length = 0
+		if blank && !p.fields {
+			return errors.New("a blank before the first field")
+		}
+		if blank {
+			// The line continues the value before (RFC 9112, section 5.2).
+			p.at = fieldValue
+			return nil
 		}
-		name, err := parseFieldLine(line, first)
-		if err != nil {
-			return Head{}, err
+		p.at = fieldName
+		return p.next(b)
+	case fieldName:
+		if b == ':' && p.length > 0 {
+			p.at = fieldValue
+			return p.endName()
 		}
-		coded := bytes.EqualFold(name, transferEncoding)
-		if coded && version10 {
-			// RFC 9112, section 6.1: the framing of such a response is faulty.
-			return Head{}, errors.New("a transfer coding in a response of HTTP/1.0")
+		if !isTokenByte(b) {
+			return errors.Errorf("%q in the name of a field", b)
+		}
+		p.append(b)
+	case statusLine:
+		p.append(b)
+		fallthrough
+	default:
+		if !isTextByte(b) {
+			return errors.Errorf("the control character %q", b)
 		}
-		h.Framed = h.Framed || coded || bytes.EqualFold(name, contentLength)
 	}
+	return nil
 }
 
-// The fields that frame a body.
-var (
-	transferEncoding = []byte("Transfer-Encoding")
-	contentLength    = []byte("Content-Length")
-)
+// append adds a byte to the prefix while there is room.
+func (p *Parser) append(b byte) {
+	if p.length < len(p.prefix) {
+		p.prefix[p.length] = b
+	}
+	p.length++
+}
 
-// cutLine returns the first line of data without its end, and what follows. A line may also end with LF only (RFC 9112,
-// section 2.2).
-func cutLine(data []byte) (line, rest []byte) {
-	line, rest, _ = bytes.Cut(data, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest
+func (p *Parser) endLine() error {
+	switch p.at {
+	case statusLine:
+		p.at = fieldStart
+		return p.readStatusLine(string(p.prefix[:min(p.length, len(p.prefix))]))
+	case fieldStart:
+		p.at = end
+	case fieldName:
+		return errors.New("a line that isn't a field")
+	case fieldValue:
+		p.at = fieldStart
+	}
+	return nil
 }
 
-// parseStatusLine reads a line like "HTTP/1.1 200 OK" (RFC 9112, section 4). Some servers omit the blank before an empty
-// reason.
-func parseStatusLine(line []byte) (h Head, version10 bool, err error) {
+// readStatusLine reads the beginning of a line like "HTTP/1.1 200 OK" (RFC 9112, section 4). Some servers omit the blank
+// before an empty reason.
+func (p *Parser) readStatusLine(line string) error {
 	const protocol = "HTTP/1."
-	const versionLength, statusLength = len(protocol) + 1, 3
-	version, rest, _ := bytes.Cut(line, []byte(" "))
-	if len(version) != versionLength || !bytes.HasPrefix(version, []byte(protocol)) || !isDigit(version[len(protocol)]) {
-		return Head{}, false, errors.Errorf("a version other than HTTP/1: %.40q", line)
-	}
-	status, reason, _ := bytes.Cut(rest, []byte(" "))
-	if len(status) != statusLength || !all(status, isDigit) {
-		return Head{}, false, errors.Errorf("a status line without a status: %.40q", line)
+	minor, rest, _ := strings.Cut(strings.TrimPrefix(line, protocol), " ")
+	if !strings.HasPrefix(line, protocol) || len(minor) != 1 || !isDigit(minor[0]) {
+		return errors.Errorf("a version other than HTTP/1: %q", line)
 	}
-	if !all(reason, isTextByte) {
-		return Head{}, false, errors.Errorf("a control character in a status line: %.40q", line)
+	status, _, _ := strings.Cut(rest, " ")
+	number, err := strconv.ParseUint(status, 10, 16)
+	if err != nil || len(status) != 3 {
+		return errors.Errorf("a status line without a status: %q", line)
 	}
-	// Three digits are a number.
-	h.Status, _ = strconv.Atoi(string(status))
-	if h.Status < minStatus || h.Status > maxStatus || h.Status == statusSwitchingProtocols {
-		return Head{}, false, errors.Errorf("an invalid status: %s", status)
+	p.head.Status, p.version10 = int(number), minor == "0"
+	if p.head.Status < minStatus || p.head.Status > maxStatus || p.head.Status == statusSwitchingProtocols {
+		return errors.Errorf("an invalid status: %s", status)
 	}
-	return h, version[len(protocol)] == '0', nil
+	p.head.Framed = p.head.Informational() || p.head.Status == statusNoContent || p.head.Status == statusNotModified
+	return nil
 }
 
-// parseFieldLine returns the name of a field (RFC 9112, section 5), empty if the line continues the value of the field
-// before it.
-func parseFieldLine(line []byte, first bool) (name []byte, err error) {
-	value := line
-	if continued := line[0] == ' ' || line[0] == '\t'; !continued {
-		var found bool
-		name, value, found = bytes.Cut(line, []byte(":"))
-		if !found || len(name) == 0 || !all(name, isTokenByte) {
-			return nil, errors.Errorf("an invalid name of a field: %.40q", line)
-		}
-	} else if first {
-		return nil, errors.Errorf("a blank before the first field: %.40q", line)
-	}
-	if !all(value, isTextByte) {
-		return nil, errors.Errorf("a control character in a field: %.40q", line)
-	}
-	return name, nil
-}
+// The names of the fields that frame a body.
+var (
+	transferEncoding = []byte("Transfer-Encoding")
+	contentLength    = []byte("Content-Length")
+)
 
-func all(text []byte, is func(byte) bool) bool {
-	for _, b := range text {
-		if !is(b) {
-			return false
-		}
+func (p *Parser) endName() error {
+	p.fields = true
+	name := p.prefix[:min(p.length, len(p.prefix))]
+	coded := bytes.EqualFold(name, transferEncoding)
+	if coded && p.version10 {
+		// RFC 9112, section 6.1: the framing of such a response is faulty.
+		return errors.New("a transfer coding in a response of HTTP/1.0")
 	}
-	return true
+	p.head.Framed = p.head.Framed || coded || bytes.EqualFold(name, contentLength)
+	return nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
