upstream, httpclient: an invalid head ends its connection at once

A head was judged once net/http had read it to its end. A server that fell silent within a head that was known to be invalid held its request until the time was up. Nothing is read after an invalid byte now. On our own interface heads that net/http rejects as well are a protocol error like the others.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// Serve calls handle for each connection to the address that it returns, and closes the connection then.
+// Serve calls handle for each connection to the address that it returns, and closes the connection afterwards.
 func Serve(tb testing.TB, handle func(c *net.TCPConn)) (address string) {
 	l := Listen(tb)
 	tb.Cleanup(func() { l.Close() })
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -16,8 +16,8 @@
 
 var (
 	errHeadTooLarge = errors.New("the head of the response is too large")
-	// errUnsolicited says that the head of a response arrived before its request was sent.
-	errUnsolicited = errors.New("a response to no request")
+	// errNoHead says that no whole head has arrived since the request was sent.
+	errNoHead = errors.New("a response to no request")
 )
 
 // conn is a connection of a transport. It reads along the heads of each response, which http.Transport doesn't show, and
@@ -48,7 +48,7 @@
 func newConn(c net.Conn, maxHeadBytes int) *conn {
 	written := make(chan struct{})
 	close(written)
-	return &conn{Conn: c, maxHeadBytes: maxHeadBytes, closed: make(chan struct{}), headErr: errUnsolicited, written: written}
+	return &conn{Conn: c, maxHeadBytes: maxHeadBytes, closed: make(chan struct{}), headErr: errNoHead, written: written}
 }
 
 // begin is called before a request is written.
@@ -56,7 +56,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.parser, c.headBytes, c.headLines = true, responsehead.Parser{}, 0, 0
-	c.head, c.headErr = responsehead.Head{}, errUnsolicited
+	c.head, c.headErr = responsehead.Head{}, errNoHead
 	c.written = make(chan struct{})
 }
 
@@ -80,6 +80,9 @@
 
 // Read implements net.Conn. It returns io.EOF at the end of a body without framing only if the body is whole.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.checkHead(); errors.Is(err, ErrInvalidHead) {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if err := c.readHeads(p[:n]); err != nil {
 		// The error tells why.
@@ -105,7 +108,7 @@
 		data = data[n:]
 		switch {
 		case err != nil:
-			c.reading, c.headErr = false, err
+			c.reading, c.headErr = false, errors.Wrap(ErrInvalidHead, err.Error())
 		case c.headBytes > c.maxHeadBytes || c.headLines > maxHeadLines:
 			c.reading, c.headErr = false, errHeadTooLarge
 			return errHeadTooLarge
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -27,7 +27,7 @@
 // defaultMaxHeadBytes bounds the head of a response unless the transport has a limit.
 const defaultMaxHeadBytes = 64 << 10
 
-// ErrInvalidHead says that a response had no valid head. The request may have run.
+// ErrInvalidHead says that the head of a response isn't valid. The request may have run.
 var ErrInvalidHead = errors.New("invalid head of a response")
 
 // Transport is an http.RoundTripper. It is safe for concurrent use.
@@ -88,7 +88,7 @@
 	t.maxHeadBytes, t.base.MaxResponseHeaderBytes = n, int64(n)
 }
 
-// RoundTrip implements http.RoundTripper. The error wraps ErrInvalidHead if the response has no valid head.
+// RoundTrip implements http.RoundTripper. The error wraps ErrInvalidHead if the response has an invalid head.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// http.Transport tries another connection if a kept one turns out to be dead.
 	var via atomic.Pointer[conn]
@@ -101,15 +101,22 @@
 		WroteRequest: func(httptrace.WroteRequestInfo) { via.Load().requestWritten() },
 	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
-	if err != nil {
+	if via.Load() == nil {
 		return nil, err
 	}
-	if err := via.Load().checkHead(); err != nil {
+	headErr := via.Load().checkHead()
+	switch {
+	case err == nil && headErr == nil:
+		return resp, nil
+	case err == nil:
 		// Nothing of the response is used.
 		_ = resp.Body.Close()
-		return nil, errors.Wrap(ErrInvalidHead, err.Error())
+		return nil, headErr
+	case errors.Is(headErr, ErrInvalidHead):
+		return nil, headErr
+	default:
+		return nil, err
 	}
-	return resp, nil
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,7 +39,7 @@
 	headLimited bool
 	headLeft    int
 	headErr     error
-	// head reads along, and headInvalid says why the head isn't valid.
+	// head reads along, and headInvalid says why the head isn't valid. Nothing is read after such a head.
 	head        responsehead.Parser
 	headInvalid error
 }
@@ -104,18 +104,13 @@
 
 func (c *conn) endHead() { c.headLimited = false }
 
-// headError returns why the head that has been read isn't valid.
-func (c *conn) headError() error {
-	if c.headInvalid == nil && !c.head.Done() {
-		return errors.New("the head doesn't end")
-	}
-	return c.headInvalid
-}
-
 // checkHead reads along what may be a part of the head.
 func (c *conn) checkHead(data []byte) {
-	if c.headInvalid == nil {
-		_, c.headInvalid = c.head.Feed(data)
+	if c.headInvalid != nil {
+		return
+	}
+	if _, err := c.head.Feed(data); err != nil {
+		c.headInvalid = errors.Wrap(errNotAnAnswer, err.Error())
 	}
 }
 
@@ -124,6 +119,9 @@
 	if !c.headLimited {
 		return c.Conn.Read(p)
 	}
+	if c.headInvalid != nil {
+		return 0, c.headInvalid
+	}
 	if c.headLeft <= 0 {
 		return 0, errHeadTooLarge
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -338,15 +338,16 @@
 		return nil, err
 	}
 	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-	if err != nil && c.headErr != nil {
+	switch {
+	case c.headInvalid != nil:
+		return nil, c.headInvalid
+	case err != nil && c.headErr != nil:
 		// The end of the connection leaves a line that is cut off, which is reported as a malformed one.
 		return nil, errors.Wrap(c.headErr, "in the head of an answer")
-	}
-	if err == nil {
-		err = c.headError()
-	}
-	if err != nil {
+	case err != nil:
 		return nil, errors.Wrap(errNotAnAnswer, err.Error())
+	case !c.head.Done():
+		return nil, errors.Wrap(errNotAnAnswer, "the end of the head is unclear")
 	}
 	fields := 0
 	for _, values := range hr.Header {
