truncation: answers to uploads that are reset, delegated by a peer

The entry that delegates gets what its peer has judged. Green as it is; with the check of package upstream switched off, cases with a reset fail.

--- a/internal/truncation/gateway_test.go
+++ b/internal/truncation/gateway_test.go
@@ -172,6 +172,9 @@
 	return server.Listener.Addr().String()
 }
 
+// callers returns the address for callers.
+func callers(p *process) string { return p.vm.Callers }
+
 // sockets counts the sockets that the process has open.
 func (p *process) sockets(t *testing.T) (count int) {
 	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
--- a/internal/truncation/heads_test.go
+++ b/internal/truncation/heads_test.go
@@ -54,5 +54,5 @@
 // TestAnAnswerWithAnInvalidHeadIsNotPassedOn guards against answers, refusals and lines of heads that aren't HTTP.
 func TestAnAnswerWithAnInvalidHeadIsNotPassedOn(t *testing.T) {
 	const requests = 2
-	sendAll(t, answersWithHeads(), requests, len(smallBody))
+	sendAll(t, callers, answersWithHeads(), requests, len(smallBody))
 }
--- a/internal/truncation/scripted_test.go
+++ b/internal/truncation/scripted_test.go
@@ -92,11 +92,11 @@
 // serve starts an endpoint and returns its address.
 func (e *scriptedEndpoint) serve(t *testing.T) string { return freeport.Serve(t, e.answer) }
 
-// sendAll sends some requests for each of the answers. Endpoints whose answers fail get no requests for a while, so that
-// the requests go to those of all workers in turn.
-func sendAll(t *testing.T, answers map[string]scriptedAnswer, requests, bodyBytes int) {
+// sendAll sends some requests for each of the answers to an address of a gateway. Endpoints whose answers fail get no
+// requests for a while, so that the requests go to those of all workers in turn.
+func sendAll(t *testing.T, address func(*process) string, answers map[string]scriptedAnswer, requests, bodyBytes int) {
 	e := &scriptedEndpoint{answers: answers}
-	p := start(t, e.serve)
+	to := address(start(t, e.serve))
 	worker := 0
 	for _, name := range slices.Sorted(maps.Keys(answers)) {
 		services := []string{"plain", "safe"}
@@ -110,7 +110,7 @@
 				for range requests {
 					w := worker % workers
 					worker++
-					all.Go(func() error { return trySending(p, e, name, service, w, bodyBytes) })
+					all.Go(func() error { return trySending(to, e, name, service, w, bodyBytes) })
 				}
 				if err := all.Wait(); err != nil {
 					t.Error(err)
@@ -121,7 +121,7 @@
 }
 
 // trySending sends requests until one reaches an endpoint, and returns what is wrong with what its caller gets.
-func trySending(p *process, e *scriptedEndpoint, name, service string, worker, bodyBytes int) error {
+func trySending(to string, e *scriptedEndpoint, name, service string, worker, bodyBytes int) error {
 	answer := e.answers[name]
 	header := map[string]string{headerAnswer: name}
 	if answer.stream {
@@ -129,7 +129,7 @@
 	}
 	for try := range maxTries {
 		id := fmt.Sprintf("%x-%s-%d-%d", name, service, worker, try)
-		c := &caller{address: p.vm.Callers}
+		c := &caller{address: to}
 		got := c.send(id, fmt.Sprint("key", worker), fmt.Sprintf("/%s/%d/x", service, worker), header, bytes.Repeat([]byte("b"), bodyBytes))
 		c.close()
 		_, reached := e.reached.Load(id)
--- a/internal/truncation/uploads_test.go
+++ b/internal/truncation/uploads_test.go
@@ -28,5 +28,11 @@
 
 // TestAnAnswerThatIsResetDuringItsUploadIsNotWhole guards against parts of answers without a length passed on as whole.
 func TestAnAnswerThatIsResetDuringItsUploadIsNotWhole(t *testing.T) {
-	sendAll(t, answersToUploads, uploads, uploadBytes)
+	sendAll(t, callers, answersToUploads, uploads, uploadBytes)
+}
+
+// TestADelegatedAnswerThatIsResetDuringItsUploadIsNotWhole guards against the same where a peer has got the answer.
+func TestADelegatedAnswerThatIsResetDuringItsUploadIsNotWhole(t *testing.T) {
+	delegated := func(p *process) string { return p.delegate(t) }
+	sendAll(t, delegated, answersToUploads, uploads/4, uploadBytes/2)
 }
