--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -20,8 +20,8 @@
 	errNoHead = errors.New("a response to no request")
 )
 
-// conn is a connection of a transport. It reads along the heads of each response, which http.Transport doesn't show, and
-// remembers whether a write failed.
+// conn is a connection of a transport. It parses the heads of each response as they are read, since http.Transport doesn't
+// expose their bytes, and records whether a write failed.
 type conn struct {
 	net.Conn
 	maxHeadBytes int
@@ -97,7 +97,7 @@
 	return n, err
 }
 
-// readHeads reads along until the final head of a response has ended, or one isn't valid.
+// readHeads parses data until the final head of a response has ended, or one isn't valid.
 func (c *conn) readHeads(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,7 +39,7 @@
 	headLimited bool
 	headLeft    int
 	headErr     error
-	// head reads along, and headInvalid says why the head isn't valid. Nothing is read after such a head.
+	// head parses the head as it is read, and headInvalid says why it isn't valid. Nothing is read after an invalid byte.
 	head        responsehead.Parser
 	headInvalid error
 }
@@ -104,7 +104,7 @@
 
 func (c *conn) endHead() { c.headLimited = false }
 
-// checkHead reads along what may be a part of the head.
+// checkHead parses data up to the end of the head.
 func (c *conn) checkHead(data []byte) {
 	if c.headInvalid != nil {
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,7 +9,8 @@
 //
 // Connections are kept by the life of their endpoint. A connection is to one process, so
 // that an answer is always of the life which got the request. An answer belongs to one try of
-// a request: no connection carries two that their answers don't tell apart.
+// a request: no connection carries two that their answers don't tell apart. Nothing of a head that isn't valid is used,
+// and a body that ends with its connection is whole only if all of the request was written.
 //
 //	idle --Do--> sent --answer with the request's id--> answered --Close--> idle
 //	  |           |  \--answer with another id: skipped             \--> closed
