soak: a request that a stopping process may cut isn't lost by the next one's stop

Trace (logs of a red run): vm-1's first process got SIGTERM at 16.458 s with a grace period of 8 s; stream vm-1-273-long was sent at 17.764, 1.3 s later, and cut at 23.759, in the last sixth of the grace period, while its server was still at work (code=stopping); the process ended at 23.779. LOST doesn't count that. The check compared it with the SIGTERM of the next process, which had come by then, as stops overlap in this plan.

The check also looks at the stop of the process that ended with the cut, if it ran when the request was sent.

--- a/internal/soak/host_plans_test.go
+++ b/internal/soak/host_plans_test.go
@@ -292,10 +292,14 @@
 		// Its caller gave up while a server had it.
 		return ""
 	}
-	if stopping && !sent.After(stop.Add(earlyInStop)) {
-		if at, ok := w.workEnded.Load(r.id); ok && !at.(time.Time).Before(stop.Add(g.vm.Bounds.Grace*5/6)) {
-			return ""
-		}
+	stops := g.stopsEndedAt(sent, end)
+	if stopping {
+		stops = append(stops, stop)
+	}
+	if at, ok := w.workEnded.Load(r.id); ok && slices.ContainsFunc(stops, func(stop time.Time) bool {
+		return !sent.After(stop.Add(earlyInStop)) && !at.(time.Time).Before(stop.Add(g.vm.Bounds.Grace*5/6))
+	}) {
+		return ""
 	}
 	how := "sent in calm"
 	if stopping {
@@ -316,6 +320,19 @@
 	})
 }
 
+// stopsEndedAt returns when processes of the gateway were told to stop that ran when a request was sent and ended at a time.
+// The next process may have been told to stop by then too.
+func (g *gateway) stopsEndedAt(sent, at time.Time) (stops []time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.host.processes {
+		if told := p.toldToStop(); !told.IsZero() && p.begun.Before(sent) && p.endedAt.Sub(at).Abs() < lossSlack {
+			stops = append(stops, told)
+		}
+	}
+	return stops
+}
+
 // stopBefore returns when a process of the gateway was told to stop, the last time within the grace period before a time.
 func (g *gateway) stopBefore(at time.Time) (stop time.Time, ok bool) {
 	g.mu.Lock()
