--- a/internal/truncation/heads_test.go
+++ b/internal/truncation/heads_test.go
@@ -16,7 +16,7 @@
 
 // withStatusLine returns an answer whose body is a whole answer.
 func withStatusLine(line string) scriptedAnswer {
-	return scriptedAnswer{text: fmt.Sprintf("%s\r\n{}Content-Length: #\r\n\r\n%s", line, inner), end: finAfterUpload}
+	return scriptedAnswer{text: line + "\r\n{}\r\n" + inner, end: finAfterUpload}
 }
 
 // answersWithHeads are answers by what is special about their heads.
@@ -44,10 +44,6 @@
 	for _, line := range []string{"X Part: a", "X-Part : a", "X-Part\t: a", ": a", "X\x01Part: a", "X\x00: a", "X-Part: \x01", "X-Part: a\rb", "X\x7f: a"} {
 		answers[fmt.Sprintf("%q", line)] = withLines(line + "\r\n")
 	}
-	for name, a := range answers {
-		a.text = strings.ReplaceAll(a.text, "#", fmt.Sprint(len(inner)))
-		answers[name] = a
-	}
 	return answers
 }
 
