--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -536,7 +536,7 @@
 mutant "own answer: two calls on a connection" internal/upstream/conn.go 's/^\t\treturn !c.anonymous$/\t\treturn true/' "./internal/upstream -run LateAnswerToACall"
 mutant "own answer: connections are never used up" internal/upstream/conn.go 's/return len(c.carried) >= maxCarried/return false/' "./internal/upstream -run BoundedNumber"
 mutant "own answer: answers without an ID are taken" internal/upstream/pool.go 's/if a.RequestID != r.ID \&\& a.RequestID == "" \&\& !c.anonymous {/if false {/; s/^\t\tif a.RequestID != r.ID {$/\t\tif a.RequestID != "" \&\& a.RequestID != r.ID {/' "./internal/upstream -run WithoutAnID"
-mutant "cut answers: a cut head as a malformed one" internal/upstream/pool.go 's/if err != nil \&\& c.headErr != nil {/if false {/' ./internal/upstream
+mutant "cut answers: a cut head as a malformed one" internal/upstream/pool.go 's/case err != nil \&\& c.headErr != nil:/case false:/' ./internal/upstream
 mutant "cut answers: codings of HTTP/1.0 ignored" pkg/responsehead/responsehead.go 's/if coded \&\& p.version10 {/if coded \&\& p.version10 \&\& !p.fields {/' ./pkg/responsehead
 mutant "cut answers: streams without events" internal/relay/pass.go 's/if !resp.Framed \&\& !p.state.HeaderSent {/if false {/' "./internal/gateway -run TestAStreamThatEnds"
 mutant "cut answers: calls without a body" internal/engineclient/engineclient.go 's/^\tif body == nil {$/\tif false {/' ./internal/engineclient
